--- /dev/null
+++ b/ironscale/__init__.py
@@ -0,0 +1,1 @@
+"""ironscale: the decisions of a sidecar balancer for service-to-service calls."""
--- /dev/null
+++ b/ironscale/adapter.py
@@ -0,0 +1,84 @@
+"""Hosts many instances of the decision module on the bench's wire: one reply for each batch."""
+
+from __future__ import annotations
+
+import sys
+from typing import BinaryIO
+
+from ironscale import wire
+from ironscale.balance import Balancer
+
+
+def read_exactly(source: BinaryIO, size: int) -> bytes:
+    """`size` bytes, or fewer at the end of input."""
+    data = source.read(size)
+    while len(data) < size:
+        more = source.read(size - len(data))
+        if not more:
+            break
+        data += more
+    return data
+
+
+class Host:
+    """The running instances; they share nothing but the decoder's upstream lists."""
+
+    def __init__(self) -> None:
+        self.decoder = wire.Decoder()
+        self.instances: dict[int, Balancer] = {}
+
+    def batch(self, now_us: int, count: int, body: bytes) -> bytes:
+        records: list[bytes] = []
+        for instance, event in self.decoder.batch(body, count):
+            if isinstance(event, wire.InstanceStarted):
+                settings = wire.parse_settings(event.options)
+                self.instances[instance] = Balancer(settings, event.seed, now_us)
+            elif isinstance(event, wire.InstanceStopped):
+                self.instances.pop(instance, None)
+            elif instance in self.instances:
+                try:
+                    actions = self.instances[instance].handle(now_us, event)
+                    records.extend([wire.encode(instance, action) for action in actions])
+                except Exception as error:  # a bug in the decisions is told on the wire, not hidden
+                    text = f"{type(error).__name__}: {error}"
+                    records.append(wire.encode(instance, wire.InternalError(text)))
+        return wire.reply(records)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends."""
+    host = Host()
+    number = 0
+    while True:
+        header = read_exactly(source, wire.HEADER.size)
+        if not header:
+            return
+        try:
+            if len(header) < wire.HEADER.size:
+                raise wire.WireError(f"truncated header: {len(header)} of {wire.HEADER.size} bytes")
+            size, count, now_us = wire.HEADER.unpack(header)
+            body = read_exactly(source, size)
+            if len(body) < size:
+                raise wire.WireError(f"truncated body: {len(body)} of {size} bytes")
+            answer = host.batch(now_us, count, body)
+        except wire.WireError as error:
+            raise wire.WireError(f"batch {number}: {error}") from error
+        sink.write(answer)
+        sink.flush()
+        number += 1
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except wire.WireError as error:
+        print(f"ironscale: {error}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        print("ironscale: the reader of our replies is gone", file=sys.stderr)
+        return 3
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ironscale/balance.py
@@ -0,0 +1,451 @@
+"""All decisions of the balancer. Its interface, types, events and actions: ironscale/interface.py.
+
+Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the
+ONE buffer when none is free, is refused when the buffer is taken, and is reissued through a slot.
+"""
+
+import heapq
+import random
+
+from ironscale import interface as api
+
+RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
+RETRIES_KEPT = 5.0  # and so many saved up at most
+IDLE = 0.8  # reported utilization under which requests hardly queue
+SLOTS_EACH = 8.0  # first slots at an upstream from all sidecars together
+SMALLEST_SIZE = 0.1  # of the mean: a listed weight near 0 must not cut an upstream off
+KEPT_IN_HAND = 2.0  # slow answers leave an upstream about so many requests from all sidecars together
+STACKED = 3.0  # times its even share of what is out, that an upstream may get: idle ones come first
+FAR = 1e-3  # weight of what is not idle and in this zone, where crossing zones costs
+SUBSET = 3.0  # free slots that a draw chooses among, in upstreams of mean size
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
+SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
+GROWTH = 0.4  # of its slots, by which a round of answers moves an upstream's window
+FULL_LOAD = 0.7  # of the slow time, where an upstream's slots settle: more chokes it, less refuses early
+FULL_QUEUE = 2.0  # times the least usual answer, where the sidecar's slots settle: as much queue as service
+LEAST_LOAD = 0.3  # of the slow time; under it a queue does no harm yet
+TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
+LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
+FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+
+
+class Window:
+    """Slots for outstanding sends; below one, the one slot rests between sends."""
+
+    def __init__(self, name: str, slots: float) -> None:
+        self.name = name
+        self.slots = slots
+        self.rest_until_us = 0
+        self.resting = False  # as last logged
+
+    def open(self, now_us: int) -> int:
+        return int(self.slots) if self.slots >= 1.0 else int(now_us >= self.rest_until_us)
+
+    def move(self, step: float, least: float, most: float) -> None:
+        """A round of answers moves the slots by the share `step`."""
+        slots = self.slots + step * min(1.0, self.slots)
+        most, least = max(most, self.slots), max(SMALLEST_WINDOW, min(least, self.slots))
+        self.slots = min(max(slots, least), most)
+
+    def rest(self, now_us: int, busy_us: float) -> None:
+        self.rest_until_us = now_us + int(busy_us * max(0.0, 1.0 / self.slots - 1.0))
+
+
+class Server:
+    """What this sidecar knows of one upstream."""
+
+    def __init__(self, entry: api.Upstream) -> None:
+        self.entry = entry
+        self.size = 1.0  # listed weight, in upstreams of mean weight
+        self.used = 0  # slots taken by this sidecar's sends
+        self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
+        self.busy = 1.0  # as it last reported; not known counts as busy
+        self.next_cold_us = 0  # while it is cold, no send before this
+
+
+class Attempt:
+    def __init__(self, server: Server, now_us: int, slow_us: int) -> None:
+        self.server = server
+        self.sent_us = now_us
+        self.slow_us = slow_us
+        self.slowness = 0.0  # as judged so far, 1 at the slow time
+        self.ended: api.Outcome | None = None  # None while it is out
+
+
+class Request:
+    def __init__(self, event: api.RequestArrived) -> None:
+        self.event = event
+        self.attempts: list[Attempt] = []
+        self.done = False
+        self.streaming = False
+
+    def out(self) -> int:
+        return sum(1 for attempt in self.attempts if attempt.ended is None)
+
+    def first_that_may_have_run(self) -> Attempt | None:
+        return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
+
+
+class Latency:
+    """Smoothed time of a class's answers, and the least it has been."""
+
+    def __init__(self, first_us: int) -> None:
+        self.mean_us = self.base_us = first_us / 2  # until something is seen: half the aim
+        self.seen = False
+
+    def add(self, sample_us: float) -> None:
+        sample_us = max(1.0, sample_us)  # a clock that ticks slowly may say 0
+        if not self.seen:
+            self.seen, self.mean_us, self.base_us = True, sample_us, sample_us
+        self.mean_us += (sample_us - self.mean_us) / 8  # as TCP keeps its round trips (RFC 6298)
+        self.base_us = min(self.mean_us, self.base_us + (self.mean_us - self.base_us) / 256)
+
+
+class Balancer:
+    def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now_us = now_us
+        self.actions: list[api.Action] = []
+        self.servers: dict[int, Server] = {}  # listed and not gone
+        self.requests: dict[int, Request] = {}
+        self.buffer: Request | None = None
+        self.latency = [Latency(c.aim_us) for c in settings.classes]
+        self.window = Window("this sidecar", 1.0)  # for all sends of this sidecar together
+        self.least = 1.0  # hazard: after an outage all would rest for long
+        self.least_each = min(1.0, KEPT_IN_HAND / settings.instances)
+        self.out = 0  # those that count for it
+        self.order: list[Server] = []  # ready upstreams, from this sidecar's own starting point on
+        self.subset = SUBSET
+        self.retry_tokens = RETRIES_KEPT
+        names = settings.report_names
+        self.busy_at = names.index("utilization") if "utilization" in names else None
+        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
+        self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
+        self.next_log_us = now_us
+        self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
+        self.armed_us = 0  # the next timer already asked for; 0 = none
+        self.list_failures = 0
+        self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
+        self.ask_list_at(now_us)
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+        self.now_us = now_us
+        if isinstance(event, api.AttemptEnded):
+            self.on_attempt_ended(event)
+        elif isinstance(event, api.RequestArrived):
+            self.on_arrival(event)
+        elif isinstance(event, api.TimerFired):
+            if self.armed_us <= now_us:  # hazard: a stale timer that armed another would never die out
+                self.armed_us = 0
+            self.run_due()
+        elif isinstance(event, api.RequestGone) and event.request in self.requests:
+            self.close(self.requests[event.request])
+        elif isinstance(event, api.StreamStarted) and event.request in self.requests:
+            self.requests[event.request].streaming = True
+        elif isinstance(event, api.UpstreamsUpdated):
+            self.on_list(event)
+        if self.buffer is not None and self.try_send(self.buffer):
+            self.buffer = None
+        self.arm()
+        actions, self.actions = self.actions, []
+        return actions
+
+    def on_arrival(self, event: api.RequestArrived) -> None:
+        if event.request in self.requests:
+            return
+        if event.class_index >= len(self.settings.classes):  # one that the settings don't have
+            self.actions.append(api.Refuse(event.request))
+            return
+        request = Request(event)
+        self.requests[event.request] = request
+        if event.tenant < len(self.tenant_seen):
+            self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
+            self.tenant_seen[event.tenant] += 1.0
+        self.retry_tokens = min(RETRIES_KEPT, self.retry_tokens + RETRY_SHARE)
+        self.place(request)
+
+    def log(self, window: Window) -> None:
+        resting = window.slots < (1.0 if window.resting else 0.25)
+        if resting != window.resting and self.now_us >= self.next_log_us:  # else told later, if it lasts
+            self.next_log_us = self.now_us + LOG_GAP_US
+            window.resting = resting
+            self.actions.append(api.Log(f"{window.name} {'rests' if resting else 'is back'}"))
+
+    def place(self, request: Request) -> None:
+        """Through a free slot, else into the buffer, else refused."""
+        holder = self.buffer
+        in_time = self.now_us < self.latest_start_us(request)
+        if in_time and self.try_send(request):
+            return
+        wanted = holder is None or self.value(request) > self.value(holder)
+        if in_time and wanted and self.may_send(request):
+            # hazard: in a shortage the bulk of cheap requests would keep the dear ones out of every slot
+            self.buffer = request
+            if holder is not None:
+                self.finish(holder)
+            until_us = self.now_us + self.half_aim_us(request.event.class_index)
+            self.wake(min(until_us, self.latest_start_us(request)), "buffer", request.event.request)
+        else:
+            self.finish(request)
+
+    def value(self, request: Request) -> float:
+        """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
+        The share is judged among the tenants seen here: of total rates a sidecar knows nothing."""
+        s, worth = self.settings, self.class_of(request).worth
+        if not s.worth_by_work:
+            worth /= self.latency[request.event.class_index].mean_us
+        if request.event.tenant < len(s.tenants):
+            allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
+            seen = self.tenant_seen[request.event.tenant] / sum(self.tenant_seen)
+            worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
+        return worth
+
+    def class_of(self, request: Request) -> api.RequestClass:
+        return self.settings.classes[request.event.class_index]
+
+    def half_aim_us(self, class_index: int) -> int:
+        """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
+        return self.settings.classes[class_index].aim_us // 2
+
+    def latest_start_us(self, request: Request) -> int:
+        """An attempt that starts later is not expected back by the due time. Hazard: after an outage that
+        every answer outlasted, nothing would be tried again; so at most half the aim is left for it."""
+        answer_us = int(self.latency[request.event.class_index].mean_us)
+        return request.event.due_us - min(answer_us, self.half_aim_us(request.event.class_index))
+
+    def finish(self, request: Request) -> None:
+        """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
+        ident, kind = request.event.request, self.class_of(request)
+        harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
+                    or (kind.effect == "deduplicated" and kind.group == "all"))
+        self.close(request)
+        answer = api.Refuse(ident, self.retry_after_us(request)) if harmless else api.Fail(ident)
+        self.actions.append(answer)
+
+    def close(self, request: Request) -> None:
+        request.done = True
+        if self.buffer is request:
+            self.buffer = None
+        if request.out() == 0:
+            self.requests.pop(request.event.request, None)
+
+    def retry_after_us(self, request: Request) -> int:
+        """About when a slot frees: one answer's time, spread lest refused clients return together."""
+        after_us = self.latency[request.event.class_index].mean_us * (0.5 + self.random.random())
+        return min(int(after_us), self.settings.max_retry_after_us) if self.settings.retry_after else 0
+
+    def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
+        """How an attempt's end, or its being late, opens or closes slots: at its upstream, and of this
+        sidecar's window, which sees more answers. Both go by the time it took in slow times."""
+        server, outcome, latency = attempt.server, attempt.ended, self.latency[class_index]
+        if outcome in INSTANT_FAULTS:
+            # hazard: what fails at once frees its slot at once and so would draw ever more
+            server.window.move(-0.5, 0.0, 1.0)
+            if outcome is api.Outcome.FULL:
+                self.window.move(-GROWTH / 2, self.least, 1.0)
+        elif outcome in (None, api.Outcome.OK, api.Outcome.TIMEOUT):
+            # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
+            slowness = min(2.0, elapsed_us / attempt.slow_us)
+            step = (attempt.slowness or FULL_LOAD) - slowness
+            # hazard: slots opened without need, by many sidecars above all, choke bursts (cf. RFC 7661)
+            most = max(1.0, STACKED * (self.out + 1) / max(1, len(self.order)))
+            server.window.move(GROWTH * step, self.least_each, most)
+            full = min(1.0, max(LEAST_LOAD, FULL_QUEUE * latency.base_us / attempt.slow_us))
+            step = (attempt.slowness or full) - slowness
+            if server.busy < IDLE:  # hazard: a long request is slow by itself
+                step = max(step, full)
+            self.window.move(GROWTH / 2 * step, self.least, 2.0 * (self.out + 1))
+            attempt.slowness = slowness
+        # hazard: beside answers of seconds, short rests leave a choked upstream crowded
+        busy_us = min(max(elapsed_us, latency.mean_us), attempt.slow_us)
+        for window in (server.window, self.window):
+            window.rest(self.now_us, busy_us * (0.5 + self.random.random()))
+            self.log(window)
+
+    def warmth(self, server: Server) -> float:
+        """Rule 4: the share of its capacity that an upstream surely has; 1 from where one slot from each
+        sidecar can't push it over, as that takes more than one and a half times what it does when warm."""
+        s, started_us = self.settings, server.entry.started_us
+        age_us = self.now_us - started_us
+        if started_us == 0 or age_us >= s.warm_up_us:
+            return 1.0
+        warmth = s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
+        return warmth if warmth * s.overload_factor < 1.5 else 1.0
+
+    def cold_gap_us(self, server: Server, work_us: float) -> int:
+        """Rule 4: how long after a send the next may follow, so that all sidecars together send half the
+        multiple that a cold upstream bears. A request's work is taken as the time of a usual answer, as if
+        the upstream had one core."""
+        s, warmth = self.settings, self.warmth(server)
+        return int(s.instances * work_us / (warmth * max(1.0, s.overload_factor / 2))) if warmth < 1.0 else 0
+
+    def draw(self, request: Request) -> Server | None:
+        """A random one of the first free slots in this sidecar's order that the request may use, drawn by the
+        upstreams' listed size, of upstreams not yet tried."""
+        if self.window.open(self.now_us) <= self.out:
+            return None
+        tried = [attempt.server for attempt in request.attempts]
+        free: list[Server] = []
+        weights: list[float] = []
+        room = 0.0
+        # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
+        home = self.settings.zone if self.settings.cross_zone_fee > 0.0 and self.least == 1.0 else -1
+        for server in self.order:
+            warmth, slots = self.warmth(server), server.window.open(self.now_us) - server.used
+            paced = warmth < 1.0 and self.now_us < server.next_cold_us
+            if slots > 0 and not paced and server not in tried and self.in_group(request, server):
+                free.append(server)
+                near = 1.0 if server.entry.zone == home and server.used == 0 else FAR
+                weights.append(min(float(slots), server.window.slots) * server.size * warmth * near)
+                room += min(1.0, server.window.slots) * server.size
+                if room >= self.subset:
+                    break
+        return self.random.choices(free, weights)[0] if free else None
+
+    def may_send(self, request: Request) -> bool:
+        """Rules 1 and 2 as far as they don't depend on the upstream."""
+        s, sent = self.settings, len(request.attempts)
+        if request.done or request.streaming or self.now_us >= request.event.due_us or sent >= s.max_attempts:
+            return False
+        if sent > 0 and self.retry_tokens < 1.0:
+            return False  # hazard: reissues and copies feed the overload that they answer
+        if request.out() > 0 and not s.second_copies:
+            return False
+        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        if first is None or kind.effect == "idempotent":
+            return True
+        return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
+
+    def in_group(self, request: Request, server: Server) -> bool:
+        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
+        first, kind = request.first_that_may_have_run(), self.class_of(request)
+        if first is None or kind.effect != "deduplicated" or kind.group == "all":
+            return True
+        ours, theirs = first.server.entry, server.entry
+        return ours.zone == theirs.zone if kind.group == "zone" else ours.cell == theirs.cell
+
+    def try_send(self, request: Request) -> bool:
+        """The one place of sends: through a slot that `draw` finds free, if the rules allow it."""
+        server = self.draw(request) if self.may_send(request) else None
+        if server is None:
+            return False
+        work_us = max(self.latency[request.event.class_index].mean_us, request.event.cost_us)
+        server.next_cold_us = self.now_us + self.cold_gap_us(server, work_us)
+        server.used += 1
+        self.out += 1
+        self.retry_tokens -= 1.0 if request.attempts else 0.0
+        slow_us = max(self.half_aim_us(request.event.class_index), 2 * request.event.cost_us)
+        request.attempts.append(Attempt(server, self.now_us, slow_us))
+        timeout_us = request.event.due_us - self.now_us
+        if not self.settings.second_copies and self.class_of(request).effect != "at_most_once":
+            timeout_us = min(timeout_us, 3 * slow_us)  # hazard: a hung upstream would use up all the time
+        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us))
+        self.wake(self.now_us + slow_us, "late", request.event.request)
+        return True
+
+    def on_late(self, request: Request) -> None:
+        """A late answer may be a hung upstream or a long request: its upstream's slot stays taken, this
+        sidecar's is freed, and where a copy is allowed it is sent and the first runs on. Never in a
+        shortage, when copies would take the slots of requests that have none."""
+        for attempt in request.attempts:
+            late = self.now_us >= attempt.sent_us + attempt.slow_us
+            if late and attempt.ended is None and attempt.slowness == 0.0:
+                self.out -= 1
+                self.judge(attempt, attempt.slow_us, request.event.class_index)
+        if request.out() == 1 and self.buffer is None and self.settings.second_copies:
+            self.try_send(request)
+
+    def on_attempt_ended(self, event: api.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.ended is not None:
+            return
+        attempt.ended = event.outcome
+        if self.busy_at is not None and len(event.report) > self.busy_at:
+            attempt.server.busy = event.report[self.busy_at]
+        attempt.server.used -= 1
+        self.out -= attempt.slowness == 0.0
+        self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+            # time-outs count too: else a slow fleet would go on being judged by its few quick answers
+            self.latency[request.event.class_index].add(event.elapsed_us)
+        if event.final or request.done:
+            self.close(request)
+        elif request.out() == 0:
+            self.place(request)  # hazard: an upstream that fails a part of its requests would lose them all
+
+    def on_list(self, event: api.UpstreamsUpdated) -> None:
+        if event.kind is api.ListKind.FAILED:
+            # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
+            backoff_us = min(FIRST_RETRY_US << min(self.list_failures, 20), self.settings.ask_within_us // 2)
+            self.list_failures += 1
+            self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
+            return
+        if event.kind is not api.ListKind.CACHED:
+            self.list_failures = self.ask_list_us = 0
+        old = self.servers
+        # hazard: under rolling deploys what is gone would pile up; its outstanding attempts still hold it
+        self.servers = dict(old) if event.kind is api.ListKind.DELTA else {}
+        for entry in event.upstreams:
+            server = old.get(entry.id)
+            if entry.state is api.UpstreamState.GONE:
+                self.servers.pop(entry.id, None)
+                continue
+            if server is None or server.entry.started_us != entry.started_us:
+                server = Server(entry)  # a new process: nothing the former one earned or lost is kept
+                # all sidecars hear of a start within moments: their first sends must not come as one burst
+                gap_us = self.cold_gap_us(server, min(latency.mean_us for latency in self.latency))
+                server.next_cold_us = self.now_us + int(gap_us * self.random.random())
+            server.entry = entry
+            self.servers[entry.id] = server
+        self.rank()
+
+    def rank(self) -> None:
+        """Subsetting: the ready upstreams by id, each sidecar from a starting point of its own, so that
+        every upstream is near the front of as many. Rule 3: draining and gone ones are drawn no more."""
+        count = self.settings.instances
+        ready = [self.servers[i] for i in sorted(self.servers)
+                 if self.servers[i].entry.state is api.UpstreamState.READY]
+        mean = sum(server.entry.weight for server in ready) / max(1, len(ready))
+        for server in ready:
+            server.size = max(SMALLEST_SIZE, server.entry.weight / mean) if mean > 0.0 else 1.0
+        if ready and not self.order:
+            self.window.slots = max(SMALLEST_WINDOW, SLOTS_EACH * len(ready) / count)
+        self.least = min(1.0, len(ready) / count)
+        start = len(ready) * (self.settings.self_index % count) // count
+        self.order = ready[start:] + ready[:start]
+        self.subset = max(SUBSET, 2.0 * SUBSET * len(ready) / count)
+
+    def ask_list_at(self, at_us: int) -> None:
+        if self.settings.list_on_request:
+            self.ask_list_us = at_us
+            self.wake(at_us, "list", 0)
+
+    def wake(self, at_us: int, what: str, ident: int) -> None:
+        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident))
+
+    def arm(self) -> None:
+        times = [self.wakeups[0][0]] if self.wakeups else []
+        if self.buffer is not None:  # a resting slot opens by time, not by an event
+            opens = [self.window.rest_until_us]
+            opens += [max(s.next_cold_us, s.window.rest_until_us) for s in self.order]
+            times.extend([at_us for at_us in opens if at_us > self.now_us])
+        if times and (self.armed_us == 0 or min(times) < self.armed_us):
+            self.armed_us = min(times)
+            self.actions.append(api.SetTimer(self.armed_us, 0))
+
+    def run_due(self) -> None:
+        while self.wakeups and self.wakeups[0][0] <= self.now_us:
+            _, what, ident = heapq.heappop(self.wakeups)
+            if what == "list" and 0 < self.ask_list_us <= self.now_us:
+                # asks again if no answer comes: a lost call must not leave us without a list (rule 3)
+                self.actions.append(api.Subscribe(True))
+                self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
+            elif what == "late" and ident in self.requests:
+                self.on_late(self.requests[ident])
+            elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
+                self.finish(self.buffer)
--- /dev/null
+++ b/ironscale/wire.py
@@ -0,0 +1,332 @@
+"""The bench's wire: frames to interface events, interface actions to frames, settings from text.
+
+No decision is made here. `WireError` says in one line what is malformed and where.
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from ironscale import interface as api
+
+HEADER = struct.Struct("<IIQ")
+REPLY_HEADER = struct.Struct("<II")
+_ENTRY = struct.Struct("<IBBHBfQ")
+_LIST_HEAD = struct.Struct("<II")
+_POWER_ON = struct.Struct("<QI")
+_MEMBERS = struct.Struct("<BII")
+_ACCEPT = struct.Struct("<IBIQIBQ")
+_COMPLETED = struct.Struct("<IBIHIBB")
+_BEGUN = struct.Struct("<IBII")
+_HEALTH = struct.Struct("<IHIB")
+_DATAGRAM = struct.Struct("<HH")
+_U16 = struct.Struct("<H")
+_U32 = struct.Struct("<I")
+
+_OUTCOMES = {
+    0: api.Outcome.OK, 5: api.Outcome.ERROR, 11: api.Outcome.FULL, 110: api.Outcome.TIMEOUT,
+    111: api.Outcome.CONNECT_FAILED, 104: api.Outcome.RESET, 125: api.Outcome.CANCELLED,
+    114: api.Outcome.NOT_SENT,
+}
+_STATES = {0: api.UpstreamState.GONE, 1: api.UpstreamState.READY, 2: api.UpstreamState.DRAINING}
+_LIST_KINDS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
+# Load report values: the wire's names and ours; a name not known here is kept as it is.
+_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
+                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
+_U32_MAX = 0xFFFFFFFF
+V = TypeVar("V")
+
+
+class WireError(Exception):
+    """A frame or a setting that cannot be read."""
+
+
+@dataclass(slots=True)
+class InstanceStarted:
+    """An instance comes up with no state."""
+
+    seed: int
+    options: str
+
+
+@dataclass(slots=True)
+class InstanceStopped:
+    """The instance has been killed."""
+
+
+@dataclass(slots=True)
+class InternalError:
+    """Action: the decision code has failed; the text says how."""
+
+    text: str
+
+
+Record = api.Event | InstanceStarted | InstanceStopped
+Reply = api.Action | InternalError
+
+
+class Decoder:
+    """Reads batches; remembers the numbered upstream lists, which events refer to."""
+
+    def __init__(self) -> None:
+        self.lists: dict[int, list[api.Upstream]] = {}
+        self.data = b""
+        self.at = 0
+
+    def batch(self, data: bytes, count: int) -> Iterator[tuple[int, Record]]:
+        """The (instance, event) pairs of a batch's body, in order."""
+        self.data, self.at = data, 0
+        for index in range(count):
+            start = self.at
+            try:
+                code = self.take(1)[0]
+                if code == 110:
+                    self.read_list()
+                    continue
+                reader = _READERS.get(code)
+                if reader is None:
+                    raise WireError(f"unknown event code {code}")
+                instance = self.fields(_U16)[0]
+                event = reader(self)
+            except (WireError, UnicodeDecodeError) as error:
+                raise WireError(f"record {index} at byte {start}: {error}") from error
+            yield instance, event
+        if self.at != len(data):
+            raise WireError(f"{len(data) - self.at} bytes left over after {count} records")
+
+    def take(self, size: int) -> bytes:
+        end = self.at + size
+        if end > len(self.data):
+            raise WireError(f"truncated: {size} bytes wanted, {len(self.data) - self.at} left")
+        piece = self.data[self.at:end]
+        self.at = end
+        return piece
+
+    def fields(self, layout: struct.Struct) -> tuple[int, ...]:
+        return layout.unpack(self.take(layout.size))
+
+    def floats(self, count: int) -> list[float]:
+        values = list(struct.unpack(f"<{count}f", self.take(4 * count)))
+        if not all(map(math.isfinite, values)):
+            raise WireError("a load report value that is not a finite number")
+        return values
+
+    def read_list(self) -> None:
+        number, count = self.fields(_LIST_HEAD)
+        entries = []
+        for upstream, zone, kind, cell, state, weight, started in _ENTRY.iter_unpack(
+            self.take(_ENTRY.size * count)
+        ):
+            if not math.isfinite(weight):
+                raise WireError(f"upstream {upstream} has a weight that is not a finite number")
+            entries.append(api.Upstream(upstream, _known(_STATES, state, "upstream condition"), zone, kind,
+                                        cell, weight, started))
+        self.lists[number] = entries
+
+
+def _known(table: dict[int, V], code: int, what: str) -> V:
+    value = table.get(code)
+    if value is None:
+        raise WireError(f"unknown {what} {code}")
+    return value
+
+
+def _started(frame: Decoder) -> Record:
+    seed, size = frame.fields(_POWER_ON)
+    return InstanceStarted(seed, frame.take(size).decode())
+
+
+def _stopped(frame: Decoder) -> Record:
+    return InstanceStopped()
+
+
+def _members(frame: Decoder) -> Record:
+    how, version, number = frame.fields(_MEMBERS)
+    kind = _known(_LIST_KINDS, how, "list kind")
+    if kind is api.ListKind.FAILED:
+        return api.UpstreamsUpdated(kind, [], version)
+    if number not in frame.lists:
+        raise WireError(f"upstream list {number} was never sent")
+    return api.UpstreamsUpdated(kind, frame.lists[number], version)
+
+
+def _accept(frame: Decoder) -> Record:
+    request, class_index, tenant, key, cost, marks, due = frame.fields(_ACCEPT)
+    return api.RequestArrived(request, due, class_index, tenant, key, cost if marks & 1 else 0,
+                              bool(marks & 2), bool(marks & 4))
+
+
+def _completed(frame: Decoder) -> Record:
+    request, attempt, upstream, verdict, spent, last, count = frame.fields(_COMPLETED)
+    return api.AttemptEnded(request, attempt, upstream, _known(_OUTCOMES, verdict, "outcome"), spent,
+                            bool(last), frame.floats(count))
+
+
+def _begun(frame: Decoder) -> Record:
+    request, attempt, spent, upstream = frame.fields(_BEGUN)
+    return api.StreamStarted(request, attempt, upstream, spent)
+
+
+def _health(frame: Decoder) -> Record:
+    upstream, verdict, spent, count = frame.fields(_HEALTH)
+    return api.ProbeEnded(upstream, _known(_OUTCOMES, verdict, "outcome"), spent, frame.floats(count))
+
+
+def _datagram(frame: Decoder) -> Record:
+    sender, size = frame.fields(_DATAGRAM)
+    return api.PeerMessage(sender, frame.take(size))
+
+
+_READERS: dict[int, Callable[[Decoder], Record]] = {
+    10: _completed, 20: _begun, 30: _datagram, 40: _stopped,
+    50: lambda frame: api.TimerFired(frame.fields(_U32)[0]),
+    60: lambda frame: api.RequestGone(frame.fields(_U32)[0]),
+    70: _accept, 80: _members, 90: _health, 100: _started,
+}
+
+
+def _pack(code: int, layout: str) -> Callable[..., bytes]:
+    packer = struct.Struct("<BH" + layout)
+    return lambda instance, *values: packer.pack(code, instance, *values)
+
+
+_send, _refuse, _fail = _pack(20, "IIi"), _pack(40, "II"), _pack(90, "I")
+_cancel, _probe, _timer = _pack(100, "IB"), _pack(80, "I"), _pack(30, "QI")
+_subscribe, _fetch, _close = _pack(70, "B"), _pack(10, ""), _pack(110, "I")
+_tell, _text_log, _text_error = _pack(50, "IH"), _pack(120, "H"), _pack(60, "H")
+
+
+def _text(head: Callable[..., bytes], instance: int, text: str) -> bytes:
+    raw = text.encode()[:0xFFFF]
+    return head(instance, len(raw)) + raw
+
+
+_WRITERS: dict[type, Callable[[int, Any], bytes]] = {
+    api.Send: lambda i, a: _send(i, a.request, a.upstream, a.timeout_us),
+    api.Refuse: lambda i, a: _refuse(i, a.request, a.retry_after_us),
+    api.Fail: lambda i, a: _fail(i, a.request),
+    api.Cancel: lambda i, a: _cancel(i, a.request, a.attempt),
+    api.Probe: lambda i, a: _probe(i, a.upstream),
+    api.SetTimer: lambda i, a: _timer(i, a.at_us, a.token),
+    api.Subscribe: lambda i, a: _subscribe(i, int(a.active)),
+    api.FetchList: lambda i, a: _fetch(i),
+    api.CloseIdle: lambda i, a: _close(i, a.upstream),
+    api.TellPeer: lambda i, a: _tell(i, _U32_MAX if a.to is None else a.to, len(a.payload)) + a.payload,
+    api.Log: lambda i, a: _text(_text_log, i, a.text),
+    InternalError: lambda i, a: _text(_text_error, i, a.text),
+}
+
+
+def encode(instance: int, action: Reply) -> bytes:
+    """One action record."""
+    return _WRITERS[type(action)](instance, action)
+
+
+def reply(records: list[bytes]) -> bytes:
+    """A whole reply frame."""
+    body = b"".join(records)
+    return REPLY_HEADER.pack(len(body), len(records)) + body
+
+
+class _Options:
+    """The start-up settings' path=value pairs, read with checks."""
+
+    def __init__(self, text: str) -> None:
+        self.pairs: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            if not line.strip():
+                continue
+            path, equals, value = line.partition("=")
+            if not equals or not path:
+                raise WireError(f"settings line {number}: expected path=value, got {line!r}")
+            self.pairs[path] = value
+
+    def text(self, path: str, default: str | None = None) -> str:
+        value = self.pairs.get(path, default)
+        if value is None:
+            raise WireError(f"setting {path} is missing")
+        return value
+
+    def number(self, path: str, default: str | None = None) -> float:
+        value = self.text(path, default)
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
+            raise WireError(f"setting {path}: expected a number, got {value!r}")
+        return number
+
+    def whole(self, path: str, default: str | None = None) -> int:
+        number = self.number(path, default)
+        if number != int(number):
+            raise WireError(f"setting {path}: expected a whole number, got {self.text(path, default)!r}")
+        return int(number)
+
+    def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
+        value = self.text(path, default)
+        if value not in choices:
+            raise WireError(f"setting {path}: expected one of {', '.join(choices)}, got {value!r}")
+        return value
+
+    def flag(self, path: str, default: str | None = None) -> bool:
+        return self.choice(path, ("true", "false"), default) == "true"
+
+
+def _class(options: _Options, at: str) -> api.RequestClass:
+    return api.RequestClass(
+        name=options.text(at + "name"),
+        aim_us=options.whole(at + "aim"),
+        deadline_us=options.whole(at + "deadline"),
+        worth=options.number(at + "worth"),
+        late_worth=options.number(at + "late-worth", "0"),
+        aim_stretch=options.number(at + "aim-stretch", "0"),
+        effect=options.choice(at + "effect", api.EFFECTS),
+        group=options.choice(at + "group", api.GROUPS, "all"),
+        memory_us=options.whole(at + "memory-span", "0"),
+        stream=options.flag(at + "stream", "false"),
+    )
+
+
+def _tenant(options: _Options, at: str) -> api.Tenant:
+    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
+                      options.number(at + "share", "0"))
+
+
+def parse_settings(text: str) -> api.Settings:
+    """The settings of one instance; keys that are not known are skipped."""
+    o = _Options(text)
+    try:
+        return api.Settings(
+            classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
+            tenants=[_tenant(o, f"accounts.{i}.") for i in range(o.whole("accounts.count", "0"))],
+            over_share_worth=o.number("over-share-worth", "1"),
+            worth_by_work=o.choice("value-by", ("request", "work"), "request") == "work",
+            instances=o.whole("instances"),
+            self_index=o.whole("self-index", "0"),
+            zone=o.whole("locality", "0"),
+            tick_us=o.whole("granularity"),
+            max_attempts=o.whole("bounds.most-tries"),
+            max_retry_after_us=o.whole("bounds.max-retry-after", "0"),
+            connect_timeout_us=o.whole("bounds.dial-timeout", "0"),
+            retry_after=o.flag("bounds.retry-after"),
+            cancel=o.flag("bounds.cancel"),
+            probes=o.flag("bounds.probes"),
+            second_copies=o.flag("bounds.second-copies"),
+            list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
+            ask_within_us=o.whole("invariants.ask-within", "0"),
+            cold_share=o.number("invariants.cold-share"),
+            warm_up_us=o.whole("invariants.warm-up"),
+            overload_factor=o.number("invariants.overload-factor"),
+            fall_us=o.whole("invariants.fall"),
+            cross_zone_fee=o.number("fees.cross-zone", "0"),
+            report_names=[_REPORT_NAMES.get(name, name)
+                          for name in o.text("report.names", "").split(",") if name],
+            weighted=o.text("weights", "none") != "none",
+        )
+    except ValueError as error:
+        raise WireError(f"settings: {error}") from error
--- /dev/null
+++ b/tests/check.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# The whole test run: lint, types, tests (the line limits and a start of the deploy file's sim among them).
+set -eu
+cd "$(dirname "$0")/.."
+python -m ruff check .
+python -m mypy
+python -m pytest
--- /dev/null
+++ b/tests/test_calm.py
@@ -0,0 +1,107 @@
+"""Odd but legal events are taken calmly; direct misuse is told plainly."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironscale.balance import Balancer
+from ironscale.interface import (
+    AttemptEnded,
+    Fail,
+    Outcome,
+    PeerMessage,
+    ProbeEnded,
+    RequestArrived,
+    RequestClass,
+    RequestGone,
+    StreamStarted,
+    Tenant,
+    TimerFired,
+    UpstreamsUpdated,
+)
+from ironscale.interface import ListKind as Kind
+from tests.world import START_US, World, settings, upstreams
+
+
+def test_events_about_what_is_unknown_change_nothing() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    for event in (AttemptEnded(77, 0, 100, Outcome.OK, 5, True), RequestGone(77), TimerFired(123456),
+                  StreamStarted(77, 0, 100, 5), ProbeEnded(4242, Outcome.OK, 5, [1.0, 2.0]),
+                  PeerMessage(1, b"hi"), UpstreamsUpdated(Kind.FAILED)):
+        assert world.tell(event) == []
+    assert world.sends(world.arrive(0))
+
+
+def test_outcomes_after_the_answer_and_gone_after_the_end_are_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.quit(request)
+    assert world.end(request, 0, Outcome.ERROR) == []
+    assert world.tell(AttemptEnded(request, 0, 100, Outcome.OK, 5, True)) == []
+    assert world.tell(RequestGone(request)) == []
+    served = world.arrive(0)
+    world.end(served, 0, Outcome.OK)
+    assert world.tell(RequestGone(served)) == []
+
+
+def test_an_outcome_of_an_attempt_never_made_is_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    assert world.tell(AttemptEnded(request, 9, 100, Outcome.OK, 5, False)) == []
+
+
+def test_a_stream_that_breaks_is_not_sent_again() -> None:
+    world = World(settings(classes=[RequestClass("feed", 100_000, 500_000, stream=True)]))
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.begin_stream(request, 0)
+    world.advance(3_000_000)
+    world.end(request, 0, Outcome.RESET)
+    assert len(world.sends(request)) == 1 and not isinstance(world.answer(request), Fail)
+
+
+def test_the_same_events_and_seed_give_the_same_actions() -> None:
+    first, second, other = (Balancer(settings(), seed, START_US) for seed in (5, 5, 6))
+    told = []
+    for balancer in (first, second, other):
+        actions = balancer.handle(START_US, UpstreamsUpdated(Kind.FULL, upstreams(9)))
+        for n in range(20):
+            actions += balancer.handle(START_US, RequestArrived(n, START_US + 900_000))
+        told.append(actions)
+    assert told[0] == told[1] != told[2]
+
+
+@pytest.mark.parametrize(("make", "words"), [
+    (lambda: RequestClass("x", 0, 10), "aim_us above 0"),
+    (lambda: RequestClass("x", 10, -1), "deadline_us above 0"),
+    (lambda: RequestClass("x", 10, 10, effect="maybe"), "idempotent, deduplicated, at_most_once"),
+    (lambda: RequestClass("x", 10, 10, group="planet"), "all, zone, cell"),
+    (lambda: RequestClass("x", 10, 10, late_worth=2), "late_worth from 0 to 1"),
+    (lambda: Tenant("t", -1), "allowance_per_s of 0 or more"),
+    (lambda: settings(max_attempts=-1), "max_attempts of 1 or more"),
+    (lambda: settings(instances=0), "instances of 1 or more"),
+    (lambda: settings(cold_share=0), "cold_share above 0"),
+    (lambda: settings(warm_up_us=-5), "warm_up_us of 0 or more"),
+    (lambda: settings(classes=[]), "at least one request class"),
+])
+def test_misuse_says_what_was_expected(make: object, words: str) -> None:
+    with pytest.raises(ValueError, match="expected") as caught:
+        make()  # type: ignore[operator]
+    assert words in str(caught.value)
+
+
+def test_odd_requests_and_lists_are_taken_without_an_exception() -> None:
+    world = World(settings(tenants=[Tenant("t", 5.0)], over_share_worth=0.2))
+    twice = upstreams(2) + upstreams(2, weight=0.0)
+    world.tell_list(twice)
+    assert len(world.balancer.servers) == 2
+    assert world.sends(world.arrive(0, tenant=99))
+    late = world.arrive(0, patience_us=-5_000)
+    assert not world.sends(late) and world.answer(late) is not None
+    world.tell_list([])
+    stranded = world.arrive(1)
+    world.advance(2_000_000)
+    assert not world.sends(stranded) and world.answer(stranded) is not None
--- /dev/null
+++ b/tests/test_list.py
@@ -0,0 +1,115 @@
+"""The upstream list: asking for it, failures, deltas, full lists, restarts."""
+
+from __future__ import annotations
+
+from ironscale.interface import (
+    ListKind,
+    Outcome,
+    SetTimer,
+    Subscribe,
+    Upstream,
+    UpstreamState,
+    UpstreamsUpdated,
+)
+from tests.world import START_US, World, settings, upstreams
+
+
+def asking_world() -> World:
+    world = World(settings(list_on_request=True, ask_within_us=10_000_000))
+    world.tell_list(upstreams(4), ListKind.CACHED)
+    return world
+
+
+def asks(world: World) -> list[int]:
+    """When the world's balancer asked, seen by stepping through time."""
+    return [i for i, action in enumerate(world.log) if isinstance(action, Subscribe)]
+
+
+def test_a_list_that_must_be_asked_for_is_subscribed_to() -> None:
+    world = asking_world()
+    world.advance(2_000_000)
+    assert len(asks(world)) >= 1
+
+
+def test_a_pushed_list_is_never_asked_for() -> None:
+    world = World()
+    world.tell_list(upstreams(4), ListKind.CACHED)
+    world.advance(60_000_000)
+    assert not asks(world)
+
+
+def test_a_failed_list_call_is_repeated_with_growing_waits_inside_ask_within() -> None:
+    world = asking_world()
+    world.advance(2_000_000)
+    waits = []
+    for _ in range(12):
+        before = len(asks(world))
+        world.tell(UpstreamsUpdated(ListKind.FAILED))
+        start_us = world.now_us
+        while len(asks(world)) == before:
+            world.advance(10_000)
+            assert world.now_us - start_us < 10_000_000
+        waits.append(world.now_us - start_us)
+    assert waits[0] < 500_000 and waits[-1] > 1_000_000
+
+
+def test_a_second_failure_before_the_repeat_does_not_double_the_calls() -> None:
+    world = asking_world()
+    world.advance(2_000_000)
+    before = len(asks(world))
+    world.tell(UpstreamsUpdated(ListKind.FAILED))
+    world.tell(UpstreamsUpdated(ListKind.FAILED))
+    world.advance(4_000_000)
+    world.tell_list(upstreams(4), ListKind.DELTA)
+    assert len(asks(world)) == before + 1
+
+
+def test_a_call_that_is_never_answered_is_made_again_within_ask_within() -> None:
+    world = asking_world()
+    world.advance(10_000_000)
+    assert len(asks(world)) >= 2
+
+
+def test_a_delta_changes_only_what_it_names() -> None:
+    world = World()
+    world.tell_list(upstreams(2))
+    world.tell_list([Upstream(100, UpstreamState.DRAINING)], ListKind.DELTA)
+    for _ in range(10):
+        world.end(world.arrive(0), 0, Outcome.OK)
+    assert {s.upstream for s in world.sends()} == {101}
+
+
+def test_what_a_full_list_leaves_out_is_gone_and_may_come_back() -> None:
+    world = World()
+    world.tell_list(upstreams(2))
+    world.tell_list(upstreams(1))
+    for _ in range(10):
+        world.end(world.arrive(0), 0, Outcome.OK)
+    assert {s.upstream for s in world.sends()} == {100}
+    world.tell_list(upstreams(2))
+    for _ in range(30):
+        world.end(world.arrive(0), 0, Outcome.OK)
+    assert {s.upstream for s in world.sends()} == {100, 101}
+
+
+def test_a_restart_under_the_same_id_is_cold_again() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    world.tell_list([Upstream(100, started_us=START_US)], ListKind.DELTA)
+    for _ in range(60):
+        request = world.arrive(0)
+        world.advance(5_000)
+        world.end(request, 0, Outcome.OK)
+    assert sum(1 for s in world.sends() if s.upstream == 100) <= 6
+
+
+def test_an_empty_list_and_an_empty_delta_are_taken_calmly() -> None:
+    world = World()
+    world.tell_list(upstreams(2))
+    world.tell_list([], ListKind.DELTA)
+    assert world.sends(world.arrive(0))
+    world.tell_list([])
+    request = world.arrive(0)
+    world.advance(2_000_000)
+    assert world.answer(request) is not None
+    assert all(t.at_us > START_US for t in world.log if isinstance(t, SetTimer))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,187 @@
+"""The four rules under arbitrary legal event sequences; tests/world.py checks every action."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from ironscale.balance import Balancer
+from ironscale.interface import (
+    AttemptEnded,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    RequestClass,
+    Send,
+    TimerFired,
+    Upstream,
+    UpstreamState,
+    UpstreamsUpdated,
+)
+from tests.world import START_US, World, classes, settings, upstreams
+
+FAULTS = [o for o in Outcome if o is not Outcome.TIMEOUT]
+
+STEPS = st.one_of(
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(1, 2_000_000)),
+    st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(FAULTS)),
+    st.tuples(st.just("advance"), st.integers(0, 700_000), st.just(0)),
+    st.tuples(st.just("list"), st.integers(0, 7), st.sampled_from(list(UpstreamState))),
+    st.tuples(st.just("full"), st.integers(0, 8), st.sampled_from([ListKind.FULL, ListKind.CACHED])),
+    st.tuples(st.just("restart"), st.integers(0, 7), st.integers(0, 30_000_000)),
+    st.tuples(st.just("fail"), st.just(0), st.just(0)),
+    st.tuples(st.just("quit"), st.integers(0, 50), st.just(0)),
+    st.tuples(st.just("stream"), st.integers(0, 50), st.just(0)),
+)
+
+CONFIGS = st.fixed_dictionaries({
+    "second_copies": st.booleans(), "list_on_request": st.booleans(), "cancel": st.booleans(),
+    "max_attempts": st.integers(1, 5), "instances": st.integers(1, 8), "retry_after": st.booleans(),
+    "ask_within_us": st.sampled_from([0, 10_000_000]), "probes": st.booleans(),
+    "report_names": st.sampled_from([[], ["utilization"], ["in_flight", "queued", "latency_ms"]]),
+})
+
+
+def many_classes() -> list[RequestClass]:
+    return [*classes(),
+            RequestClass("zoned", 200_000, 900_000, effect="deduplicated", group="zone", memory_us=400_000),
+            RequestClass("feed", 200_000, 900_000, effect="deduplicated", memory_us=9_000_000, stream=True)]
+
+
+def play(world: World, step: tuple[str, int, object]) -> None:
+    what, number, extra = step
+    open_tries = [(ident, n) for ident, owed in world.owed.items() for n in owed.out()]
+    if what == "arrive":
+        assert isinstance(extra, int)
+        world.arrive(number, patience_us=extra)
+    elif what == "advance":
+        world.advance(number)
+    elif what in ("list", "restart"):
+        started = world.now_us - extra if isinstance(extra, int) else 0
+        state = extra if isinstance(extra, UpstreamState) else UpstreamState.READY
+        entry = Upstream(100 + number, state, number // 2, 0, number // 2, 1.0, started)
+        world.tell_list([entry], ListKind.DELTA)
+    elif what == "full":
+        assert isinstance(extra, ListKind)
+        world.tell_list(upstreams(number), extra)
+    elif what == "fail" and world.settings.list_on_request:
+        world.tell(UpstreamsUpdated(ListKind.FAILED))
+    elif what == "quit" and world.owed:
+        ident = list(world.owed)[number % len(world.owed)]
+        if not world.owed[ident].closed:
+            world.quit(ident)
+    elif what == "end" and open_tries:
+        assert isinstance(extra, Outcome)
+        world.end(*open_tries[number % len(open_tries)], extra)
+    elif what == "stream":
+        streams = [(i, n) for i, n in open_tries
+                   if world.settings.classes[world.owed[i].event.class_index].stream
+                   and not world.owed[i].stream and not world.owed[i].closed]
+        if streams:
+            world.begin_stream(*streams[number % len(streams)])
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=400)
+@given(CONFIGS, st.integers(0, 2**64 - 1), st.lists(STEPS, max_size=80))
+def test_no_rule_is_broken_whatever_happens(config: dict[str, object], seed: int,
+                                            steps: list[tuple[str, int, object]]) -> None:
+    world = World(settings(classes=many_classes(), **config), seed)
+    world.tell_list(upstreams(6), ListKind.CACHED)
+    for step in steps:
+        play(world, step)
+    world.advance(5_000_000)  # everything is answered by its due time
+
+
+def busy_day(config: dict[str, object], seed: int) -> list[object]:
+    """Heavy use with every kind of fault, so that slots run out and requests wait and are reissued."""
+    dice = random.Random(seed)
+    world = World(settings(classes=many_classes(), **config), seed)
+    world.tell_list(upstreams(6), ListKind.CACHED)
+    for _ in range(1500):
+        kind = dice.choices(["arrive", "end", "advance", "list", "restart", "quit", "stream", "fail"],
+                            [50, 40, 10, 1, 1, 1, 1, 1])[0]
+        extra: object = 0
+        number = dice.randrange(50)
+        if kind == "arrive":
+            number, extra = dice.randrange(5), dice.randrange(1_000, 2_000_000)
+        elif kind == "end":
+            extra = dice.choices(FAULTS, [20, 2, 2, 2, 1, 1, 1])[0]
+        elif kind == "advance":
+            number = dice.randrange(60_000)
+        elif kind in ("list", "restart"):
+            number = dice.randrange(8)
+            extra = dice.choice(list(UpstreamState)) if kind == "list" else dice.randrange(30_000_000)
+        play(world, (kind, number, extra))
+    world.advance(5_000_000)
+    return list(world.log)
+
+
+def test_busy_days_break_no_rule_and_are_decided_alike_each_time() -> None:
+    for seed in range(12):
+        config: dict[str, object] = {
+            "second_copies": seed % 2 == 0, "list_on_request": seed % 3 == 0, "ask_within_us": 10_000_000,
+            "report_names": [["utilization"], [], ["queued", "in_flight"]][seed % 3], "probes": seed % 4 == 0,
+        }
+        assert busy_day(config, seed) == busy_day(config, seed)
+
+
+def pushed_share(skew: list[int], outcome: Outcome, cost_us: int = 0) -> float:
+    """The most work that sidecars together send one cold upstream in any `fall_us`, over its budget there.
+
+    The upstream is new among nine, has one core and serves in turn; requests take 40 ms of it when warm. Each
+    sidecar gets `skew` requests a tick of 4 ms."""
+    config = settings(instances=len(skew), classes=[RequestClass("read", 300_000, 1_500_000)])
+    balancers = [Balancer(config, n, START_US) for n in range(len(skew))]
+    listed = [Upstream(1, started_us=START_US), *[Upstream(n) for n in range(2, 11)]]
+
+    def warmth(at_us: int) -> float:
+        return config.cold_share + (1 - config.cold_share) * (at_us - START_US) / config.warm_up_us
+
+    free_us = START_US
+    sent: list[int] = []
+    ends: list[tuple[int, int, int, int, int]] = []
+    tries: dict[int, int] = {}
+    timers: list[tuple[int, int]] = []
+    now_us, request = START_US, 0
+    for balancer in balancers:
+        balancer.handle(now_us, UpstreamsUpdated(ListKind.FULL, listed))
+    while now_us < START_US + 8_000_000:
+        events: list[tuple[int, object]] = []
+        for number, rate in enumerate(skew):
+            for _ in range(rate):
+                request += 1
+                events.append((number, RequestArrived(request, now_us + 1_500_000, cost_us=cost_us)))
+        for end in [e for e in ends if e[0] <= now_us]:
+            ends.remove(end)
+            how = outcome if end[3] == 1 else Outcome.OK
+            events.append((end[1], AttemptEnded(end[2], end[4], end[3], how, 40_000, how is Outcome.OK)))
+        for timer in [t for t in timers if t[0] <= now_us]:
+            timers.remove(timer)
+            events.append((timer[1], TimerFired(0)))
+        for number, event in events:
+            for action in balancers[number].handle(now_us, event):  # type: ignore[arg-type]
+                if isinstance(action, Send):
+                    nth = tries.get(action.request, 0)
+                    tries[action.request] = nth + 1
+                    ready_us = now_us + 40_000
+                    if action.upstream == 1 and outcome is Outcome.OK:
+                        free_us = max(free_us, now_us) + int(40_000 / warmth(now_us))
+                        ready_us = free_us
+                    ends.append((ready_us, number, action.request, action.upstream, nth))
+                    if action.upstream == 1:
+                        sent.append(now_us)
+        now_us += 4_000
+    worst = 0.0
+    for start in sent:
+        pushed = 40_000 * sum(1 for at in sent if start <= at < start + config.fall_us)
+        worst = max(worst, pushed / (config.overload_factor * warmth(start) * config.fall_us))
+    return worst
+
+
+def test_a_cold_upstream_is_not_pushed_over_by_all_sidecars_together() -> None:
+    for skew in ([1, 1, 1], [3, 0, 0], [1] * 8, [1] * 24, [4, 1, 1, 1]):
+        for outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR, Outcome.CONNECT_FAILED):
+            assert 0 < pushed_share(skew, outcome) <= 1, (skew, outcome)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,233 @@
+"""A stand-in for the sidecar around a Balancer: carries out its actions and checks the contract.
+
+It is no simulator: tests say what happens and when. Every action is checked against the four rules as
+the contract words them, from records kept here and not from the module's own.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironscale.balance import Balancer
+from ironscale.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Outcome,
+    Probe,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestGone,
+    Send,
+    SetTimer,
+    Settings,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+    Upstream,
+    UpstreamState,
+    UpstreamsUpdated,
+)
+
+NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT}
+START_US = 1_000_000_000
+
+
+def classes() -> list[RequestClass]:
+    return [
+        RequestClass("read", aim_us=300_000, deadline_us=1_500_000, effect="idempotent", late_worth=0.3),
+        RequestClass("pay", aim_us=300_000, deadline_us=600_000, worth=5, effect="at_most_once"),
+        RequestClass("mark", aim_us=400_000, deadline_us=2_000_000, worth=3, effect="deduplicated",
+                     group="cell", memory_us=1_200_000),
+    ]
+
+
+def settings(**changes: object) -> Settings:
+    values: dict[str, object] = {
+        "classes": classes(), "instances": 3, "tick_us": 4000, "max_attempts": 4, "cancel": True,
+        "max_retry_after_us": 1_000_000, "connect_timeout_us": 150_000, "second_copies": True,
+        "cold_share": 0.2, "warm_up_us": 20_000_000, "overload_factor": 2.5, "fall_us": 1_000_000,
+    }
+    values.update(changes)
+    return Settings(**values)  # type: ignore[arg-type]
+
+
+def upstreams(count: int, **changes: Any) -> list[Upstream]:
+    """`count` ready upstreams, two to a cell and to a zone."""
+    return [Upstream(100 + i, zone=i // 2, cell=i // 2, **changes) for i in range(count)]
+
+
+@dataclass
+class Try:
+    upstream: int
+    zone: int
+    cell: int
+    sent_us: int
+    ends_us: int
+    outcome: Outcome | None = None
+
+
+@dataclass
+class Owed:
+    event: RequestArrived
+    tries: list[Try] = field(default_factory=list)
+    answers: int = 0
+    closed: bool = False
+    stream: bool = False
+
+    def may_have_run(self) -> list[Try]:
+        return [t for t in self.tries if t.outcome not in NEVER_RAN]
+
+    def out(self) -> list[int]:
+        return [n for n, t in enumerate(self.tries) if t.outcome is None]
+
+
+class World:
+    def __init__(self, config: Settings | None = None, seed: int = 7) -> None:
+        self.settings = config or settings()
+        self.now_us = START_US
+        self.balancer = Balancer(self.settings, seed, self.now_us)
+        self.owed: dict[int, Owed] = {}
+        self.known: dict[int, Upstream] = {}
+        self.refused_us: dict[int, int] = {}  # upstreams told draining or gone: since when
+        self.timers: list[tuple[int, int]] = []
+        self.log: list[Action] = []
+        self.next_id = 1
+
+    # Events
+
+    def tell(self, event: Event) -> list[Action]:
+        actions = self.balancer.handle(self.now_us, event)
+        for action in actions:
+            self.check(action)
+        self.log.extend(actions)
+        return actions
+
+    def tell_list(self, entries: list[Upstream], kind: ListKind = ListKind.FULL) -> list[Action]:
+        for entry in entries:
+            self.known[entry.id] = entry
+            if entry.state is UpstreamState.READY:
+                self.refused_us.pop(entry.id, None)
+            else:
+                self.refused_us.setdefault(entry.id, self.now_us)
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            for ident in self.known.keys() - {e.id for e in entries}:
+                self.refused_us.setdefault(ident, self.now_us)
+        return self.tell(UpstreamsUpdated(kind, entries))
+
+    def arrive(self, class_index: int = 0, patience_us: int | None = None, **fields: Any) -> int:
+        ident = self.next_id
+        self.next_id += 1
+        patience = patience_us or self.settings.classes[class_index].deadline_us
+        event = RequestArrived(ident, self.now_us + patience, class_index, **fields)
+        self.owed[ident] = Owed(event)
+        self.tell(event)
+        return ident
+
+    def end(self, request: int, attempt: int, outcome: Outcome, **fields: list[float]) -> list[Action]:
+        owed = self.owed[request]
+        this = owed.tries[attempt]
+        assert this.outcome is None
+        this.outcome = outcome
+        if (outcome is Outcome.OK or owed.stream) and not owed.closed:
+            owed.closed = True
+            owed.answers += 1
+        return self.tell(AttemptEnded(request, attempt, this.upstream, outcome, self.now_us - this.sent_us,
+                                      owed.closed, **fields))
+
+    def begin_stream(self, request: int, attempt: int) -> None:
+        self.owed[request].stream = True
+        self.tell(StreamStarted(request, attempt, self.owed[request].tries[attempt].upstream))
+
+    def quit(self, request: int) -> None:
+        self.owed[request].closed = True
+        self.owed[request].answers = 1
+        self.tell(RequestGone(request))
+
+    def advance(self, by_us: int) -> None:
+        """Move the clock, with the timers and the attempts' time-outs that fall due on the way."""
+        end_us = self.now_us + by_us
+        while True:
+            due = [(at, 1, token, 0) for at, token in self.timers]
+            due += [(t.ends_us, 0, ident, n) for ident, owed in self.owed.items() if not owed.stream
+                    for n, t in enumerate(owed.tries) if t.outcome is None]
+            due = [d for d in due if d[0] <= end_us]
+            if not due:
+                break
+            at, kind, first, second = min(due)
+            self.now_us = max(self.now_us, at)
+            if kind == 0:
+                self.end(first, second, Outcome.TIMEOUT)
+            else:
+                self.timers.remove((at, first))
+                self.tell(TimerFired(first))
+        self.now_us = end_us
+        slack_us = 4 * self.settings.tick_us
+        for ident, owed in self.owed.items():
+            overdue = self.now_us > owed.event.due_us + slack_us and not owed.stream
+            assert not overdue or owed.answers == 1, f"rule 1: request {ident} is unanswered past due"
+
+    # Checks
+
+    def check(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self.check_send(action)
+        elif isinstance(action, Refuse | Fail):
+            self.check_answer(action)
+        elif isinstance(action, Cancel):
+            assert self.settings.cancel, "a cancel where none is allowed"
+            assert action.attempt < len(self.owed[action.request].tries), "a cancel of no attempt"
+        elif isinstance(action, SetTimer):
+            assert action.at_us >= self.now_us
+            self.timers.append((action.at_us, action.token))
+        elif isinstance(action, Probe):
+            assert self.settings.probes, "a probe where none is allowed"
+        else:
+            assert not isinstance(action, Subscribe | FetchList) or self.settings.list_on_request
+
+    def check_send(self, send: Send) -> None:
+        owed = self.owed[send.request]
+        entry = self.known[send.upstream]
+        kind = self.settings.classes[owed.event.class_index]
+        assert not owed.closed, "rule 1: a send after the end"
+        assert len(owed.tries) < self.settings.max_attempts, "more attempts than allowed"
+        assert send.upstream not in self.refused_us, "rule 3: a send to a draining or gone upstream"
+        assert self.settings.second_copies or not owed.out(), "rule 2: two attempts out together"
+        for earlier in owed.may_have_run():
+            assert kind.effect != "at_most_once", "rule 2: an unsafe request sent again"
+            if kind.effect == "deduplicated":
+                assert self.now_us - earlier.sent_us <= kind.memory_us, "rule 2: past the memory"
+                assert kind.group != "cell" or entry.cell == earlier.cell, "rule 2: outside the cell"
+                assert kind.group != "zone" or entry.zone == earlier.zone, "rule 2: outside the zone"
+        ends_us = owed.event.due_us
+        if send.timeout_us:
+            ends_us = min(ends_us, self.now_us + send.timeout_us)
+        owed.tries.append(Try(send.upstream, entry.zone, entry.cell, self.now_us, ends_us))
+
+    def check_answer(self, answer: Refuse | Fail) -> None:
+        owed = self.owed[answer.request]
+        kind = self.settings.classes[owed.event.class_index]
+        assert not owed.closed, "rule 1: a second answer"
+        owed.closed = True
+        owed.answers += 1
+        if isinstance(answer, Refuse):
+            assert answer.retry_after_us <= self.settings.max_retry_after_us
+            harmless = kind.effect == "idempotent" or (kind.effect == "deduplicated" and kind.group == "all")
+            assert harmless or not owed.may_have_run(), "rule 2: a refusal of what may have run"
+
+    # What tests look at
+
+    def sends(self, request: int | None = None) -> list[Send]:
+        return [a for a in self.log if isinstance(a, Send) and request in (None, a.request)]
+
+    def answer(self, request: int) -> Action | None:
+        for action in self.log:
+            if isinstance(action, Refuse | Fail) and action.request == request:
+                return action
+        return None
