Serve on real sockets: the sidecar around the decision module

ironscale/net/ turns what happens on sockets into the module's events and carries its actions out in order: configuration, application server, upstream pools, discovery watch. The settings parser moves out of wire.py and reads both the simulator's text and JSON.

--- /dev/null
+++ b/ironscale/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: sockets, clock and timers around the decision module."""
--- /dev/null
+++ b/ironscale/net/config.py
@@ -0,0 +1,92 @@
+"""What a sidecar is told at its start: environment and JSON file into one checked `Config`."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ironscale import settings
+from ironscale.interface import Settings
+from ironscale.net.discovery import Directory, ListError, Listing
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; the text is one line."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    settings: Settings
+    idle_us: int  # an upstream closes a connection that has been idle for this long
+    directory: Directory  # reads discovery's lists with the settings' zone and kind names
+    known: Listing  # the list as last known; may be empty or old
+
+
+def parse_address(text: object, what: str) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise ConfigError(f"{what}: expected HOST:PORT, got {text!r}")
+    return host, int(port)
+
+
+def _names(value: object) -> list[str]:
+    return [str(name) for name in value] if isinstance(value, list) else []
+
+
+def parse(data: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    """The environment's name and addresses go before those in the file."""
+
+    def told(variable: str, key: str) -> str:
+        value = environ.get(variable) or data.get(key)
+        if not value:
+            raise ConfigError(f"{variable} is not set and the configuration has no {key!r}")
+        return str(value)
+
+    raw = data.get("settings")
+    try:
+        options = settings.from_object(raw)
+        assert isinstance(raw, dict)
+        directory = Directory(_names(raw.get("areas")), _names(raw.get("kinds")))
+        known = directory.read(data.get("known") or {"generation": 0, "reset": True, "instances": []})
+        return Config(
+            name=told("GW_NAME", "name"),
+            listen=parse_address(told("GW_LISTEN", "listen"), "listen"),
+            discovery=parse_address(told("GW_DISCOVERY", "discovery"), "discovery"),
+            seed=int(str(data.get("seed", "0")), 16),
+            sockets=int((data.get("limits") or {}).get("sockets", 1024)),
+            settings=settings.read(options),
+            idle_us=options.whole("bounds.conn-idle", "15000000"),
+            directory=directory,
+            known=known,
+        )
+    except settings.SettingsError as error:
+        raise ConfigError(str(error)) from error
+    except ListError as error:
+        raise ConfigError(f"known: {error}") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"seed or limits: {error}") from error
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: expected a JSON object")
+    return parse(data, environ)
--- /dev/null
+++ b/ironscale/net/discovery.py
@@ -0,0 +1,223 @@
+"""Discovery: reads its lists and keeps one watch on their changes."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import httptools
+
+from ironscale.interface import ListKind, Upstream, UpstreamState
+
+PATH = "/registry/instances"
+CONNECT_S = 2.0
+# An answer is due within one call's time at discovery, later an empty line every 2 s: past this
+# discovery or the way to it is down, though the connection may stay open.
+SILENCE_S = 5.0
+LONGEST_LINE = 16 << 20
+_STATES = {state.value: state for state in UpstreamState}
+
+
+class ListError(Exception):
+    """A list that cannot be read."""
+
+
+@dataclass(slots=True)
+class Member:
+    """One entry: what the decisions see of it, and where it listens."""
+
+    upstream: Upstream
+    address: tuple[str, int]
+    name: str
+
+
+@dataclass(slots=True)
+class Listing:
+    generation: int
+    full: bool
+    members: list[Member] = field(default_factory=list)
+
+
+def upstream_id(name: str) -> int:
+    """A number made from `instanceId` alone: the same at every sidecar and after every restart.
+
+    The hash in front spreads the ids evenly; the name itself follows, so that two names never
+    share a number, whatever their hashes.
+    """
+    raw = name.encode()
+    return int.from_bytes(hashlib.blake2b(raw, digest_size=8).digest() + raw)
+
+
+class Directory:
+    """Reads discovery's JSON; zones and machine types become indexes into the settings' lists."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.zones = {name: index for index, name in enumerate(zones)}
+        self.kinds = {name: index for index, name in enumerate(kinds)}
+
+    def read(self, data: Any) -> Listing:
+        try:
+            members = [self._member(entry) for entry in data["instances"]]
+            return Listing(int(data["generation"]), bool(data.get("reset", False)), members)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise ListError(f"a list that is malformed: {type(error).__name__}: {error}") from error
+
+    def _member(self, entry: dict[str, Any]) -> Member:
+        name = str(entry["instanceId"])
+        host, _, port = str(entry["hostPort"]).rpartition(":")
+        weight = float(entry.get("weight", 1.0))
+        if not math.isfinite(weight):
+            raise ValueError(f"weight {weight}")
+        upstream = Upstream(
+            id=upstream_id(name),
+            state=_STATES[entry["lifecycle"]],
+            zone=self.zones.get(entry.get("zone", ""), len(self.zones)),
+            kind=self.kinds.get(entry.get("machineType", ""), len(self.kinds)),
+            cell=int(entry.get("cell", 0)),
+            weight=weight,
+            started_us=int(entry.get("startedAtMs", 0)) * 1000,
+        )
+        return Member(upstream, (host, int(port)), name)
+
+
+OnList = Callable[[ListKind, Listing | None], None]
+
+
+class Discovery:
+    """Carries out `Subscribe` and `FetchList`; each is answered by a list or by `FAILED`."""
+
+    def __init__(self, address: tuple[str, int], directory: Directory, generation: int,
+                 on_list: OnList) -> None:
+        self.address = address
+        self.directory = directory
+        self.generation = generation  # of the list as told to `on_list`
+        self.on_list = on_list
+        self.watch: _Call | None = None
+        self.fetches: set[_Call] = set()
+
+    def subscribe(self) -> None:
+        if self.watch is None:
+            self.watch = _Call(self, f"{PATH}?watch=1&after={self.generation}")
+        elif self.watch.answered:
+            # the watch already tells every change: nothing is missing
+            self.on_list(ListKind.DELTA, Listing(self.generation, False))
+        # else the call that is out will be the answer: a second one would wait behind it
+
+    def unsubscribe(self) -> None:
+        if self.watch is not None:
+            watch, self.watch = self.watch, None
+            watch.close()
+
+    def fetch(self) -> None:
+        self.fetches.add(_Call(self, PATH))
+
+    def close(self) -> None:
+        self.unsubscribe()
+        while self.fetches:
+            self.fetches.pop().close()
+
+    def told(self, call: _Call, line: bytes) -> None:
+        if line.strip():
+            listing = self.directory.read(json.loads(line))
+        elif call.answered:
+            return
+        else:  # alive, and nothing has changed since our list
+            listing = Listing(self.generation, False)
+        call.answered = True
+        if call is not self.watch and (not listing.full or listing.generation < self.generation):
+            return  # a fetched list that a watch has overtaken
+        self.generation = listing.generation
+        self.on_list(ListKind.FULL if listing.full else ListKind.DELTA, listing)
+
+    def ended(self, call: _Call) -> None:
+        if call is self.watch:
+            self.watch = None
+        elif call in self.fetches:
+            self.fetches.discard(call)
+            if call.answered:
+                return
+        else:
+            return
+        self.on_list(ListKind.FAILED, None)
+
+
+class _Call(asyncio.Protocol):
+    """One call to discovery, from connecting to its end."""
+
+    def __init__(self, owner: Discovery, target: str) -> None:
+        self.owner = owner
+        self.answered = False
+        self.over = False
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.line = b""
+        self.request = (f"GET {target} HTTP/1.1\r\nHost: {owner.address[0]}:{owner.address[1]}\r\n"
+                        "Accept: application/json\r\n\r\n").encode()
+        loop = asyncio.get_running_loop()
+        self.silence = loop.call_later(SILENCE_S, self.end)
+        self.task = loop.create_task(self.connect())
+
+    async def connect(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await asyncio.get_running_loop().create_connection(lambda: self, *self.owner.address)
+        except (OSError, TimeoutError):
+            self.end()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport = cast(asyncio.Transport, transport)  # uvloop's own are no subclass
+        if self.over:
+            transport.abort()
+        else:
+            transport.write(self.request)
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        # any byte is a sign of life; silence on an open connection is the only sign of a lost one
+        self.silence.cancel()
+        self.silence = asyncio.get_running_loop().call_later(SILENCE_S, self.end)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, ListError, ValueError):
+            self.end()
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            self.end()
+
+    def on_body(self, data: bytes) -> None:
+        if self.over:
+            return
+        *lines, self.line = (self.line + data).split(b"\n")
+        for line in lines:
+            self.owner.told(self, line)
+        if len(self.line) > LONGEST_LINE:
+            raise ValueError("an endless line")
+
+    def on_message_complete(self) -> None:
+        if not self.over and self.line.strip():
+            self.owner.told(self, self.line)
+        self.end()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end()
+
+    def close(self) -> None:
+        self.over = True
+        self.silence.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.task is not asyncio.current_task():
+            self.task.cancel()
+
+    def end(self) -> None:
+        """The call is over, by itself or by its silence; told once."""
+        if not self.over:
+            self.close()
+            self.owner.ended(self)
--- /dev/null
+++ b/ironscale/net/sidecar.py
@@ -0,0 +1,301 @@
+"""The sidecar: owns clock, timers and `Balancer`; sockets' happenings in, actions out, in order."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from hashlib import blake2b
+from urllib.parse import parse_qs
+
+from ironscale import interface as api
+from ironscale.balance import Balancer
+from ironscale.net.config import Config
+from ironscale.net.discovery import Discovery, Listing
+from ironscale.net.server import HOP_BY_HOP, Exchange, Server
+from ironscale.net.upstream import Answer, Attempt, Upstreams
+
+MARGIN_US = 5_000  # answers leave this long before the client stops waiting: loop and timers lag
+SPARE_SOCKETS = 32  # standard streams, event loop, discovery, listener
+# New connections come for up to 0.4 s after SIGTERM; requests taken by then live 3 s at most.
+STOP_LEAST_S, STOP_QUIET_S, STOP_MOST_S = 0.45, 0.2, 0.65
+UNITS_US = {"m": 1000.0, "u": 1.0}
+
+
+class Clock:
+    """Microseconds of Unix time at the start, moving forward as the monotonic clock does."""
+
+    def __init__(self) -> None:
+        self.offset_ns = time.time_ns() - time.monotonic_ns()
+
+    def now_us(self) -> int:
+        return (time.monotonic_ns() + self.offset_ns) // 1000
+
+
+class Request:
+    """A taken request, until it is answered and all its attempts have ended."""
+
+    def __init__(self, ident: int, exchange: Exchange, due_us: int) -> None:
+        self.ident = ident
+        self.exchange = exchange
+        self.due_us = due_us
+        self.attempts: list[Attempt] = []
+        self.out = 0
+        self.backstop: asyncio.TimerHandle | None = None
+
+    def is_open(self) -> bool:
+        return not self.exchange.closed
+
+
+def parse_remaining_us(text: str) -> int | None:
+    """`480m` or `480000u`, in microseconds."""
+    unit = UNITS_US.get(text[-1:])
+    try:
+        return int(float(text[:-1]) * unit) if unit else None
+    except (ValueError, OverflowError):
+        return None
+
+
+def key_number(key: str) -> int:
+    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) if key else 0
+
+
+class Sidecar:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        settings = config.settings
+        self.classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self.tenants = {t.name: i for i, t in enumerate(settings.tenants)}
+        self.balancer = Balancer(settings, config.seed, self.clock.now_us())
+        half = max(1, (config.sockets - SPARE_SOCKETS) // 2)
+        self.upstreams = Upstreams(self.clock.now_us, config.idle_us, settings.connect_timeout_us, half)
+        self.server = Server(self, half, self.loop.time)
+        self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list)
+        self.requests: dict[int, Request] = {}
+        self.by_exchange: dict[Exchange, Request] = {}
+        self.next_request = 1
+        self.events: deque[api.Event] = deque()
+        self.pumping = False
+        self.has_list = False
+
+    async def start(self) -> int:
+        """Listen, with the list as last known; gives the port."""
+        self.on_list(api.ListKind.CACHED, self.config.known)
+        return await self.server.listen(self.config.listen)
+
+    async def stop(self) -> None:
+        await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S)
+        self.discovery.close()
+        self.upstreams.close()
+
+    # Events in
+
+    def post(self, event: api.Event) -> None:
+        """Hand over one event and carry out what comes of it; events that an action causes wait."""
+        self.events.append(event)
+        if self.pumping:
+            return
+        self.pumping = True
+        try:
+            while self.events:
+                self.step(self.events.popleft())
+        finally:
+            self.pumping = False
+
+    def step(self, event: api.Event) -> None:
+        # hazard: one bad event must neither end the process nor leave its request unanswered
+        try:
+            actions = self.balancer.handle(self.clock.now_us(), event)
+        except Exception:
+            self.log(f"the decisions failed on {event!r}\n{traceback.format_exc()}")
+            if isinstance(event, api.RequestArrived | api.AttemptEnded):
+                self.fail(event.request)
+            return
+        for action in actions:
+            try:
+                self.carry_out(action)
+            except Exception:
+                self.log(f"could not carry out {action!r}\n{traceback.format_exc()}")
+                if isinstance(action, api.Send | api.Refuse | api.Fail):
+                    self.fail(action.request)
+
+    def is_ready(self) -> bool:
+        return self.has_list
+
+    def on_request(self, exchange: Exchange) -> None:
+        now_us = self.clock.now_us()
+        lane = exchange.header(b"x-lane")
+        if not lane or not exchange.header(b"x-txn"):
+            exchange.answer(400)
+            return
+        index = self.classes.get(lane, len(self.classes))
+        remaining_us = parse_remaining_us(exchange.header(b"x-remaining"))
+        if remaining_us is None:
+            classes = self.config.settings.classes
+            remaining_us = classes[min(index, len(classes) - 1)].deadline_us
+        ident = self.next_request
+        self.next_request += 1
+        request = Request(ident, exchange, now_us + remaining_us - MARGIN_US)
+        self.requests[ident] = self.by_exchange[exchange] = request
+        # hazard: an answer must come even if the decisions lose the request
+        request.backstop = self.at(request.due_us + MARGIN_US // 2, partial(self.fail, ident))
+        query = exchange.target.partition(b"?")[2].decode("latin-1")
+        estimate = exchange.header(b"x-estimate")
+        self.post(api.RequestArrived(
+            ident,
+            request.due_us,
+            index,
+            self.tenants.get(exchange.header(b"x-org"), len(self.tenants)),
+            key_number(parse_qs(query).get("sid", [""])[0]),
+            int(estimate) if estimate.isdecimal() else 0,
+            exchange.header(b"x-resent") == "1",
+            "write=1" in exchange.header(b"x-labels").split(","),
+        ))
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        request = self.by_exchange.get(exchange)
+        if request is not None:
+            self.close(request)
+            self.post(api.RequestGone(request.ident))
+
+    def on_list(self, kind: api.ListKind, listing: Listing | None) -> None:
+        if listing is None:
+            self.post(api.UpstreamsUpdated(kind))
+            return
+        full = kind is not api.ListKind.DELTA
+        self.has_list = self.has_list or kind is not api.ListKind.CACHED or bool(listing.members)
+        self.upstreams.apply(listing.members, full)
+        self.post(api.UpstreamsUpdated(kind, [m.upstream for m in listing.members], listing.generation))
+
+    def on_attempt_end(self, request: Request, number: int, upstream: int, sent_us: int,
+                       timer: asyncio.TimerHandle | None, outcome: api.Outcome,
+                       answer: Answer | None) -> None:
+        if timer is not None:
+            timer.cancel()
+        request.out -= 1
+        self.forget(request)
+        if outcome is api.Outcome.OK and answer is not None and request.is_open():
+            headers = [h for h in answer.headers if h[0] not in HOP_BY_HOP]
+            request.exchange.answer(200, headers, answer.body)
+            self.close(request)
+        self.post(api.AttemptEnded(request.ident, number, upstream, outcome,
+                                   self.clock.now_us() - sent_us, not request.is_open()))
+
+    # Actions out
+
+    def carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self.send(action)
+            case api.Refuse():
+                after_us = action.retry_after_us
+                headers = [(b"Retry-After", b"%.3f" % (after_us / 1e6))] if after_us > 0 else []
+                self.answer(action.request, 503, headers)
+            case api.Fail():
+                self.answer(action.request, 502, [])
+            case api.Cancel():
+                request = self.requests.get(action.request)
+                if request is not None and action.attempt < len(request.attempts):
+                    request.attempts[action.attempt].give_up(api.Outcome.CANCELLED)
+            case api.SetTimer():
+                self.at(action.at_us, partial(self.post, api.TimerFired(action.token)))
+            case api.Subscribe():
+                if action.active:
+                    self.discovery.subscribe()
+                else:
+                    self.discovery.unsubscribe()
+            case api.FetchList():
+                self.discovery.fetch()
+            case api.CloseIdle():
+                self.upstreams.close_idle(action.upstream)
+            case api.Log():
+                self.log(action.text)
+            case api.Probe():
+                self.post(api.ProbeEnded(action.upstream, api.Outcome.NOT_SENT))
+            case api.TellPeer():
+                pass  # peers may not be told anything where this runs
+
+    def send(self, action: api.Send) -> None:
+        now_us = self.clock.now_us()
+        request = self.requests.get(action.request)
+        pool = self.upstreams.ready(action.upstream)
+        if request is None:
+            return
+        number = len(request.attempts)
+        left_us = request.due_us - now_us
+        timeout_us = min(action.timeout_us or left_us, left_us)
+        timer: asyncio.TimerHandle | None = None
+        attempt = Attempt(self.payload(request.exchange, timeout_us), request.is_open, lambda *end:
+                          self.on_attempt_end(request, number, action.upstream, now_us, timer, *end))
+        request.attempts.append(attempt)
+        request.out += 1
+        over = number >= self.config.settings.max_attempts
+        if pool is None or over or timeout_us <= 0 or not request.is_open():
+            attempt.end(api.Outcome.NOT_SENT)
+            return
+        timer = self.at(now_us + timeout_us, partial(attempt.give_up, api.Outcome.TIMEOUT))
+        pool.start(attempt)
+
+    def payload(self, exchange: Exchange, timeout_us: int) -> bytes:
+        parts = [b"%s %s HTTP/1.1\r\n" % (exchange.method, exchange.target)]
+        parts += [b"%s: %s\r\n" % h for h in exchange.headers
+                  if h[0] not in HOP_BY_HOP and h[0] != b"x-remaining"]
+        parts.append(b"x-remaining: %du\r\n" % timeout_us)
+        if exchange.body or exchange.method not in (b"GET", b"HEAD"):
+            parts.append(b"content-length: %d\r\n" % len(exchange.body))
+        parts.append(b"\r\n")
+        parts.append(exchange.body)
+        return b"".join(parts)
+
+    def answer(self, ident: int, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        request = self.requests.get(ident)
+        if request is not None and request.is_open():
+            request.exchange.answer(status, headers)
+            self.close(request)
+
+    def fail(self, ident: int) -> None:
+        """The decisions gave no answer: the request has failed, whatever ran."""
+        request = self.requests.get(ident)
+        if request is not None and request.is_open():
+            self.log(f"request {ident} was left without an answer")
+            self.answer(ident, 502, [])
+            self.post(api.RequestGone(ident))
+
+    def close(self, request: Request) -> None:
+        """The request is over; attempts still out keep it known, as they may yet be cancelled."""
+        self.by_exchange.pop(request.exchange, None)
+        if request.backstop is not None:
+            request.backstop.cancel()
+        self.forget(request)
+
+    def forget(self, request: Request) -> None:
+        if request.out == 0 and not request.is_open():
+            self.requests.pop(request.ident, None)
+
+    def at(self, at_us: int, act: Callable[[], None]) -> asyncio.TimerHandle:
+        """The loop counts whole milliseconds and may fire one early: never before `at_us`."""
+        left_ms = max(0, at_us - self.clock.now_us()) // 1000 + 1
+        return self.loop.call_later(left_ms / 1000, act)
+
+    def log(self, text: str) -> None:
+        print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+
+
+async def serve(config: Config) -> None:
+    sidecar = Sidecar(config)
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        sidecar.loop.add_signal_handler(number, stopped.set)
+    await sidecar.start()
+    gc.collect()
+    gc.freeze()  # what is here stays: the collector need not walk it again
+    await stopped.wait()
+    await sidecar.stop()
--- /dev/null
+++ b/ironscale/net/upstream.py
@@ -0,0 +1,341 @@
+"""Connections to upstreams: attempts on sockets, kept connections, exact outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from ironscale.interface import Outcome, UpstreamState
+from ironscale.net.server import MAX_BODY, Headers
+
+if TYPE_CHECKING:
+    from ironscale.net.discovery import Member
+
+IDLE_SHARE = 0.9  # of the idle time after which an upstream closes: the rest is for bytes under way
+SWEEP_S = 1.0
+DEFAULT_CONNECT_S = 1.0
+
+
+class Answer:
+    """What an upstream answered."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.body = b""
+
+    def outcome(self) -> Outcome:
+        if self.status == 200:
+            return Outcome.OK
+        # hazard: only this mark says that it never ran; a bare 503 may come from half-way through
+        if self.status in (503, 504) and (b"x-turned-away", b"1") in self.headers:
+            return Outcome.FULL
+        return Outcome.ERROR
+
+
+class Attempt:
+    """One send. It ends once, by whatever comes first."""
+
+    def __init__(self, payload: bytes, wanted: Callable[[], bool],
+                 on_end: Callable[[Outcome, Answer | None], None]) -> None:
+        self.payload = payload
+        self.wanted = wanted  # asked just before the first byte is written
+        self.on_end = on_end
+        self.connection: Connection | None = None
+        self.ended = False
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        if not self.ended:
+            self.ended = True
+            self.on_end(outcome, answer)
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Stop waiting; `outcome` if the whole request is out, else it never ran."""
+        if self.ended:
+            return
+        connection, self.connection = self.connection, None
+        if connection is None:
+            self.end(Outcome.CONNECT_FAILED)  # a connection that comes up later stays unused
+            return
+        written = connection.written
+        # hazard: the late answer would be taken for the next request's
+        connection.drop()
+        self.end(outcome if written else Outcome.CONNECT_FAILED)
+
+
+class Connection(asyncio.Protocol):
+    """One connection to an upstream, carrying one attempt at a time."""
+
+    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+        self.pool = pool
+        self.sock = sock
+        self.opened_us = self.idle_since_us = pool.upstreams.now_us()
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.attempt: Attempt | None = None
+        self.answer = Answer()
+        self.complete = False
+        self.written = False  # the attempt's last byte has been handed to the kernel
+        self.retired = False  # not to be used again
+        self.dropped = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport = cast(asyncio.Transport, transport)  # uvloop's own are no subclass
+        # with no room above an empty buffer, `resume_writing` tells that the last byte is out
+        transport.set_write_buffer_limits(high=0)
+
+    def is_stale(self) -> bool:
+        """Whether the upstream has closed it or sent what nobody asked for, and the loop has not seen
+        it yet. Hazard: a request written to it ends as a reset and may not be tried again."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def start(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self.attempt, attempt.connection = attempt, self
+        self.answer, self.complete, self.written = Answer(), False, False
+        self.transport.write(attempt.payload)
+        self.written = self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.drop()  # stray bytes: the next answer would not be its request's own
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.broken()
+            return
+        if self.complete:
+            self.finish()
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.retired = True  # bytes after the end of the answer
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.complete:
+            self.answer.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if not self.complete:
+            self.answer.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        if not self.complete:
+            self.answer.body += body
+            if len(self.answer.body) > MAX_BODY:
+                raise OverflowError("body")
+
+    def on_message_complete(self) -> None:
+        if self.answer.status < 200:  # 100 Continue and the like: the answer is still to come
+            self.answer = Answer()
+            return
+        self.complete = True
+        if not self.parser.should_keep_alive():
+            self.retired = True
+
+    def finish(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        attempt.connection = None
+        if not self.written:
+            self.retired = True  # answered before the whole request was out: the rest is in the way
+        self.pool.release(self)
+        attempt.end(self.answer.outcome(), self.answer)
+
+    def broken(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        written = self.written
+        self.drop()
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(Outcome.RESET if written else Outcome.CONNECT_FAILED)
+
+    def drop(self) -> None:
+        self.attempt = None
+        if not self.dropped:
+            self.dropped = self.retired = True
+            self.pool.forget(self)
+            if self.transport is not None:
+                self.transport.abort()
+
+    def eof_received(self) -> None:
+        self.broken()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.broken()
+
+
+class Pool:
+    """The connections to one upstream, as the list last described it."""
+
+    def __init__(self, upstreams: Upstreams, member: Member) -> None:
+        self.upstreams = upstreams
+        self.member = member
+        self.idle: list[Connection] = []  # the newest last, and taken first: the old ones may expire
+        self.busy: set[Connection] = set()
+
+    def is_ready(self) -> bool:
+        return self.member.upstream.state is UpstreamState.READY
+
+    def update(self, member: Member) -> None:
+        before, self.member = self.member, member
+        moved = before.address != member.address
+        started_us = member.upstream.started_us
+        if not moved and before.upstream.started_us == started_us and self.is_ready():
+            return
+        for connection in [*self.idle, *self.busy]:
+            # hazard: those to the former process are dead, though a machine that vanished never said so
+            if moved or not self.is_ready() or connection.opened_us < started_us:
+                self.retire(connection)
+
+    def retire(self, connection: Connection) -> None:
+        connection.retired = True
+        if connection.attempt is None:
+            connection.drop()
+
+    def leave(self) -> None:
+        """The list names it no more: what is out may still be answered, nothing new is sent."""
+        self.member = replace(self.member, upstream=replace(self.member.upstream, state=UpstreamState.GONE))
+        for connection in [*self.idle, *self.busy]:
+            self.retire(connection)
+
+    def close_idle(self) -> None:
+        while self.idle:
+            self.idle[-1].drop()
+
+    def start(self, attempt: Attempt) -> None:
+        while self.idle:
+            connection = self.idle.pop()
+            if self.has_expired(connection) or connection.is_stale():
+                connection.drop()
+                continue
+            self.busy.add(connection)
+            connection.start(attempt)
+            return
+        if not self.upstreams.make_room():
+            attempt.end(Outcome.NOT_SENT)
+            return
+        self.upstreams.open += 1
+        task = asyncio.get_running_loop().create_task(self.connect(attempt))
+        self.upstreams.tasks.add(task)
+        task.add_done_callback(self.upstreams.tasks.discard)
+
+    def has_expired(self, connection: Connection) -> bool:
+        return self.upstreams.now_us() - connection.idle_since_us >= self.upstreams.idle_us
+
+    async def connect(self, attempt: Attempt) -> None:
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(self.upstreams.connect_s):
+                await loop.sock_connect(sock, self.member.address)
+            connection = Connection(self, sock)
+            await loop.create_connection(lambda: connection, sock=sock)
+        except (OSError, TimeoutError):
+            sock.close()
+            self.upstreams.open -= 1
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        self.busy.add(connection)
+        if attempt.ended or not self.is_ready() or not attempt.wanted():
+            # hazard: the list or the client may have changed its mind while the connection came up
+            self.release(connection)
+            attempt.end(Outcome.NOT_SENT)
+        else:
+            connection.start(attempt)
+
+    def release(self, connection: Connection) -> None:
+        if connection.retired or not self.is_ready():
+            connection.drop()
+        else:
+            self.busy.discard(connection)
+            connection.idle_since_us = self.upstreams.now_us()
+            self.idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        self.busy.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.upstreams.open -= 1
+
+    def sweep(self) -> None:
+        while self.idle and self.has_expired(self.idle[0]):
+            self.idle[0].drop()
+
+
+class Upstreams:
+    """All upstreams that the list has named, by id."""
+
+    def __init__(self, now_us: Callable[[], int], idle_us: int, connect_us: int, most: int) -> None:
+        self.now_us = now_us
+        self.idle_us = int(idle_us * IDLE_SHARE)
+        self.connect_s = connect_us / 1e6 or DEFAULT_CONNECT_S
+        self.most = most  # open connections
+        self.open = 0  # connections, those coming up among them
+        self.pools: dict[int, Pool] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+
+    def apply(self, members: list[Member], full: bool) -> None:
+        for member in members:
+            ident = member.upstream.id
+            if ident in self.pools:
+                self.pools[ident].update(member)
+            elif member.upstream.state is not UpstreamState.GONE:
+                self.pools[ident] = Pool(self, member)
+        gone = [i for i, pool in self.pools.items() if pool.member.upstream.state is UpstreamState.GONE]
+        if full:
+            gone += self.pools.keys() - {member.upstream.id for member in members}
+        for ident in gone:
+            pool = self.pools.pop(ident, None)
+            if pool is not None:
+                pool.leave()
+
+    def ready(self, ident: int) -> Pool | None:
+        pool = self.pools.get(ident)
+        return pool if pool is not None and pool.is_ready() else None
+
+    def close_idle(self, ident: int) -> None:
+        if ident in self.pools:
+            self.pools[ident].close_idle()
+
+    def make_room(self) -> bool:
+        """Room for one more connection, if need be in place of the one that has been idle longest."""
+        if self.open >= self.most:
+            oldest = min((pool.idle[0] for pool in self.pools.values() if pool.idle),
+                         key=lambda connection: connection.idle_since_us, default=None)
+            if oldest is not None:
+                oldest.drop()
+        return self.open < self.most
+
+    def sweep(self) -> None:
+        for pool in self.pools.values():
+            pool.sweep()
+        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+
+    def close(self) -> None:
+        self.sweeper.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        for pool in self.pools.values():
+            pool.leave()
--- /dev/null
+++ b/ironscale/settings.py
@@ -0,0 +1,145 @@
+"""The operators' settings: from the simulator's text or the configuration's JSON to `Settings`."""
+
+from __future__ import annotations
+
+import math
+
+from ironscale import interface as api
+
+# Load report values: the settings' names and ours; a name not known here is kept as it is.
+_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
+                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
+
+
+class SettingsError(Exception):
+    """A setting that cannot be read; the text is one line."""
+
+
+class Options:
+    """Settings as path=value pairs, read with checks."""
+
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
+
+    def text(self, path: str, default: str | None = None) -> str:
+        value = self.pairs.get(path, default)
+        if value is None:
+            raise SettingsError(f"setting {path} is missing")
+        return value
+
+    def number(self, path: str, default: str | None = None) -> float:
+        value = self.text(path, default)
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number):
+            raise SettingsError(f"setting {path}: expected a number, got {value!r}")
+        return number
+
+    def whole(self, path: str, default: str | None = None) -> int:
+        number = self.number(path, default)
+        if number != int(number):
+            raise SettingsError(f"setting {path}: expected a whole number, got {self.text(path, default)!r}")
+        return int(number)
+
+    def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
+        value = self.text(path, default)
+        if value not in choices:
+            raise SettingsError(f"setting {path}: expected one of {', '.join(choices)}, got {value!r}")
+        return value
+
+    def flag(self, path: str, default: str | None = None) -> bool:
+        return self.choice(path, ("true", "false"), default) == "true"
+
+
+def from_text(text: str) -> Options:
+    """Settings as `path=value` lines."""
+    pairs: dict[str, str] = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip():
+            continue
+        path, equals, value = line.partition("=")
+        if not equals or not path:
+            raise SettingsError(f"settings line {number}: expected path=value, got {line!r}")
+        pairs[path] = value
+    return Options(pairs)
+
+
+def from_object(value: object) -> Options:
+    """Settings as a JSON object: the same paths, with `.count` and numbers for lists of objects."""
+    if not isinstance(value, dict):
+        raise SettingsError(f"settings: expected an object, got {type(value).__name__}")
+    pairs: dict[str, str] = {}
+    _flatten("", value, pairs)
+    return Options(pairs)
+
+
+def _flatten(path: str, value: object, pairs: dict[str, str]) -> None:
+    if isinstance(value, dict):
+        for name, member in value.items():
+            _flatten(f"{path}.{name}" if path else str(name), member, pairs)
+    elif isinstance(value, list) and any(isinstance(member, dict) for member in value):
+        pairs[f"{path}.count"] = str(len(value))
+        for index, member in enumerate(value):
+            _flatten(f"{path}.{index}", member, pairs)
+    elif isinstance(value, list):
+        pairs[path] = ",".join(map(str, value))
+    elif isinstance(value, bool):
+        pairs[path] = "true" if value else "false"
+    elif value is not None:
+        pairs[path] = str(value)
+
+
+def _class(options: Options, at: str) -> api.RequestClass:
+    return api.RequestClass(
+        name=options.text(at + "name"),
+        aim_us=options.whole(at + "aim"),
+        deadline_us=options.whole(at + "deadline"),
+        worth=options.number(at + "worth"),
+        late_worth=options.number(at + "late-worth", "0"),
+        aim_stretch=options.number(at + "aim-stretch", "0"),
+        effect=options.choice(at + "effect", api.EFFECTS),
+        group=options.choice(at + "group", api.GROUPS, "all"),
+        memory_us=options.whole(at + "memory-span", "0"),
+        stream=options.flag(at + "stream", "false"),
+    )
+
+
+def _tenant(options: Options, at: str) -> api.Tenant:
+    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
+                      options.number(at + "share", "0"))
+
+
+def read(o: Options) -> api.Settings:
+    """The settings of one instance; keys that are not known are skipped."""
+    try:
+        return api.Settings(
+            classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
+            tenants=[_tenant(o, f"accounts.{i}.") for i in range(o.whole("accounts.count", "0"))],
+            over_share_worth=o.number("over-share-worth", "1"),
+            worth_by_work=o.choice("value-by", ("request", "work"), "request") == "work",
+            instances=o.whole("instances"),
+            self_index=o.whole("self-index", "0"),
+            zone=o.whole("locality", "0"),
+            tick_us=o.whole("granularity"),
+            max_attempts=o.whole("bounds.most-tries"),
+            max_retry_after_us=o.whole("bounds.max-retry-after", "0"),
+            connect_timeout_us=o.whole("bounds.dial-timeout", "0"),
+            retry_after=o.flag("bounds.retry-after"),
+            cancel=o.flag("bounds.cancel"),
+            probes=o.flag("bounds.probes"),
+            second_copies=o.flag("bounds.second-copies"),
+            list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
+            ask_within_us=o.whole("invariants.ask-within", "0"),
+            cold_share=o.number("invariants.cold-share"),
+            warm_up_us=o.whole("invariants.warm-up"),
+            overload_factor=o.number("invariants.overload-factor"),
+            fall_us=o.whole("invariants.fall"),
+            cross_zone_fee=o.number("fees.cross-zone", "0"),
+            report_names=[_REPORT_NAMES.get(name, name)
+                          for name in o.text("report.names", "").split(",") if name],
+            weighted=o.text("weights", "none") != "none",
+        )
+    except ValueError as error:
+        raise SettingsError(f"settings: {error}") from error
--- a/ironscale/wire.py
+++ b/ironscale/wire.py
@@ -12,6 +12,7 @@
 from typing import Any, TypeVar
 
 from ironscale import interface as api
+from ironscale import settings
 
 HEADER = struct.Struct("<IIQ")
 REPLY_HEADER = struct.Struct("<II")
@@ -34,9 +35,6 @@
 }
 _STATES = {0: api.UpstreamState.GONE, 1: api.UpstreamState.READY, 2: api.UpstreamState.DRAINING}
 _LIST_KINDS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
-# Load report values: the wire's names and ours; a name not known here is kept as it is.
-_REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
-                 "rate": "served_per_s", "fail_rate": "errors_per_s"}
 _U32_MAX = 0xFFFFFFFF
 V = TypeVar("V")
 
@@ -232,101 +230,9 @@
     return REPLY_HEADER.pack(len(body), len(records)) + body
 
 
-class _Options:
-    """The start-up settings' path=value pairs, read with checks."""
-
-    def __init__(self, text: str) -> None:
-        self.pairs: dict[str, str] = {}
-        for number, line in enumerate(text.splitlines(), 1):
-            if not line.strip():
-                continue
-            path, equals, value = line.partition("=")
-            if not equals or not path:
-                raise WireError(f"settings line {number}: expected path=value, got {line!r}")
-            self.pairs[path] = value
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self.pairs.get(path, default)
-        if value is None:
-            raise WireError(f"setting {path} is missing")
-        return value
-
-    def number(self, path: str, default: str | None = None) -> float:
-        value = self.text(path, default)
-        try:
-            number = float(value)
-        except ValueError:
-            number = math.nan
-        if not math.isfinite(number):
-            raise WireError(f"setting {path}: expected a number, got {value!r}")
-        return number
-
-    def whole(self, path: str, default: str | None = None) -> int:
-        number = self.number(path, default)
-        if number != int(number):
-            raise WireError(f"setting {path}: expected a whole number, got {self.text(path, default)!r}")
-        return int(number)
-
-    def choice(self, path: str, choices: tuple[str, ...], default: str | None = None) -> str:
-        value = self.text(path, default)
-        if value not in choices:
-            raise WireError(f"setting {path}: expected one of {', '.join(choices)}, got {value!r}")
-        return value
-
-    def flag(self, path: str, default: str | None = None) -> bool:
-        return self.choice(path, ("true", "false"), default) == "true"
-
-
-def _class(options: _Options, at: str) -> api.RequestClass:
-    return api.RequestClass(
-        name=options.text(at + "name"),
-        aim_us=options.whole(at + "aim"),
-        deadline_us=options.whole(at + "deadline"),
-        worth=options.number(at + "worth"),
-        late_worth=options.number(at + "late-worth", "0"),
-        aim_stretch=options.number(at + "aim-stretch", "0"),
-        effect=options.choice(at + "effect", api.EFFECTS),
-        group=options.choice(at + "group", api.GROUPS, "all"),
-        memory_us=options.whole(at + "memory-span", "0"),
-        stream=options.flag(at + "stream", "false"),
-    )
-
-
-def _tenant(options: _Options, at: str) -> api.Tenant:
-    return api.Tenant(options.text(at + "name"), options.number(at + "allowance-per-s"),
-                      options.number(at + "share", "0"))
-
-
 def parse_settings(text: str) -> api.Settings:
-    """The settings of one instance; keys that are not known are skipped."""
-    o = _Options(text)
+    """The settings of one instance, from the start-up record's path=value lines."""
     try:
-        return api.Settings(
-            classes=[_class(o, f"request-classes.{i}.") for i in range(o.whole("request-classes.count"))],
-            tenants=[_tenant(o, f"accounts.{i}.") for i in range(o.whole("accounts.count", "0"))],
-            over_share_worth=o.number("over-share-worth", "1"),
-            worth_by_work=o.choice("value-by", ("request", "work"), "request") == "work",
-            instances=o.whole("instances"),
-            self_index=o.whole("self-index", "0"),
-            zone=o.whole("locality", "0"),
-            tick_us=o.whole("granularity"),
-            max_attempts=o.whole("bounds.most-tries"),
-            max_retry_after_us=o.whole("bounds.max-retry-after", "0"),
-            connect_timeout_us=o.whole("bounds.dial-timeout", "0"),
-            retry_after=o.flag("bounds.retry-after"),
-            cancel=o.flag("bounds.cancel"),
-            probes=o.flag("bounds.probes"),
-            second_copies=o.flag("bounds.second-copies"),
-            list_on_request=o.choice("registry-mode", ("pushed", "on_request")) == "on_request",
-            ask_within_us=o.whole("invariants.ask-within", "0"),
-            cold_share=o.number("invariants.cold-share"),
-            warm_up_us=o.whole("invariants.warm-up"),
-            overload_factor=o.number("invariants.overload-factor"),
-            fall_us=o.whole("invariants.fall"),
-            cross_zone_fee=o.number("fees.cross-zone", "0"),
-            report_names=[_REPORT_NAMES.get(name, name)
-                          for name in o.text("report.names", "").split(",") if name],
-            weighted=o.text("weights", "none") != "none",
-        )
-    except ValueError as error:
-        raise WireError(f"settings: {error}") from error
+        return settings.read(settings.from_text(text))
+    except settings.SettingsError as error:
+        raise WireError(str(error)) from error
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -505,8 +505,8 @@
     assert actions == [Refuse(9_999)]
 
 
-def test_the_on_call_page_names_the_lines_that_are_written() -> None:
-    page = (Path(__file__).parent.parent / "docs" / "oncall.md").read_text()
+def test_the_readme_names_the_lines_that_are_written() -> None:
+    page = (Path(__file__).parent.parent / "README.md").read_text()
     world = ready_world(2, instances=40)
     churn(world, 40, 100)
     for _ in range(30):
