--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Protocol, cast
@@ -119,8 +120,12 @@
         self.current = exchange
         if exchange.target.partition(b"?")[0] == READY_PATH:
             exchange.answer(200 if self.server.application.is_ready() else 503)
-        else:
+            return
+        try:
             self.server.application.on_request(exchange)
+        except Exception:  # hazard: it would look like a broken parse and leave the request unanswered
+            traceback.print_exc()
+            exchange.answer(502)
 
     def answer(self, exchange: Exchange, status: int, headers: Iterable[tuple[bytes, bytes]],
                body: bytes) -> None:
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -243,12 +243,13 @@
 
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
+        address = self.member.address
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.upstreams.connect_s):
-                await loop.sock_connect(sock, self.member.address)
+                await loop.sock_connect(sock, address)
             connection = Connection(self, sock)
             await loop.create_connection(lambda: connection, sock=sock)
         except (OSError, TimeoutError, ValueError):  # the last for an address that is none
@@ -257,7 +258,8 @@
             attempt.end(Outcome.CONNECT_FAILED)
             return
         self.busy.add(connection)
-        if attempt.ended or not self.is_ready() or not attempt.wanted():
+        connection.retired = address != self.member.address
+        if attempt.ended or connection.retired or not self.is_ready() or not attempt.wanted():
             # hazard: the list or the client may have changed its mind while the connection came up
             self.release(connection)
             attempt.end(Outcome.NOT_SENT)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -209,6 +210,33 @@
     assert "a bug" in capsys.readouterr().err
 
 
+def test_an_error_outside_the_decisions_still_gives_an_answer(capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        scene = await Scene().start((await Peer().start()).entry("s-1"))
+        scene.sidecar.tenants = None  # type: ignore[assignment]
+        reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+        writer.write(scene.request("pay"))
+        assert (await read_message(reader)).status == 502
+        scene.sidecar.tenants = {}
+        writer.write(scene.request("pay"))
+        assert (await read_message(reader)).status == 200
+        writer.close()
+
+    run(test)
+    assert "Traceback" in capsys.readouterr().err
+
+
+def test_the_log_names_upstreams_as_discovery_does(capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        scene = await Scene().start((await Peer().start()).entry("s-1"))
+        ident = next(iter(scene.sidecar.upstreams.pools))
+        scene.sidecar.carry_out(api.Log(f"upstream {ident} rests"))
+        scene.sidecar.carry_out(api.Log("upstream 12 is back"))
+
+    run(test)
+    assert capsys.readouterr().err == "n0: upstream s-1 rests\nn0: upstream 12 is back\n"
+
+
 def test_a_request_that_the_decisions_lose_is_answered_by_its_deadline() -> None:
     async def test() -> None:
         scene = await Scene().start((await Peer().start()).entry("s-1"))
@@ -317,8 +345,9 @@
 class Process:
     """The program as it is deployed, with its own discovery."""
 
-    def __init__(self, *entries: dict[str, Any]) -> None:
+    def __init__(self, *entries: dict[str, Any], settings: dict[str, Any] = SETTINGS) -> None:
         self.entries = entries
+        self.settings = settings
         self.folder = tempfile.TemporaryDirectory()
 
     async def start(self) -> Process:
@@ -328,10 +357,12 @@
         path.write_text(json.dumps({
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery.port}",
             "seed": "1f", "limits": {"sockets": 1024}, "known": listing(*self.entries),
-            "settings": SETTINGS,
+            "settings": self.settings,
         }))
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=ROOT, check=True, timeout=300)
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "ironscale", cwd=ROOT, env={**os.environ, "GW_CONFIG": str(path)})
+            "/bin/sh", "-c", deploy["run"], cwd=ROOT, env={**os.environ, "GW_CONFIG": str(path)})
         while True:
             try:
                 _, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -371,6 +402,19 @@
     run(test)
 
 
+def test_a_request_that_never_comes_whole_does_not_hold_up_the_exit() -> None:
+    async def test() -> None:
+        classes = [{**c, "deadline": 500_000} for c in SETTINGS["request-classes"]]
+        program = await Process(settings={**SETTINGS, "request-classes": classes}).start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", program.port)
+        writer.write(b"GET / HTTP/1.1\r\n")
+        program.process.send_signal(signal.SIGTERM)
+        assert await program.process.wait() == 0
+        assert await reader.read() == b""
+
+    run(test)
+
+
 @pytest.mark.parametrize(("content", "words"), [
     (None, "GW_CONFIG is not set"),
     ("{", "not JSON"),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -327,6 +327,20 @@
     run(test)
 
 
+def test_nothing_is_written_to_an_address_that_was_left_while_the_connection_came_up() -> None:
+    async def test() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        line = Line(old)
+        _, ended = line.start()
+        await asyncio.sleep(0)  # on its way to the old address
+        line.peer = new
+        line.tell(full=False)
+        assert (await ended)[0] is Outcome.NOT_SENT
+        assert not old.got and line.upstreams.open == 0
+
+    run(test)
+
+
 def test_connections_stay_within_the_limit_on_sockets() -> None:
     async def test() -> None:
         peer = await Peer(hang).start()
