--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -1,6 +1,6 @@
 """All decisions of the balancer. Its interface, types, events and actions: ironscale/interface.py.
 
-Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the
+Everything is slots (README.md): a request takes a free slot of a random upstream, waits in the
 ONE buffer when none is free, is refused when the buffer is taken, and is reissued through a slot.
 """
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -219,6 +220,21 @@
     run(test)
 
 
+def test_an_idle_connection_that_ends_or_talks_is_dropped() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        line = Line(peer)
+        ends: list[Callable[[asyncio.StreamWriter], None]] = [
+            lambda w: w.write(ok()), lambda w: w.write_eof(), lambda w: w.transport.abort()]
+        for end in ends:
+            assert await line.outcome() is Outcome.OK
+            end(peer.writers.copy().pop())
+            await until(lambda: line.upstreams.open == 0)
+            await until(lambda: not peer.writers)
+
+    run(test)
+
+
 def test_bytes_after_an_answer_end_the_connection_and_not_the_answer() -> None:
     async def test() -> None:
         peer = await Peer(reply(ok(b"one") + ok(b"two"))).start()
