Out of descriptors, an attempt ends as not sent at once

Cause: a probe with 60 descriptors and 80 clients left 'Task exception was never retrieved': socket.socket() stood outside the try in Pool.connect, so the attempt held its slot until its time-out and the connection count never came down. The loopback test hangs without the mend.

--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -244,7 +244,12 @@
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         address = self.member.address
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:  # hazard: out of descriptors, the attempt would hold its slot until its time-out
+            self.upstreams.open -= 1
+            attempt.end(Outcome.NOT_SENT)
+            return
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from collections.abc import Callable
@@ -378,6 +379,21 @@
     run(test)
 
 
+def test_without_a_descriptor_nothing_was_sent_and_nothing_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    def out_of_descriptors(*args: object) -> socket.socket:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def test() -> None:
+        line = Line(await Peer().start())
+        with monkeypatch.context() as patched:
+            patched.setattr(socket, "socket", out_of_descriptors)
+            assert await line.outcome() is Outcome.NOT_SENT
+        assert line.upstreams.open == 0
+        assert await line.outcome() is Outcome.OK
+
+    run(test)
+
+
 def test_the_turned_away_mark_is_read_in_any_case() -> None:
     async def test() -> None:
         assert await Line(await Peer(reply(TURNED_AWAY.lower().replace(b"http/1.1", b"HTTP/1.1"))).start()
