--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
 import uvloop
 
-from ironscale.net.config import ConfigError, load
+from ironscale.net.config import ConfigError
 from ironscale.net.sidecar import serve
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # hazard: it would end the process
     try:
-        config = load(os.environ)
-        uvloop.run(serve(config))
+        uvloop.run(serve(os.environ))
     except ConfigError as error:
         print(f"ironscale: {error}", file=sys.stderr)
         return 2
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -12,6 +12,7 @@
 from ironscale.net.discovery import Directory, ListError, Listing
 
 Address = tuple[str, int]
+LEAST_SOCKETS = 64
 
 
 class ConfigError(Exception):
@@ -23,6 +24,7 @@
     name: str
     listen: Address
     discovery: Address
+    discovery_in_file: Address | None  # a reload goes by this: the environment can't change
     seed: int
     sockets: int  # file descriptors that the process may hold
     settings: Settings
@@ -56,13 +58,18 @@
         options = settings.from_object(raw)
         assert isinstance(raw, dict)
         directory = Directory(_names(raw.get("areas")), _names(raw.get("kinds")))
+        in_file = data.get("discovery")
+        sockets = int((data.get("limits") or {}).get("sockets", 1024))
+        if sockets < LEAST_SOCKETS:
+            raise ConfigError(f"limits.sockets: expected {LEAST_SOCKETS} or more, got {sockets}")
         known = directory.read(data.get("known") or {"generation": 0, "reset": True, "instances": []})
         return Config(
             name=told("GW_NAME", "name"),
             listen=parse_address(told("GW_LISTEN", "listen"), "listen"),
             discovery=parse_address(told("GW_DISCOVERY", "discovery"), "discovery"),
+            discovery_in_file=parse_address(in_file, "discovery") if in_file else None,
             seed=int(str(data.get("seed", "0")), 16),
-            sockets=int((data.get("limits") or {}).get("sockets", 1024)),
+            sockets=sockets,
             settings=settings.read(options),
             idle_us=options.whole("bounds.conn-idle", "15000000"),
             directory=directory,
--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -20,6 +20,9 @@
 # discovery or the way to it is down, though the connection may stay open.
 SILENCE_S = 4.5
 LONGEST_LINE = 16 << 20
+MOVE_AGAIN_S = 0.25
+# A discovery that stays behind our list for this long has begun to count anew; one that lags has caught up.
+BEHIND_S = 3.0
 _STATES = {state.value: state for state in UpstreamState}
 
 
@@ -98,21 +101,46 @@
         self.generation = generation  # of the list as told to `on_list`
         self.on_list = on_list
         self.watch: _Call | None = None
+        self.successor: _Call | None = None  # the watch at a new address, until it has answered
+        self.mover: asyncio.TimerHandle | None = None
         self.fetches: set[_Call] = set()
 
     def subscribe(self) -> None:
         if self.watch is None:
-            self.watch = _Call(self, f"{PATH}?watch=1&after={self.generation}")
+            self.watch = self.call_watch()
         elif self.watch.answered:
             # the watch already tells every change: nothing is missing
             self.on_list(ListKind.DELTA, Listing(self.generation, False))
         # else the call that is out will be the answer: a second one would wait behind it
 
+    def call_watch(self) -> _Call:
+        return _Call(self, f"{PATH}?watch=1&after={self.generation}")
+
     def unsubscribe(self) -> None:
+        self.stop_moving()
         if self.watch is not None:
             watch, self.watch = self.watch, None
             watch.close()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is there now; the watch at the old address serves until the new one has answered."""
+        if address != self.address:
+            self.address = address
+            self.stop_moving()
+            if self.watch is not None:
+                self.start_moving()
+
+    def start_moving(self) -> None:
+        if self.watch is not None:
+            self.successor = self.call_watch()
+
+    def stop_moving(self) -> None:
+        if self.mover is not None:
+            self.mover.cancel()
+        if self.successor is not None:
+            successor, self.successor = self.successor, None
+            successor.close()
+
     def fetch(self) -> None:
         self.fetches.add(_Call(self, PATH))
 
@@ -124,19 +152,44 @@
     def told(self, call: _Call, line: bytes) -> None:
         if line.strip():
             listing = self.directory.read(json.loads(line))
-        elif call.answered:
+        elif call.answered and call.behind_since_s is None:
             return
         else:  # alive, and nothing has changed since our list
-            listing = Listing(self.generation, False)
+            listing = Listing(self.generation if call.behind_since_s is None else -1, False)
         call.answered = True
+        if call is self.successor:
+            assert self.watch is not None
+            self.watch.close()
+            self.watch, self.successor = call, None
         if call is not self.watch and (not listing.full or listing.generation < self.generation):
             return  # a fetched list that a watch has overtaken
+        if listing.generation < self.generation:
+            # hazard: a discovery that lags behind the last one would make drained upstreams ready again
+            if not self.may_lag(call):
+                self.generation = 0  # the next watch is told the whole list
+                call.end()
+                return
+            listing = Listing(self.generation, False)
+        else:
+            call.behind_since_s = None
         self.generation = listing.generation
         self.on_list(ListKind.FULL if listing.full else ListKind.DELTA, listing)
 
+    def may_lag(self, call: _Call) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        if call.behind_since_s is None:
+            call.behind_since_s = now_s
+        return now_s - call.behind_since_s < BEHIND_S
+
     def ended(self, call: _Call) -> None:
+        if call is self.successor:
+            self.successor = None
+            self.mover = asyncio.get_running_loop().call_later(MOVE_AGAIN_S, self.start_moving)
+            return
         if call is self.watch:
-            self.watch = None
+            self.watch, self.successor = self.successor, None
+            if self.watch is not None:
+                return  # its answer, or its end, will be told
         elif call in self.fetches:
             self.fetches.discard(call)
             if call.answered:
@@ -152,6 +205,7 @@
     def __init__(self, owner: Discovery, target: str) -> None:
         self.owner = owner
         self.answered = False
+        self.behind_since_s: float | None = None  # since when its lists are older than ours
         self.over = False
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -10,14 +10,14 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from hashlib import blake2b
 from urllib.parse import parse_qs
 
 from ironscale import interface as api
 from ironscale.balance import Balancer
-from ironscale.net.config import Config
+from ironscale.net.config import Config, ConfigError, load
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.server import HOP_BY_HOP, Exchange, Server
 from ironscale.net.upstream import Answer, Attempt, Upstreams
@@ -119,6 +119,21 @@
         self.on_list(api.ListKind.CACHED, self.config.known)
         return await self.server.listen(self.config.listen)
 
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Read the configuration again. Discovery's address can change; the rest needs a restart."""
+        if self.server.stopping:
+            return
+        try:
+            config = load(environ)
+        except ConfigError as error:  # hazard: half a file must not end or half change what runs
+            self.log(f"reload: the configuration stays as it was: {error}")
+            return
+        address, before = config.discovery_in_file, self.config.discovery_in_file
+        self.config.discovery_in_file = address
+        if address is not None and address != before:
+            self.log(f"reload: discovery is at {address[0]}:{address[1]}")
+            self.discovery.move(address)
+
     async def stop(self) -> None:
         longest_s = max(c.deadline_us for c in self.config.settings.classes) / 1e6
         await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, STOP_MOST_S + longest_s)
@@ -324,11 +339,13 @@
         print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
 
 
-async def serve(config: Config) -> None:
-    sidecar = Sidecar(config)
+async def serve(environ: Mapping[str, str]) -> None:
+    loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        sidecar.loop.add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(number, stopped.set)
+    sidecar = Sidecar(load(environ))
+    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, environ)
     await sidecar.start()
     gc.collect()
     gc.freeze()  # what is here stays: the collector need not walk it again
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -227,3 +227,86 @@
     with pytest.raises(ListError) as caught:
         Directory([], []).read(data)
     assert "\n" not in str(caught.value)
+
+
+async def moved() -> tuple[FakeDiscovery, FakeDiscovery, Discovery, Told]:
+    """A watch at the first that has told generation 42, on its way to the second."""
+    old, new = await FakeDiscovery().start(), await FakeDiscovery().start()
+    discovery, told = await watching(old)
+    await until(lambda: old.writers)
+    old.line(listing(ENTRY, generation=42))
+    await until(lambda: told)
+    discovery.move(("127.0.0.1", new.port))
+    await until(lambda: new.writers)
+    return old, new, discovery, told
+
+
+def test_the_old_watch_serves_until_the_new_address_has_answered() -> None:
+    """Hazard: a drain told in between would be missed, and the end of the old watch taken for a failure."""
+
+    async def test() -> None:
+        old, new, discovery, told = await moved()
+        discovery.move(("127.0.0.1", new.port))  # twice in a row is as good as once
+        old.line(listing({**ENTRY, "lifecycle": "draining"}, generation=43, reset=False))
+        await until(lambda: len(told) == 2)
+        new.line(None)
+        await until(lambda: len(told) == 3)
+        old.writers[0].close()
+        new.line(listing(ENTRY, generation=44, reset=False))
+        await until(lambda: len(told) == 4)
+        assert kinds(told) == [ListKind.FULL, ListKind.DELTA, ListKind.DELTA, ListKind.DELTA]
+        assert new.targets == ["/registry/instances?watch=1&after=42"]
+        discovery.close()
+
+    run(test)
+
+
+def test_when_the_old_watch_ends_first_the_new_one_takes_its_place() -> None:
+    async def test() -> None:
+        old, new, discovery, told = await moved()
+        watch, successor = discovery.watch, discovery.successor
+        old.writers[0].close()
+        await until(lambda: discovery.watch is not watch)
+        assert discovery.watch is successor and discovery.successor is None
+        new.line(listing(ENTRY, generation=43))
+        await until(lambda: len(told) == 2)
+        assert kinds(told) == [ListKind.FULL, ListKind.FULL]
+        discovery.close()
+
+    run(test)
+
+
+def test_a_new_address_that_fails_is_tried_again_while_the_old_watch_serves() -> None:
+    async def test() -> None:
+        old, new, discovery, told = await moved()
+        new.writers[0].close()
+        await until(lambda: len(new.writers) == 2)
+        assert kinds(told) == [ListKind.FULL]
+        old.line(listing(ENTRY, generation=43))
+        await until(lambda: len(told) == 2)
+        discovery.close()
+
+    run(test)
+
+
+def test_a_list_older_than_the_last_counts_only_if_it_stays_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hazard: a discovery that lags would make drained upstreams ready again; one that counts anew
+    would never be heard."""
+
+    async def test() -> None:
+        _, new, discovery, told = await moved()
+        new.line(listing(generation=40))
+        new.line(listing(generation=41, reset=False))
+        await until(lambda: len(told) == 3)
+        assert all(what is not None and not what.members and what.generation == 42 for _, what in told[1:])
+        assert kinds(told) == [ListKind.FULL, ListKind.DELTA, ListKind.DELTA]
+        monkeypatch.setattr(module, "BEHIND_S", 0.0)
+        new.line(None)
+        await until(lambda: len(told) == 4)
+        assert kinds(told)[3] is ListKind.FAILED
+        discovery.subscribe()
+        await until(lambda: len(new.writers) == 2)
+        assert new.targets[1] == "/registry/instances?watch=1&after=0"
+        discovery.close()
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -351,18 +351,14 @@
         self.folder = tempfile.TemporaryDirectory()
 
     async def start(self) -> Process:
-        discovery = await FakeDiscovery().start()
+        self.discovery = await FakeDiscovery().start()
         self.port = free_port()
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery.port}",
-            "seed": "1f", "limits": {"sockets": 1024}, "known": listing(*self.entries),
-            "settings": self.settings,
-        }))
+        path = self.configure(self.discovery)
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=ROOT, check=True, timeout=300)
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", deploy["run"], cwd=ROOT, env={**os.environ, "GW_CONFIG": str(path)})
+            "/bin/sh", "-c", deploy["run"], cwd=ROOT, stderr=subprocess.PIPE, env={
+                **os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": f"127.0.0.1:{self.discovery.port}"})
         while True:
             try:
                 _, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -372,6 +368,19 @@
             writer.close()
             return self
 
+    def configure(self, discovery: FakeDiscovery) -> Path:
+        path = Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery.port}",
+            "seed": "1f", "limits": {"sockets": 1024}, "known": listing(*self.entries),
+            "settings": self.settings,
+        }))
+        return path
+
+    async def log_line(self) -> str:
+        assert self.process.stderr is not None
+        return (await self.process.stderr.readline()).decode()
+
 
 def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as found:
@@ -415,6 +424,41 @@
     run(test)
 
 
+def test_a_reload_moves_discovery_and_loses_nothing() -> None:
+    """Hazard: by default the signal ends the process; and the environment still names the old address."""
+
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        program = await Process(peer.entry("s-1")).start()
+        scene = Scene()
+        scene.port = program.port
+        held = asyncio.create_task(scene.call("pay"))
+        await until(lambda: peer.got and program.discovery.writers)
+        program.discovery.line(listing(peer.entry("s-1")))
+        new = await FakeDiscovery().start()
+        path = program.configure(new)
+        good = path.read_text()
+        path.write_text(good[:-1])
+        program.process.send_signal(signal.SIGHUP)
+        assert "the configuration stays as it was" in await program.log_line()
+        path.write_text(good)
+        program.process.send_signal(signal.SIGHUP)
+        program.process.send_signal(signal.SIGHUP)
+        await until(lambda: new.writers)
+        new.line(listing(peer.entry("s-1"), generation=2))
+        peer.behave = reply(ok())
+        for writer in list(peer.writers):
+            writer.write(ok())
+        assert (await held).status == 200
+        program.process.send_signal(signal.SIGTERM)
+        program.process.send_signal(signal.SIGHUP)
+        assert await program.process.wait() == 0
+        assert f"discovery is at 127.0.0.1:{new.port}" in await program.log_line()
+        assert await program.log_line() == ""
+
+    run(test)
+
+
 @pytest.mark.parametrize(("content", "words"), [
     (None, "GW_CONFIG is not set"),
     ("{", "not JSON"),
