--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -61,6 +61,7 @@
         self.used = 0  # slots taken by this sidecar's sends
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
+        self.failing = False  # its last answer was a fault
         self.next_cold_us = 0  # while it is cold, no send before this
 
 
@@ -119,8 +120,7 @@
         self.order: list[Server] = []  # ready upstreams, from this sidecar's own starting point on
         self.subset = SUBSET
         self.retry_tokens = RETRIES_KEPT
-        names = settings.report_names
-        self.busy_at = names.index("utilization") if "utilization" in names else None
+        self.busy_at = next((i for i, n in enumerate(settings.report_names) if n == "utilization"), None)
         self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]  # arrivals of each, the old ones fading
         self.next_log_us = now_us
@@ -221,8 +221,7 @@
         harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
                     or (kind.effect == "deduplicated" and kind.group == "all"))
         self.close(request)
-        answer = api.Refuse(ident, self.retry_after_us(request)) if harmless else api.Fail(ident)
-        self.actions.append(answer)
+        self.actions.append(api.Refuse(ident, self.retry_after_us(request)) if harmless else api.Fail(ident))
 
     def close(self, request: Request) -> None:
         request.done = True
@@ -241,11 +240,13 @@
         sidecar's window, which sees more answers. Both go by the time it took in slow times."""
         server, outcome, latency = attempt.server, attempt.ended, self.latency[class_index]
         if outcome in INSTANT_FAULTS:
-            # hazard: what fails at once frees its slot at once and so would draw ever more
-            server.window.move(-0.5, 0.0, 1.0)
+            # hazard: what fails at once would draw ever more; but one break in ten must not close them all
+            lone, server.failing = outcome is not api.Outcome.FULL and not server.failing, True
+            server.window.move(-0.1 if lone else -0.5, 0.0, 1.0)
             if outcome is api.Outcome.FULL:
                 self.window.move(-GROWTH / 2, self.least, 1.0)
         elif outcome in (None, api.Outcome.OK, api.Outcome.TIMEOUT):
+            server.failing = server.failing and outcome is not api.Outcome.OK
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
             slowness = min(2.0, elapsed_us / attempt.slow_us)
             step = (attempt.slowness or FULL_LOAD) - slowness
@@ -309,9 +310,8 @@
         s, sent = self.settings, len(request.attempts)
         if request.done or request.streaming or self.now_us >= request.event.due_us or sent >= s.max_attempts:
             return False
-        if sent > 0 and self.retry_tokens < 1.0:
-            return False  # hazard: reissues and copies feed the overload that they answer
-        if request.out() > 0 and not s.second_copies:
+        # hazard: reissues and copies feed the overload that they answer
+        if (sent > 0 and self.retry_tokens < 1.0) or (request.out() > 0 and not s.second_copies):
             return False
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         if first is None or kind.effect == "idempotent":
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -23,6 +23,9 @@
 # carries the next request it would be taken for that one's answer. So each rests between two.
 REST_US = 2_000
 DEFAULT_CONNECT_S = 1.0
+# How often kept connections of an age fail at their next request: smoothed over about 8 of them, and
+# forgotten over some 20 s. Past UNTRUSTED a new one costs less than the requests that would be lost.
+AGE_WEIGHT, AGE_FADES, UNTRUSTED = 1 / 8, 0.95, 0.3
 
 
 class Answer:
@@ -94,9 +97,12 @@
         self.in_head = True
         self.head_size = 0  # of all heads and trailers since the attempt began, interim answers' among them
         self.headers_seen = 0
+        self.answered = False  # some of the answer has come
         self.complete = False
         self.written = False  # the attempt's last byte has been handed to the kernel
+        self.age_us = 0  # how long it had been idle before the attempt; 0 = it was new
         self.retired = False  # not to be used again
+        self.used = False
         self.dropped = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -118,8 +124,10 @@
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
+        self.age_us = self.pool.upstreams.now_us() - self.idle_since_us if self.used else 0
+        self.used = True
         self.answer, self.complete, self.written = Answer(), False, False
-        self.in_head, self.head_size, self.headers_seen = True, 0, 0
+        self.in_head, self.head_size, self.headers_seen, self.answered = True, 0, 0, False
         self.transport.write(attempt.payload)
         self.written = self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing()
 
@@ -131,7 +139,7 @@
         if self.attempt is None:
             self.drop()  # stray bytes: the next answer would not be its request's own
             return
-        spoilt = False
+        spoilt, self.answered = False, True
         try:
             assert self.parser is not None
             self.parser.feed_data(data)
@@ -202,6 +210,7 @@
         attempt, self.attempt = self.attempt, None
         assert attempt is not None
         attempt.connection = None
+        self.pool.upstreams.ages.add(self.age_us, False)
         if not self.written:
             self.retired = True  # answered before the whole request was out: the rest is in the way
         self.pool.release(self)
@@ -213,6 +222,8 @@
         self.drop()
         if attempt is not None:
             attempt.connection = None
+            if not self.answered:
+                self.pool.upstreams.ages.add(self.age_us, True)
             attempt.end(Outcome.RESET if written else Outcome.CONNECT_FAILED)
 
     def drop(self) -> None:
@@ -231,6 +242,25 @@
         self.parser = None  # each refers to the other: only the collector would free them
 
 
+class Ages:
+    """For how long kept connections may be idle: an upstream may close them long before the settings'
+    time, and the request that shows it is lost."""
+
+    def __init__(self) -> None:
+        self.failing = [0.0] * 65  # share of those whose age in microseconds has so many bits
+
+    def add(self, age_us: int, failed: bool) -> None:
+        if age_us > 0:
+            bits = min(age_us.bit_length(), 64)
+            self.failing[bits] += (failed - self.failing[bits]) * AGE_WEIGHT
+
+    def is_trusted(self, age_us: int) -> bool:
+        return self.failing[min(age_us.bit_length(), 64)] < UNTRUSTED
+
+    def fade(self) -> None:
+        self.failing = [share * AGE_FADES for share in self.failing]
+
+
 class Pool:
     """The connections to one upstream, as the list last described it."""
 
@@ -272,7 +302,9 @@
     def start(self, attempt: Attempt) -> None:
         rested_us = self.upstreams.now_us() - REST_US
         for connection in self.idle[::-1]:
-            if self.has_expired(connection) or connection.is_stale():
+            age_us = self.upstreams.now_us() - connection.idle_since_us
+            if (self.has_expired(connection) or not self.upstreams.ages.is_trusted(age_us)
+                    or connection.is_stale()):
                 connection.drop()
             elif connection.idle_since_us <= rested_us:
                 self.idle.remove(connection)
@@ -349,6 +381,7 @@
         self.most = most  # open connections
         self.open = 0  # connections, those coming up among them
         self.pools: dict[int, Pool] = {}
+        self.ages = Ages()
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
@@ -405,6 +438,7 @@
     def sweep(self) -> None:
         for pool in self.pools.values():
             pool.sweep()
+        self.ages.fade()
         self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def close(self) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -355,6 +355,49 @@
     run(test)
 
 
+def test_kept_connections_of_an_age_that_fails_are_not_trusted_for_a_while() -> None:
+    """Hazard: an upstream may close idle connections long before the settings' time without a sign, and
+    the request that shows it has failed."""
+
+    async def test() -> None:
+        peer = await Peer().start()
+        line = Line(peer)
+
+        async def next_after(idle_us: int) -> Outcome:
+            assert await line.outcome() is Outcome.OK  # one to be kept
+            line.pool.idle[-1].idle_since_us -= idle_us
+            peer.behave = reset if idle_us > 200_000 else reply(ok())
+            first = peer.opened
+            _, ended = line.start()
+            kept = line.pool.busy != set()
+            if not kept:
+                peer.behave = reply(ok())
+            outcome: Outcome = (await ended)[0]
+            peer.behave = reply(ok())
+            assert kept == (peer.opened == first)
+            return outcome
+
+        seen = [await next_after(400_000) for _ in range(6)]
+        assert seen == [Outcome.RESET] * 3 + [Outcome.OK] * 3
+        opened = peer.opened
+        assert await next_after(50_000) is Outcome.OK and peer.opened <= opened + 1  # a younger one serves
+        for _ in range(60):
+            line.upstreams.ages.fade()
+        assert await next_after(400_000) is Outcome.RESET  # it is tried again in time
+
+    run(test)
+
+
+def test_a_new_connection_that_breaks_says_nothing_of_kept_ones() -> None:
+    async def test() -> None:
+        line = Line(await Peer(reset).start())
+        for _ in range(10):
+            assert await line.outcome() is Outcome.RESET
+        assert max(line.upstreams.ages.failing) == 0.0
+
+    run(test)
+
+
 def test_an_idle_connection_is_closed_before_the_upstream_would() -> None:
     async def test() -> None:
         peer = await Peer().start()
