--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -127,11 +127,10 @@
         if address != self.address:
             self.address = address
             self.stop_moving()
-            if self.watch is not None:
-                self.start_moving()
+            self.start_moving()
 
     def start_moving(self) -> None:
-        if self.watch is not None:
+        if self.watch is not None and self.watch.address != self.address:
             self.successor = self.call_watch()
 
     def stop_moving(self) -> None:
@@ -204,13 +203,14 @@
 
     def __init__(self, owner: Discovery, target: str) -> None:
         self.owner = owner
+        self.address = owner.address
         self.answered = False
         self.behind_since_s: float | None = None  # since when its lists are older than ours
         self.over = False
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.line = b""
-        self.request = (f"GET {target} HTTP/1.1\r\nHost: {owner.address[0]}:{owner.address[1]}\r\n"
+        self.request = (f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
                         "Accept: application/json\r\n\r\n").encode()
         loop = asyncio.get_running_loop()
         self.silence = loop.call_later(SILENCE_S, self.end)
@@ -219,7 +219,7 @@
     async def connect(self) -> None:
         try:
             async with asyncio.timeout(CONNECT_S):
-                await asyncio.get_running_loop().create_connection(lambda: self, *self.owner.address)
+                await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
         except (OSError, TimeoutError):
             self.end()
 
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -22,6 +22,9 @@
 LONGEST_IDLE_S = 15.0
 LEAST_IDLE_S, LEAST_SILENCE_S = 2.0, 0.1  # to make room, no sooner
 SWEEP_S = 0.2
+# Shares of the room: past so many idle connections one ends with its answer, and past so many of all if
+# it has only asked for readiness.
+MANY_IDLE, MANY = 1 / 3, 1 / 2
 ACCEPTS = 32  # connections accepted before other work has its turn
 READY_PATH = b"/health/ready"
 REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
@@ -83,7 +86,7 @@
         self.waiting: deque[Exchange] = deque()  # sent ahead of the answer to the one before
         self.unparsed = b""
         self.reading = False  # a request has begun and is not whole
-        self.asked = False  # there has been a whole request
+        self.asked = False  # there has been a request, not only for readiness
         self.final = False  # nothing more is read: it ends with the answers that are owed
         self.since_us = server.now_us()  # silent or idle since then
 
@@ -155,7 +158,6 @@
     def on_message_complete(self) -> None:
         assert self.parser is not None
         self.reading = False
-        self.asked = True
         if self.final:  # behind a request that ended the connection
             return
         exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, b"".join(self.body),
@@ -167,9 +169,11 @@
 
     def begin(self, exchange: Exchange) -> None:
         self.current = exchange
+        self.server.settle(self)
         if exchange.target.partition(b"?")[0] == READY_PATH:
             exchange.answer(200 if self.server.application.is_ready() else 503)
             return
+        self.asked = True
         try:
             self.server.application.on_request(exchange)
         except Exception:  # hazard: it would look like a broken parse and leave the request unanswered
@@ -180,7 +184,7 @@
                body: bytes) -> None:
         if self.transport is None:
             return
-        if not exchange.keep_alive or self.server.wants_close():
+        if not exchange.keep_alive or self.server.wants_close(self):
             self.final = True
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
         parts += [b"%s: %s\r\n" % header for header in headers]
@@ -254,7 +258,7 @@
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
         # Those without an open request, the longest in that state first: `silent` have sent no whole
-        # request or are closing, `idle` wait for their next one.
+        # request, or only for readiness, or are closing; `idle` wait for their next one.
         self.silent: dict[ClientConnection, None] = {}
         self.idle: dict[ClientConnection, None] = {}
         self.opening: set[asyncio.Task[None]] = set()
@@ -344,12 +348,18 @@
         self.idle.pop(connection, None)
         self.accept_again()
 
-    def wants_close(self) -> bool:
-        return self.stopping or self.is_full
+    def wants_close(self, connection: ClientConnection) -> bool:
+        # hazard: clients that ask once and stay use up their own descriptors and ours
+        crowded = self.has_many_idle() if connection.asked else len(self.connections) > MANY * self.most
+        return self.stopping or crowded
+
+    def has_many_idle(self) -> bool:
+        return len(self.idle) > MANY_IDLE * self.most
 
     def sweep(self) -> None:
         now_us = self.now_us()
-        for connections, most_s in ((self.silent, SILENCE_S), (self.idle, LONGEST_IDLE_S)):
+        longest_s = LEAST_IDLE_S if self.has_many_idle() else LONGEST_IDLE_S
+        for connections, most_s in ((self.silent, SILENCE_S), (self.idle, longest_s)):
             for connection in list(connections):
                 if now_us - connection.since_us < most_s * 1e6:
                     break
@@ -385,7 +395,8 @@
             if now_us - start_us >= (least_s if quiet else most_s) * 1e6:
                 break
         if self.listener is not None:
-            self.accept()  # hazard: what still waits in the kernel would be reset
+            for _ in range(self.most // ACCEPTS + 1):
+                self.accept()  # hazard: what still waits in the kernel would be reset
             self.loop.remove_reader(self.listener)
             self.listener.close()
             self.listener = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -310,3 +310,17 @@
         discovery.close()
 
     run(test)
+
+
+def test_a_move_that_is_taken_back_leaves_the_old_watch_alone() -> None:
+    async def test() -> None:
+        old, new, discovery, told = await moved()
+        watch = discovery.watch
+        discovery.move(("127.0.0.1", old.port))
+        assert discovery.watch is watch and discovery.successor is None
+        old.line(listing(ENTRY, generation=43))
+        await until(lambda: len(told) == 2)
+        assert len(old.writers) == 1
+        discovery.close()
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -353,7 +353,7 @@
     sent: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     assert server.SILENCE_S + server.SWEEP_S < 3.0
-    monkeypatch.setattr(server, "SILENCE_S", 0.1)
+    monkeypatch.setattr(server, "SILENCE_S", 0.7)
 
     async def test() -> None:
         scene = await Scene().start((await Peer().start()).entry("s-1"))
@@ -363,7 +363,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
         writer.write(scene.request())
         assert (await read_message(reader)).status == 200
-        await asyncio.sleep(0.5)  # idle between requests is no silence
+        await asyncio.sleep(1.0)  # idle between requests is no silence
         writer.write(scene.request() + sent)
         assert (await read_message(reader)).status == 200
         if sent:
@@ -399,6 +399,50 @@
     run(test)
 
 
+def test_a_crowd_that_asks_for_readiness_and_stays_keeps_nobody_out() -> None:
+    """Hazard: those who have work would wait in the kernel until their time is up."""
+
+    async def test() -> None:
+        scene = await Scene().start((await Peer().start()).entry("s-1"))
+        scene.sidecar.server.most = 4
+        reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+        writer.write(scene.request())
+        assert (await read_message(reader)).status == 200
+        crowd = [await asyncio.open_connection("127.0.0.1", scene.port) for _ in range(12)]
+        for _, other in crowd:
+            other.write(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert [(await read_message(other)).status for other, _ in crowd] == [200] * 12
+        assert (await scene.call()).status == 200
+        writer.write(scene.request())  # and who had work before is still connected
+        assert (await read_message(reader)).status == 200
+        assert len(scene.sidecar.server.connections) <= 4
+        for _, other in crowd:
+            other.close()
+        writer.close()
+
+    run(test)
+
+
+def test_clients_that_ask_once_and_stay_keep_nobody_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hazard: they would use up the descriptors, their own and ours, before any is idle long enough."""
+
+    async def test() -> None:
+        monkeypatch.setattr(server, "LEAST_IDLE_S", 1000.0)
+        scene = await Scene().start((await Peer().start()).entry("s-1"))
+        scene.sidecar.server.most = 9
+        held = []
+        for _ in range(40):
+            reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+            writer.write(scene.request())
+            assert (await read_message(reader)).status == 200
+            held.append(writer)
+        await until(lambda: len(scene.sidecar.server.connections) == 4)
+        for writer in held:
+            writer.close()
+
+    run(test)
+
+
 def test_nothing_is_left_of_connections_and_requests_that_are_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Hazard: in a long life anything kept for each id, connection or upstream fills the memory."""
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -277,8 +277,12 @@
     run(test)
 
 
-def test_a_second_copy_that_comes_late_is_not_taken_for_the_next_answer() -> None:
+def test_a_second_copy_that_comes_late_is_not_taken_for_the_next_answer(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Hazard: it would come as the answer to the request that follows at once on the same connection."""
+    assert module.REST_US > 0
+    monkeypatch.setattr(module, "REST_US", 20_000_000)
 
     async def test() -> None:
         peer = await Peer(reply(ok(b"one"))).start()
@@ -377,13 +381,13 @@
             assert kept == (peer.opened == first)
             return outcome
 
-        seen = [await next_after(400_000) for _ in range(6)]
+        seen = [await next_after(270_000) for _ in range(6)]
         assert seen == [Outcome.RESET] * 3 + [Outcome.OK] * 3
         opened = peer.opened
         assert await next_after(50_000) is Outcome.OK and peer.opened <= opened + 1  # a younger one serves
         for _ in range(60):
             line.upstreams.ages.fade()
-        assert await next_after(400_000) is Outcome.RESET  # it is tried again in time
+        assert await next_after(270_000) is Outcome.RESET  # it is tried again in time
 
     run(test)
 
