--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -63,6 +63,7 @@
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
         self.failing = False  # its last answer was a fault
+        self.least_us = -1  # the quickest of its answers: how far it is; -1 = none yet
         self.answered_us = 0  # when what it answered was sent, the latest of it
         self.mute = 1  # so often the patience with its late answers doubles: more while it answers nothing
         self.next_cold_us = 0  # while it is cold, no send before this
@@ -73,7 +74,7 @@
         self.server = server
         self.sent_us = now_us
         self.slow_us = slow_us
-        self.slowness = 0.0  # as judged so far, 1 at the slow time
+        self.slowness = 0.0  # as judged so far; 0 = it is not late yet
         self.holds = True  # its upstream's slot
         self.ended: api.Outcome | None = None  # None while it is out
 
@@ -252,7 +253,12 @@
         elif outcome in (None, api.Outcome.OK, api.Outcome.TIMEOUT):
             server.failing = server.failing and outcome is not api.Outcome.OK
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
-            slowness = min(2.0, elapsed_us / attempt.slow_us)
+            if outcome is api.Outcome.OK:
+                server.least_us = elapsed_us if server.least_us < 0 else min(server.least_us, elapsed_us)
+            # hazard: a far upstream's usual answers would be taken for its queue and keep it at one slot.
+            # Guards also against a slow network here; harms where even its quickest answer had queued
+            way = max(0.0, server.least_us / attempt.slow_us - LEAST_LOAD)
+            slowness = min(2.0, max(0.01, elapsed_us / attempt.slow_us - way))
             step = (attempt.slowness or FULL_LOAD) - slowness
             # hazard: slots opened without need, by many sidecars above all, choke bursts (cf. RFC 7661)
             most = max(1.0, STACKED * (self.out + 1) / max(1, len(self.order)))
@@ -367,9 +373,11 @@
             overtaken = server.answered_us > attempt.sent_us
             patience_us = MUTE * attempt.slow_us
             if attempt.holds and late_us >= patience_us << (0 if overtaken else min(server.mute, 20)):
+                if not overtaken:
+                    server.mute += 1
+                    self.judge(attempt, late_us, request.event.class_index)
                 attempt.holds = False
                 server.used -= 1
-                server.mute += not overtaken
             elif attempt.holds:
                 self.wake(attempt.sent_us + max(patience_us, 2 * late_us), "late", request.event.request)
         if request.out() == 1 and self.buffer is None and self.settings.second_copies:
@@ -388,10 +396,11 @@
         if event.outcome is api.Outcome.OK:
             attempt.server.mute = 1
             attempt.server.answered_us = max(attempt.server.answered_us, attempt.sent_us)
-        attempt.server.used -= attempt.holds
         self.out -= attempt.slowness == 0.0
-        self.judge(attempt, event.elapsed_us, request.event.class_index)
-        if event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+        if attempt.holds:  # else it has been judged: its end says nothing of what is sent now
+            attempt.server.used -= 1
+            self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if attempt.holds and event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
             self.latency[request.event.class_index].add(event.elapsed_us)
         if event.final or request.done:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -168,6 +168,35 @@
     run(test)
 
 
+def test_an_upstream_far_away_gets_more_than_one_request_at_a_time() -> None:
+    """Hazard: its usual answers, near the time that counts as slow, kept it at one slot for good."""
+    out = [0]
+
+    async def far(peer: Peer, message: Message, writer: asyncio.StreamWriter) -> None:
+        out[0] += 1
+        await asyncio.sleep(0.2)
+        writer.write(ok())
+        out[0] -= 1
+
+    classes = [{**c, "aim": 500_000, "deadline": 60_000_000} for c in SETTINGS["request-classes"]]
+
+    async def test() -> None:
+        peer = await Peer(far).start()
+        scene = await Scene().start(peer.entry("s-1"), **{"request-classes": classes})
+
+        async def ask() -> None:
+            while True:
+                if (await scene.call(remaining="60000m")).status != 200:
+                    await asyncio.sleep(0.01)
+
+        callers = [asyncio.create_task(ask()) for _ in range(8)]
+        await until(lambda: out[0] >= 3)
+        for caller in callers:
+            caller.cancel()
+
+    run(test)
+
+
 def test_a_refusal_comes_at_once_with_advice() -> None:
     async def test() -> None:
         peer = await Peer(hang).start()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -493,6 +493,19 @@
     assert world.balancer.servers[100].used == 0
 
 
+def test_what_gave_its_slot_up_is_not_judged_again() -> None:
+    world = two_slots()
+    first = world.arrive(MARK)
+    world.end(world.arrive(READ), 0, Outcome.OK)
+    world.advance(300_000)
+    world.end(world.arrive(READ), 0, Outcome.OK)
+    world.advance(310_000)
+    slots = world.balancer.servers[100].window.slots
+    world.advance(1_400_000)
+    assert world.owed[first].tries[0].outcome is Outcome.TIMEOUT
+    assert world.balancer.servers[100].window.slots == slots
+
+
 def test_an_upstream_that_answers_nothing_gets_ever_less() -> None:
     world = ready_world(1, instances=1, classes=[RequestClass("pay", 300_000, 60_000_000)])
     for _ in range(1200):
