--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -245,11 +245,10 @@
         sidecar's window, which sees more answers. Both go by the time it took in slow times."""
         server, outcome, latency = attempt.server, attempt.ended, self.latency[class_index]
         if outcome in INSTANT_FAULTS:
-            # hazard: what fails at once would draw ever more; but one break in ten must not close them all
-            lone, server.failing = outcome is not api.Outcome.FULL and not server.failing, True
+            # hazard: what fails at once would draw ever more; but one in ten must not close them all, nor
+            # those that turn away though they have room the sidecar: how full others are, their slots tell
+            lone, server.failing = not server.failing, True
             server.window.move(-0.1 if lone else -0.5, 0.0, 1.0)
-            if outcome is api.Outcome.FULL:
-                self.window.move(-GROWTH / 2, self.least, 1.0)
         elif outcome in (None, api.Outcome.OK, api.Outcome.TIMEOUT):
             server.failing = server.failing and outcome is not api.Outcome.OK
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -147,7 +147,7 @@
                 world.end(ident, attempt, fault if at_bad else Outcome.OK)
 
 
-@pytest.mark.parametrize("fault", [Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.ERROR])
+@pytest.mark.parametrize("fault", [Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.ERROR, Outcome.FULL])
 def test_where_one_answer_in_six_breaks_no_upstream_closes(fault: Outcome) -> None:
     """Hazard: on a bad network half the slots for each break left every upstream resting for good."""
     world = ready_world(4)
@@ -159,6 +159,14 @@
     assert all(server.window.slots > 0.5 for server in world.balancer.servers.values())
 
 
+def test_one_upstream_that_turns_all_away_does_not_close_the_sidecar() -> None:
+    world = ready_world(4)
+    churn(world, 20)
+    before = world.balancer.window.slots
+    churn(world, 400, 100)
+    assert world.balancer.window.slots > 0.9 * before
+
+
 def held(world: World) -> int:
     """How many requests can be outstanding now; they are ended again."""
     taken = [r for r in fill(world) if world.sends(r)]
