--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -63,7 +63,7 @@
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
         self.failing = False  # its last answer was a fault
-        self.least_us = -1  # the quickest of its answers: how far it is; -1 = none yet
+        self.least_us = 0  # the quickest of its answers: how far it is; 0 = none yet
         self.answered_us = 0  # when what it answered was sent, the latest of it
         self.mute = 1  # so often the patience with its late answers doubles: more while it answers nothing
         self.next_cold_us = 0  # while it is cold, no send before this
@@ -250,10 +250,9 @@
             lone, server.failing = not server.failing, True
             server.window.move(-0.1 if lone else -0.5, 0.0, 1.0)
         elif outcome in (None, api.Outcome.OK, api.Outcome.TIMEOUT):
-            server.failing = server.failing and outcome is not api.Outcome.OK
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
             if outcome is api.Outcome.OK:
-                server.least_us = elapsed_us if server.least_us < 0 else min(server.least_us, elapsed_us)
+                server.failing, server.least_us = False, min(server.least_us or elapsed_us, elapsed_us)
             # hazard: a far upstream's usual answers would be taken for its queue and keep it at one slot.
             # Guards also against a slow network here; harms where even its quickest answer had queued
             way = max(0.0, server.least_us / attempt.slow_us - LEAST_LOAD)
@@ -303,9 +302,11 @@
         # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
         home = self.settings.zone if self.settings.cross_zone_fee > 0.0 and self.least == 1.0 else -1
         for server in self.order:
-            warmth, slots = self.warmth(server), server.window.open(self.now_us) - server.used
-            paced = warmth < 1.0 and self.now_us < server.next_cold_us
-            if slots > 0 and not paced and server not in tried and self.in_group(request, server):
+            slots = server.window.open(self.now_us) - server.used
+            if slots <= 0 or (tried and (server in tried or not self.in_group(request, server))):
+                continue
+            warmth = self.warmth(server)
+            if warmth == 1.0 or self.now_us >= server.next_cold_us:
                 free.append(server)
                 near = 1.0 if server.entry.zone == home and server.used == 0 else FAR
                 weights.append(min(float(slots), server.window.slots) * server.size * warmth * near)
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -55,11 +55,14 @@
         self.keep_alive = keep_alive
         self.arrived_us = arrived_us
         self.closed = False  # answered, or the client has gone
+        self.fields: dict[bytes, bytes] = {}
+        for name, value in headers:
+            # what comes twice is empty, as nobody can say which one counts
+            self.fields[name] = value if name not in self.fields else b""
 
     def header(self, name: bytes) -> str:
-        """Its value; empty also if it comes twice, as then nobody can say which one counts."""
-        values = [value for key, value in self.headers if key == name]
-        return values[0].decode("latin-1") if len(values) == 1 else ""
+        """Its value; empty if there is none or more than one."""
+        return self.fields.get(name, b"").decode("latin-1")
 
     def answer(self, status: int, headers: Iterable[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         if not self.closed:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -95,7 +95,9 @@
 
 def read_report(headers: Headers, fields: list[str]) -> list[float]:
     """The load report of an answer in the settings' order; one that can't be read counts as none."""
-    text = dict(headers).get(b"x-pressure", b"").decode("latin-1") if fields else ""
+    if not fields:
+        return []
+    text = dict(headers).get(b"x-pressure", b"").decode("latin-1")
     pairs = dict(part.split("=", 1) for part in text.split(",") if "=" in part)
     try:
         report = [float(pairs[name]) for name in fields]
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -300,17 +300,18 @@
             self.idle[-1].drop()
 
     def start(self, attempt: Attempt) -> None:
-        rested_us = self.upstreams.now_us() - REST_US
-        for connection in self.idle[::-1]:
-            age_us = self.upstreams.now_us() - connection.idle_since_us
-            if (self.has_expired(connection) or not self.upstreams.ages.is_trusted(age_us)
-                    or connection.is_stale()):
+        now_us, ages = self.upstreams.now_us(), self.upstreams.ages
+        for connection in reversed(self.idle):
+            age_us = now_us - connection.idle_since_us
+            if age_us < REST_US:
+                continue
+            if self.has_expired(connection) or not ages.is_trusted(age_us) or connection.is_stale():
                 connection.drop()
-            elif connection.idle_since_us <= rested_us:
-                self.idle.remove(connection)
-                self.busy.add(connection)
-                connection.start(attempt)
-                return
+                continue
+            self.idle.remove(connection)
+            self.busy.add(connection)
+            connection.start(attempt)
+            return
         if not self.upstreams.make_room():
             attempt.end(Outcome.NOT_SENT)
             return
