--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -25,6 +25,7 @@
 FULL_LOAD = 0.7  # of the slow time, where an upstream's slots settle: more chokes it, less refuses early
 FULL_QUEUE = 2.0  # times the least usual answer, where the sidecar's slots settle: as much queue as service
 MUTE = 3  # times the slow time, after which an attempt without an answer first gives its slot to another
+NEAR = 0.2  # of the slow time: so much of an upstream's least answer counts as load, the rest as the way
 LEAST_LOAD = 0.3  # of the slow time; under it a queue does no harm yet
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
@@ -255,7 +256,7 @@
                 server.failing, server.least_us = False, min(server.least_us or elapsed_us, elapsed_us)
             # hazard: a far upstream's usual answers would be taken for its queue and keep it at one slot.
             # Guards also against a slow network here; harms where even its quickest answer had queued
-            way = max(0.0, server.least_us / attempt.slow_us - LEAST_LOAD)
+            way = max(0.0, server.least_us / attempt.slow_us - NEAR)
             slowness = min(2.0, max(0.01, elapsed_us / attempt.slow_us - way))
             step = (attempt.slowness or FULL_LOAD) - slowness
             # hazard: slots opened without need, by many sidecars above all, choke bursts (cf. RFC 7661)
@@ -265,7 +266,10 @@
             step = (attempt.slowness or full) - slowness
             if server.busy < IDLE:  # hazard: a long request is slow by itself
                 step = max(step, full)
-            self.window.move(GROWTH / 2 * step, self.least, 2.0 * (self.out + 1))
+            # hazard: long requests alone would close a window that is not half used, and a burst find it shut
+            need = 2.0 * (self.out + 1)
+            if step > 0.0 or self.window.slots < need:
+                self.window.move(GROWTH / 2 * step, self.least, need)
             attempt.slowness = slowness
         # hazard: beside answers of seconds, short rests leave a choked upstream crowded
         busy_us = min(max(elapsed_us, latency.mean_us), attempt.slow_us)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -159,6 +159,16 @@
     assert all(server.window.slots > 0.5 for server in world.balancer.servers.values())
 
 
+def test_long_requests_do_not_close_a_window_that_is_hardly_used() -> None:
+    world = ready_world(4, second_copies=False)
+    before = world.balancer.window.slots
+    for took_us in (5_000, 140_000) * 40:
+        request = world.arrive(READ)
+        world.advance(took_us)
+        world.end(request, 0, Outcome.OK)
+    assert before > 8.0 and world.balancer.window.slots == before
+
+
 def test_one_upstream_that_turns_all_away_does_not_close_the_sidecar() -> None:
     world = ready_world(4)
     churn(world, 20)
@@ -526,6 +536,7 @@
     slots = []
     for busy in (0.3, 0.95):
         world = ready_world(8, instances=8, report_names=["utilization"])
+        world.balancer.window.slots = 1.9  # more than half of it is used
         for _ in range(40):
             request = world.arrive(PAY)
             world.advance(400_000)
