--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -25,7 +25,7 @@
 FULL_LOAD = 0.7  # of the slow time, where an upstream's slots settle: more chokes it, less refuses early
 FULL_QUEUE = 2.0  # times the least usual answer, where the sidecar's slots settle: as much queue as service
 MUTE = 3  # times the slow time, after which an attempt without an answer first gives its slot to another
-NEAR = 0.2  # of the slow time: so much of an upstream's least answer counts as load, the rest as the way
+NEAR, MOST_WAY = 0.2, 0.5  # of the slow time: an upstream's least answer past NEAR is the way there
 LEAST_LOAD = 0.3  # of the slow time; under it a queue does no harm yet
 TENANT_MEMORY = 200  # arrivals: enough to tell a tenant at twice its share from chance, soon forgotten
 LOG_GAP_US = 1_000_000  # a line a second at most, however many upstreams change
@@ -255,8 +255,9 @@
             if outcome is api.Outcome.OK:
                 server.failing, server.least_us = False, min(server.least_us or elapsed_us, elapsed_us)
             # hazard: a far upstream's usual answers would be taken for its queue and keep it at one slot.
-            # Guards also against a slow network here; harms where even its quickest answer had queued
-            way = max(0.0, server.least_us / attempt.slow_us - NEAR)
+            # Guards also against a slow network here; harms where even its quickest answer had queued, and
+            # so no more than MOST_WAY is taken off
+            way = min(MOST_WAY, max(0.0, server.least_us / attempt.slow_us - NEAR))
             slowness = min(2.0, max(0.01, elapsed_us / attempt.slow_us - way))
             step = (attempt.slowness or FULL_LOAD) - slowness
             # hazard: slots opened without need, by many sidecars above all, choke bursts (cf. RFC 7661)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -546,6 +546,17 @@
     assert slots[0] >= 1.0 and slots[0] > slots[1]
 
 
+def test_an_upstream_whose_answers_are_all_slow_gets_no_slots_for_being_far() -> None:
+    world = ready_world(1, instances=1, second_copies=False)
+    world.balancer.servers[100].window.slots = 2.0
+    for _ in range(20):
+        request = world.arrive(READ)
+        world.advance(400_000)
+        if world.sends(request):
+            world.end(request, 0, Outcome.OK)
+    assert world.balancer.servers[100].window.slots < 1.5
+
+
 def test_what_a_cold_upstream_was_paced_to_does_not_hold_it_when_it_is_warm() -> None:
     world = World(settings(instances=400, warm_up_us=2_000_000))
     world.tell_list([Upstream(1, started_us=world.now_us)])
