--- /dev/null
+++ b/ironscale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line `ironscale`: reads arguments, calls a subsystem, prints."""
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -6,20 +6,16 @@
 import struct
 import subprocess
 import sys
-import tomllib
-from pathlib import Path
 
 import pytest
 
+from tests.deployed import DEPLOY, ROOT, build
 from tests.test_wire import EMPTY, LIST, batch, power_on
 
-ROOT = Path(__file__).resolve().parent.parent
-DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-
 
 @pytest.fixture(scope="module")
 def sim() -> str:
-    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=300)
+    build()
     return str(DEPLOY["sim"])
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,9 @@
 from ironscale.interface import ListKind, UpstreamState
 from ironscale.net import discovery as module
 from ironscale.net.discovery import Directory, Discovery, ListError, Listing, upstream_id
-from tests.sockets import FakeDiscovery, listing, read_message, run, until
+from ironscale.standins.discovery import FakeDiscovery, listing
+from ironscale.standins.http import read_message
+from tests.sockets import run, until
 
 ENTRY = {"instanceId": "s-1", "hostPort": "127.0.0.1:9000", "zone": "b", "machineType": "small", "cell": 3,
          "lifecycle": "ready", "weight": 1.5, "startedAtMs": 1_700_000_000_123}
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -13,7 +13,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -22,24 +21,12 @@
 from ironscale import interface as api
 from ironscale.net import server, upstream
 from ironscale.net.sidecar import MARGIN_US, Clock, parse_remaining_us, read_report
-from tests.sockets import (
-    SETTINGS,
-    TURNED_AWAY,
-    FakeDiscovery,
-    Message,
-    Peer,
-    Scene,
-    hang,
-    listing,
-    ok,
-    read_message,
-    reply,
-    reset,
-    run,
-    until,
-)
-
-ROOT = Path(__file__).resolve().parent.parent
+from ironscale.standins.discovery import FakeDiscovery, listing
+from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
+from ironscale.standins.settings import SETTINGS
+from ironscale.standins.upstream import Peer, hang, reply, reset
+from tests.deployed import DEPLOY, ROOT, build
+from tests.sockets import Scene, run, until
 
 
 def test_a_request_is_passed_on_unchanged_and_so_is_its_answer() -> None:
@@ -205,7 +192,6 @@
         done, pending = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
         answer = done.pop().result()
         assert answer.status == 503 and 0 < float(answer.headers["retry-after"]) <= 1.0
-        peer.released.set()
         for call in pending:
             call.cancel()
 
@@ -225,11 +211,9 @@
         await until(lambda: peer.got)
         writer.close()
         await until(lambda: not scene.sidecar.by_txn)
-        for answering in list(peer.writers):
-            answering.write(ok())
-        await until(lambda: not scene.sidecar.requests)
         peer.behave = reply(ok())
-        peer.released.set()
+        peer.answer_held(ok())
+        await until(lambda: not scene.sidecar.requests)
         assert (await scene.call()).status == 200 and peer.opened == 1
 
     run(test)
@@ -353,7 +337,7 @@
         writer.close()
         await until(lambda: not scene.sidecar.by_txn)
         peer.behave = reply(ok())
-        peer.writers.copy().pop().write(ok())
+        peer.answer_held(ok())
         await until(lambda: not scene.sidecar.requests)
         assert (await scene.raw(data)).status == 200
 
@@ -376,8 +360,8 @@
         await asyncio.sleep(0.35)
         assert len(connection.waiting) <= server.PIECE // 100
         assert len(connection.unparsed) <= 512 << 10
-        peer.writers.copy().pop().write(ok())
         peer.behave = reply(ok())
+        peer.answer_held(ok())
         assert (await read_message(reader)).status == 200
         assert (await read_message(reader)).status == 503  # its time was over before its turn
         writer.close()
@@ -447,8 +431,7 @@
         assert len(scene.sidecar.server.connections) == 3
         for peer in peers:
             peer.behave = reply(ok())
-            for writer in list(peer.writers):
-                writer.write(ok())
+            peer.answer_held(ok())
         assert [answer.status for answer in await asyncio.gather(*calls)] == [200] * 4
 
     run(test)
@@ -706,10 +689,9 @@
         self.discovery = await FakeDiscovery().start()
         self.port = free_port()
         path = self.configure(self.discovery)
-        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-        subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=ROOT, check=True, timeout=300)
+        build()
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", deploy["run"], cwd=ROOT, stderr=subprocess.PIPE, env={
+            "/bin/sh", "-c", DEPLOY["run"], cwd=ROOT, stderr=subprocess.PIPE, env={
                 **os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": f"127.0.0.1:{self.discovery.port}"})
         while True:
             try:
@@ -753,8 +735,8 @@
         assert await idle[0].read() == b""  # an idle connection is closed while a new one is still taken
         late = asyncio.create_task(scene.call("pay"))
         await until(lambda: sum(len(peer.got) for peer in peers) == 2)
-        for writer in [writer for peer in peers for writer in peer.writers]:
-            writer.write(ok())
+        for peer in peers:
+            peer.answer_held(ok())
         for answer in (await read_message(held[0]), await late):
             assert (answer.status, answer.headers["connection"]) == (200, "close")
         assert await program.process.wait() == 0
@@ -798,8 +780,7 @@
         await until(lambda: new.writers)
         new.line(listing(peer.entry("s-1"), generation=2))
         peer.behave = reply(ok())
-        for writer in list(peer.writers):
-            writer.write(ok())
+        peer.answer_held(ok())
         assert (await held).status == 200
         program.process.send_signal(signal.SIGTERM)
         program.process.send_signal(signal.SIGHUP)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,19 +15,10 @@
 from ironscale.net import upstream as module
 from ironscale.net.discovery import Directory, Member
 from ironscale.net.upstream import Answer, Attempt, Upstreams
-from tests.sockets import (
-    TURNED_AWAY,
-    Behaviour,
-    Message,
-    Peer,
-    hang,
-    listing,
-    ok,
-    reply,
-    reset,
-    run,
-    until,
-)
+from ironscale.standins.discovery import listing
+from ironscale.standins.http import TURNED_AWAY, Message, ok
+from ironscale.standins.upstream import Behaviour, Peer, hang, reply, reset
+from tests.sockets import run, until
 
 GET = b"GET /api HTTP/1.1\r\nX-Txn: 1\r\n\r\n"
 
@@ -170,14 +161,13 @@
         line = Line(peer)
         both = [line.start(), line.start()]
         await until(lambda: len(peer.got) == 2)
-        for writer in list(peer.writers):
-            writer.write(ok())
+        peer.answer_held(ok())
         await asyncio.gather(*(ended for _, ended in both))
         newest = line.pool.idle[-1]
         _, ended = line.start()
         assert newest.attempt is not None and peer.opened == 2
-        peer.behave = reply(ok())
-        peer.released.set()
+        await until(lambda: peer.held)
+        peer.answer_held(ok())
         await ended
 
     run(test)
@@ -506,7 +496,7 @@
         assert await line.outcome() is Outcome.NOT_SENT  # never ran: no second connection was opened
         assert peer.opened == 1
         other = await Peer().start()
-        peer.writers.copy().pop().write(ok())
+        peer.answer_held(ok())
         await ended
         line.upstreams.apply(members(other.entry("s-2")), False)
         pool = line.upstreams.pools[members(other.entry("s-2"))[0].upstream.id]
