--- /dev/null
+++ b/ironscale/agent/api.py
@@ -0,0 +1,285 @@
+"""GraphQL over HTTP, as the GraphQL-over-HTTP specification has it; subscriptions as server-sent events.
+
+POST takes `application/json` alone: a browser form can't send that, so no foreign page can act with what a
+browser knows. GET is for queries. Every request needs a bearer token.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import traceback
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from graphql import (
+    DocumentNode,
+    ExecutionResult,
+    GraphQLError,
+    GraphQLSchema,
+    NoSchemaIntrospectionCustomRule,
+    OperationDefinitionNode,
+    OperationType,
+    execute,
+    get_operation_ast,
+    parse,
+    specified_rules,
+    subscribe,
+    validate,
+)
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from ironscale.agent import limits
+from ironscale.agent.schema import Caller, Context
+from ironscale.agent.store import StoreError
+
+MODERN, LEGACY, STREAM = "application/graphql-response+json", "application/json", "text/event-stream"
+PING_S = 10.0  # a comment line while nothing changes, so that each side notices that the other has gone
+MAX_ERRORS = 20
+Authenticate = Callable[[str], Caller | None]
+
+
+class HttpError(Exception):
+    """An answer before GraphQL has begun."""
+
+    def __init__(self, status: int, code: str, text: str, headers: dict[str, str] | None = None) -> None:
+        super().__init__(text)
+        self.status, self.code, self.headers = status, code, headers or {}
+
+
+def acceptable(header: str | None) -> str:
+    """The media type of the answer, by the client's `Accept`. Raises HttpError."""
+    if not header or not header.strip():
+        return MODERN
+    wanted: list[tuple[float, int, str]] = []
+    for place, part in enumerate(header.split(",")):
+        name, *parameters = (piece.strip().lower() for piece in part.split(";"))
+        quality = 1.0
+        for parameter in parameters:
+            if parameter.startswith("q="):
+                try:
+                    quality = float(parameter[2:])
+                except ValueError:
+                    quality = 0.0
+        wanted.append((-quality, place, name))
+    for quality, _, name in sorted(wanted):
+        if quality == 0.0:
+            continue
+        if name in (MODERN, LEGACY, STREAM):
+            return name
+        if name in ("*/*", "application/*"):
+            return MODERN
+        if name == "text/*":
+            return STREAM
+    raise HttpError(406, "NOT_ACCEPTABLE", f"Accept: expected {MODERN}, {LEGACY} or {STREAM}, got {header[:80]!r}")
+
+
+def problem(error: GraphQLError, log: Callable[[str], None]) -> dict[str, Any]:
+    """An error as clients see it: a stable code, and nothing of what is inside."""
+    cause = error.original_error
+    if isinstance(cause, StoreError):
+        error = GraphQLError(str(cause), error.nodes, path=error.path, extensions={"code": f"STORE_{cause.code}"})
+    elif cause is not None and not isinstance(cause, GraphQLError):
+        log("".join(traceback.format_exception(cause)))
+        error = GraphQLError("the agent failed on this; its log says how", error.nodes, path=error.path,
+                             extensions={"code": "INTERNAL"})
+    found: dict[str, Any] = dict(error.formatted)
+    found["extensions"] = {"code": "BAD_REQUEST", **(error.extensions or {})}
+    return found
+
+
+class Api:
+    """The ASGI application."""
+
+    def __init__(self, schema: GraphQLSchema, authenticate: Authenticate, context: Callable[[Caller], Context],
+                 introspection: bool = True, log: Callable[[str], None] | None = None) -> None:
+        self.schema = schema
+        self.authenticate = authenticate
+        self.context = context
+        self.rules = [*specified_rules, *([] if introspection else [NoSchemaIntrospectionCustomRule])]
+        self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
+        self.streams: set[asyncio.Task[Any]] = set()
+        self.ending = asyncio.Event()
+        self.app = Starlette(routes=[Route("/graphql", self.endpoint, methods=["GET", "POST", "HEAD", "OPTIONS", "PUT",
+                                                                               "DELETE", "PATCH"])])
+
+    async def endpoint(self, request: Request) -> Response:
+        media = MODERN
+        try:
+            if request.method not in ("GET", "POST"):
+                raise HttpError(405, "METHOD", f"expected GET or POST, got {request.method}", {"Allow": "GET, POST"})
+            media = acceptable(request.headers.get("accept"))
+            caller = self.caller(request)
+            query, variables, name = await self.parameters(request)
+            return await self.answer(request, media, caller, query, variables, name)
+        except HttpError as error:
+            body = {"errors": [{"message": str(error), "extensions": {"code": error.code}}]}
+            return JSONResponse(body, error.status, error.headers,
+                                media_type=LEGACY if media == STREAM else media)
+        except ClientDisconnect:
+            return Response(status_code=499)
+
+    def caller(self, request: Request) -> Caller:
+        scheme, _, token = request.headers.get("authorization", "").partition(" ")
+        caller = self.authenticate(token.strip()) if scheme.lower() == "bearer" and token.strip() else None
+        if caller is None or caller.role == "instance":
+            raise HttpError(401, "UNAUTHENTICATED", "Authorization: expected Bearer and a token that is valid here; "
+                            "see `ironscale token`", {"WWW-Authenticate": 'Bearer realm="ironscale"'})
+        return caller
+
+    async def parameters(self, request: Request) -> tuple[str, dict[str, Any], str | None]:
+        """Query, variables and operation name, from the body or from the address."""
+        if request.method == "GET":
+            given: Any = dict(request.query_params)
+            for key in ("variables", "extensions"):
+                if key in given:
+                    given[key] = self.json(given[key], key)
+        else:
+            kind = request.headers.get("content-type", "").partition(";")[0].strip().lower()
+            if kind != "application/json":
+                raise HttpError(415, "MEDIA_TYPE", f"Content-Type: expected application/json, got {kind[:80]!r}")
+            given = self.json(await self.body(request), "the body")
+        if not isinstance(given, dict):
+            raise HttpError(400, "BAD_REQUEST", f"expected a JSON object, got {type(given).__name__}")
+        query, variables, name = given.get("query"), given.get("variables"), given.get("operationName")
+        if not isinstance(query, str) or not query.strip():
+            raise HttpError(400, "BAD_REQUEST", "query: expected a GraphQL document, got nothing")
+        if variables is not None and not isinstance(variables, dict):
+            raise HttpError(400, "BAD_REQUEST", f"variables: expected an object, got {type(variables).__name__}")
+        if name is not None and not isinstance(name, str):
+            raise HttpError(400, "BAD_REQUEST", f"operationName: expected a text, got {type(name).__name__}")
+        return query, variables or {}, name
+
+    @staticmethod
+    def json(raw: str | bytes, what: str) -> Any:
+        try:
+            return json.loads(raw)
+        except (ValueError, RecursionError) as error:
+            raise HttpError(400, "BAD_REQUEST", f"{what}: expected JSON, got {error}") from error
+
+    @staticmethod
+    async def body(request: Request) -> bytes:
+        body = b""
+        async for piece in request.stream():
+            body += piece
+            if len(body) > limits.MAX_BODY:
+                raise HttpError(413, "TOO_LARGE", f"expected a body of {limits.MAX_BODY} bytes at most")
+        return body
+
+    async def answer(self, request: Request, media: str, caller: Caller, query: str, variables: dict[str, Any],
+                     name: str | None) -> Response:
+        try:
+            document = parse(query, max_tokens=limits.MAX_TOKENS)
+        except GraphQLError as error:
+            return self.failed(media, [error])
+        except RecursionError:
+            return self.failed(media, [GraphQLError("expected a document that nests less")])
+        errors = self.check(document, variables)
+        if errors:
+            return self.failed(media, errors)
+        operation = get_operation_ast(document, name)
+        if operation is None:
+            text = f"expected an operation {name!r} in the document" if name else "expected an operationName"
+            return self.failed(media, [GraphQLError(text)])
+        if request.method == "GET" and operation.operation is OperationType.MUTATION:
+            raise HttpError(405, "METHOD", "expected POST for a mutation, got GET", {"Allow": "POST"})
+        if operation.operation is OperationType.SUBSCRIPTION:
+            if media != STREAM:
+                raise HttpError(406, "NOT_ACCEPTABLE", f"Accept: expected {STREAM} for a subscription, got {media}")
+            return await self.stream(document, operation, variables, caller)
+        result = execute(self.schema, document, context_value=self.context(caller), variable_values=variables,
+                         operation_name=name)
+        done: Any = await result if isinstance(result, Awaitable) else result
+        return self.result(media, done)
+
+    def check(self, document: DocumentNode, variables: dict[str, Any]) -> list[GraphQLError]:
+        """Cost first: hazard: validation of fields that overlap grows with the square of a document."""
+        try:
+            limits.cost(document, variables)
+        except limits.TooMuch as error:
+            return [GraphQLError(str(error), extensions={"code": "TOO_COMPLEX"})]
+        except RecursionError:
+            return [GraphQLError("expected fragments that don't contain themselves")]
+        return validate(self.schema, document, self.rules, max_errors=MAX_ERRORS)
+
+    def failed(self, media: str, errors: list[GraphQLError]) -> Response:
+        """A request that was not executed: there is no data. Legacy clients get 200 with it."""
+        body = {"errors": [problem(error, self.log) for error in errors]}
+        if media == STREAM:
+            return JSONResponse(body, 400)
+        return JSONResponse(body, 400 if media == MODERN else 200, media_type=media)
+
+    def result(self, media: str, done: ExecutionResult) -> Response:
+        body = self.payload(done)
+        if media == STREAM:
+            return StreamingResponse(self.single(body), media_type=STREAM)
+        status = 200
+        if media == MODERN and done.data is None and done.errors:
+            status = 200 if "data" in body else 400
+        return JSONResponse(body, status, media_type=media)
+
+    def payload(self, done: ExecutionResult) -> dict[str, Any]:
+        body: dict[str, Any] = {}
+        if done.errors:
+            body["errors"] = [problem(error, self.log) for error in done.errors]
+        # variables that don't fit their types are found before anything runs: then there is no data entry
+        if done.data is not None or not done.errors or any(error.path for error in done.errors):
+            body["data"] = done.data
+        return body
+
+    async def single(self, body: dict[str, Any]) -> AsyncIterator[bytes]:
+        yield self.event("next", body)
+        yield self.event("complete", None)
+
+    @staticmethod
+    def event(kind: str, body: dict[str, Any] | None) -> bytes:
+        data = json.dumps(body, separators=(",", ":")) if body is not None else ""
+        return f"event: {kind}\ndata: {data}\n\n".encode()
+
+    async def stream(self, document: DocumentNode, operation: OperationDefinitionNode, variables: dict[str, Any],
+                     caller: Caller) -> Response:
+        name = operation.name.value if operation.name else None
+        source = subscribe(self.schema, document, context_value=self.context(caller), variable_values=variables,
+                           operation_name=name)
+        found: Any = await source if isinstance(source, Awaitable) else source
+        if isinstance(found, ExecutionResult):
+            return self.failed(STREAM, list(found.errors or []))
+        return StreamingResponse(self.events(found, caller), media_type=STREAM,
+                                 headers={"Cache-Control": "no-store", "X-Accel-Buffering": "no"})
+
+    async def events(self, results: Any, caller: Caller) -> AsyncIterator[bytes]:
+        """Results as they come. What a slow reader has not taken is not produced: the next result is asked for
+        when the last one is out."""
+        pending: asyncio.Future[Any] | None = None
+        ending = asyncio.ensure_future(self.ending.wait())
+        try:
+            yield b": open\n\n"
+            while True:
+                pending = pending or asyncio.ensure_future(anext(results))
+                await asyncio.wait({pending, ending}, timeout=PING_S, return_when=asyncio.FIRST_COMPLETED)
+                if ending.done():
+                    yield self.event("complete", None)
+                    return
+                if not pending.done():
+                    yield b": ping\n\n"
+                    continue
+                taken, pending = pending, None
+                try:
+                    yield self.event("next", self.payload(taken.result()))
+                except StopAsyncIteration:
+                    yield self.event("complete", None)
+                    return
+                except GraphQLError as error:
+                    yield self.event("next", {"errors": [problem(error, self.log)]})
+                    yield self.event("complete", None)
+                    return
+        finally:
+            ending.cancel()
+            if pending is not None:
+                pending.cancel()
+                await asyncio.gather(pending, return_exceptions=True)
+            await results.aclose()
--- /dev/null
+++ b/ironscale/agent/difference.py
@@ -0,0 +1,39 @@
+"""What differs between two configurations, a line each. No I/O."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+MOST_LINES = 200
+
+
+def _flat(value: Any, path: str, into: dict[str, str]) -> None:
+    if isinstance(value, dict) and value:
+        for key, member in value.items():
+            _flat(member, f"{path}.{key}" if path else key, into)
+    elif isinstance(value, list) and any(isinstance(member, dict | list) for member in value):
+        for index, member in enumerate(value):
+            name = member.get("name") if isinstance(member, dict) else None
+            _flat(member, f"{path}[{name or index}]", into)
+    elif value != {} or path:
+        into[path] = json.dumps(value, sort_keys=True, ensure_ascii=False)
+
+
+def difference(old: Any, new: Any) -> list[str]:
+    """`- path: value` for what goes, `+ path: value` for what comes, `~ path: old -> new`, by path."""
+    before: dict[str, str] = {}
+    after: dict[str, str] = {}
+    _flat(old, "", before)
+    _flat(new, "", after)
+    lines = []
+    for path in sorted(before.keys() | after.keys()):
+        if path not in after:
+            lines.append(f"- {path}: {before[path]}")
+        elif path not in before:
+            lines.append(f"+ {path}: {after[path]}")
+        elif before[path] != after[path]:
+            lines.append(f"~ {path}: {before[path]} -> {after[path]}")
+    if len(lines) > MOST_LINES:
+        lines[MOST_LINES:] = [f"and {len(lines) - MOST_LINES} more"]
+    return lines
--- /dev/null
+++ b/ironscale/agent/fleet.py
@@ -0,0 +1,226 @@
+"""Every instance that the agent knows, as it last showed itself. In memory; what must last is recorded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from ironscale.agent.model import Seen
+from ironscale.agent.store import InstanceRow
+from ironscale.control.messages import Command, Hello, Report
+from ironscale.control.processes import is_alive, machine
+
+# So many instances a second come back after they have lost their agent.
+RETURNS_PER_S = 200.0
+LEAST_SPREAD_MS = 1_000
+
+
+class Link(Protocol):
+    """The connection of one process."""
+
+    boot: str
+
+    def command(self, command: Command) -> None: ...
+
+    def close(self, why: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Member:
+    """One instance. `row.boot` is the process that has the name now."""
+
+    row: InstanceRow
+    leased_until_ms: int
+    leased: bool
+    report: Report | None = None
+    link: Link | None = None
+    saved_heard_ms: int = 0
+    cached: Seen | None = None
+
+
+class Denial(Exception):
+    """A registration that is turned away, for now or for good."""
+
+    def __init__(self, code: str, text: str, retry_ms: int) -> None:
+        super().__init__(text)
+        self.code, self.retry_ms = code, retry_ms
+
+
+def state_of(seen: Seen) -> str:
+    """One word for people and selectors."""
+    if seen.ended:
+        return "gone"
+    if not seen.leased:
+        return "silent"  # what it does now is not known
+    if seen.draining:
+        return "drained" if seen.open == 0 else "draining"
+    return "ready" if seen.ready else "not ready"
+
+
+class Fleet:
+    def __init__(self, lease_ms: int, beat_ms: int, most: int, now_ms: Callable[[], int]) -> None:
+        self.lease_ms, self.beat_ms, self.most, self.now_ms = lease_ms, beat_ms, most, now_ms
+        self.members: dict[str, Member] = {}
+        self.changed: Callable[[str], None] = lambda name: None  # something that operations look at
+        self.connected: Callable[[str], None] = lambda name: None  # a process may be told things again
+        self.supervised: Callable[[str], str | None] = lambda name: None  # "" or "awaited" if it is
+        self.dirty: set[str] = set()  # to be written to the record
+        self.here = machine()
+        self.registrations = self.beats = 0
+
+    def load(self, rows: Iterable[InstanceRow], alive_ms: int) -> None:
+        """What was known before this agent's start. Who was connected then has time to come back."""
+        now_ms = self.now_ms()
+        rows = list(rows)
+        back_ms = now_ms + self.lease_ms + self.spread_ms(len(rows)) + 1_000
+        for row in rows:
+            heard_ms = min(now_ms, max(row.heard_ms, alive_ms)) if row.connected else row.heard_ms
+            row = replace(row, connected=False, heard_ms=heard_ms)
+            leased = row.heard_ms > 0 and not row.ended
+            member = Member(row, back_ms, leased)
+            if leased and self.has_died(row):
+                member.row, member.leased = replace(row, ended="ended while no agent looked"), False
+            self.members[row.name] = member
+
+    def spread_ms(self, count: int | None = None) -> int:
+        count = len(self.members) if count is None else count
+        return max(LEAST_SPREAD_MS, int(1_000 * count / RETURNS_PER_S))
+
+    def has_died(self, row: InstanceRow) -> bool:
+        """Whether the process is known to be no more: only of this machine's can that be said."""
+        return bool(row.host and row.host == self.here and row.ticks and not is_alive(row.pid, row.ticks))
+
+    def check(self, hello: Hello) -> None:
+        """Whether a process may have its name. Raises Denial."""
+        member = self.members.get(hello.name)
+        if member is None and len(self.members) >= self.most:
+            raise Denial("FULL", f"expected {self.most} instances at most", 60_000)
+        if member is not None and member.row.boot != hello.boot and hello.replaces != member.row.boot:
+            rival = member.link is not None and member.leased and not self.has_died(member.row)
+            if rival:
+                # hazard: two processes of one name would take each other's commands in turns
+                text = f"{hello.name} is process {member.row.pid} (boot {member.row.boot}), which has its lease"
+                raise Denial("DUPLICATE", text, max(1_000, member.leased_until_ms - self.now_ms()))
+
+    def register(self, hello: Hello, link: Link) -> Member:
+        """A process that was checked takes its name."""
+        now_ms = self.now_ms()
+        member = self.members.get(hello.name)
+        if member is not None and member.link is not None and member.link is not link:
+            old, member.link = member.link, None
+            old.close("another connection has taken its place")
+        first_ms = member.row.first_seen_ms if member is not None else now_ms
+        desired = member.row.desired if member is not None else hello.generation
+        row = InstanceRow(
+            hello.name, hello.boot, hello.pid, hello.version, hello.zone, hello.listen, hello.started_ms,
+            first_ms, now_ms, True, hello.generation, desired, "", hello.host, hello.ticks)
+        same = member is not None and member.row.boot == hello.boot
+        report = member.report if member is not None and same else None
+        self.members[hello.name] = member = Member(row, now_ms + self.lease_ms, True, report, link)
+        self.registrations += 1
+        self.touch(hello.name)
+        self.connected(hello.name)
+        return member
+
+    def beat(self, name: str, link: Link, report: Report) -> bool:
+        """A heartbeat; False from a process that no longer has the name."""
+        member = self.members.get(name)
+        if member is None or member.link is not link:
+            return False
+        now_ms = self.now_ms()
+        before, member.report = member.report, report
+        member.leased_until_ms = now_ms + self.lease_ms
+        changed = before is None or not member.leased or (
+            (before.generation, before.fence, before.ready, before.draining, before.open == 0)
+            != (report.generation, report.fence, report.ready, report.draining, report.open == 0))
+        member.row = replace(member.row, heard_ms=now_ms, generation=report.generation)
+        member.leased, member.cached = True, None
+        self.beats += 1
+        if changed:
+            self.touch(name)
+        return True
+
+    def unlink(self, name: str, link: Link, bye: str) -> None:
+        """A connection has ended. Whether the process has, is known only if it said so or was ours to see."""
+        member = self.members.get(name)
+        if member is None or member.link is not link:
+            return
+        member.link = None
+        member.row = replace(member.row, connected=False)
+        if bye:
+            self.ended(name, member.row.boot, bye)
+        elif self.has_died(member.row):
+            self.ended(name, member.row.boot, "its process has ended")
+        else:
+            self.touch(name)
+
+    def ended(self, name: str, boot: str, how: str) -> None:
+        """The process is known to have ended; the more exact account goes before the other."""
+        member = self.members.get(name)
+        if member is None or member.row.boot != boot:
+            return
+        exact = how.startswith(("exit", "signal"))
+        if member.row.ended and not exact:
+            return
+        member.leased = False
+        member.row = replace(member.row, connected=False, ended=how)
+        if member.link is not None:
+            link, member.link = member.link, None
+            link.close("its process has ended")
+        self.touch(name)
+
+    def touch(self, name: str) -> None:
+        self.members[name].cached = None
+        self.dirty.add(name)
+        self.changed(name)
+
+    def touch_if_known(self, name: str) -> None:
+        if name in self.members:
+            self.touch(name)
+
+    def sweep(self) -> None:
+        """Ends the leases whose time is over, and sees which processes without a connection have died."""
+        now_ms = self.now_ms()
+        for name, member in self.members.items():
+            if not member.leased:
+                continue
+            if member.link is None and self.has_died(member.row):
+                self.ended(name, member.row.boot, "its process has ended")
+            elif now_ms >= member.leased_until_ms:
+                member.leased = False
+                self.touch(name)
+
+    def seen(self, name: str) -> Seen | None:
+        member = self.members.get(name)
+        if member is None:
+            return None
+        if member.cached is None:
+            row, report = member.row, member.report
+            supervised = self.supervised(name)
+            member.cached = Seen(
+                name, row.boot, member.leased, member.link is not None, row.heard_ms, row.generation,
+                report.fence if report else 0, report.ready if report else False,
+                report.draining if report else False, report.open if report else 0, row.ended,
+                supervised is not None, supervised == "awaited")
+        return member.cached
+
+    def view(self, names: Iterable[str]) -> Mapping[str, Seen]:
+        return {name: seen for name in names if (seen := self.seen(name)) is not None}
+
+    def values(self, name: str) -> dict[str, str]:
+        """What selectors look at."""
+        member, seen = self.members[name], self.seen(name)
+        assert seen is not None
+        return {"name": name, "zone": member.row.zone, "state": state_of(seen),
+                "generation": str(member.row.generation), "version": member.row.version}
+
+    def set_desired(self, generations: Iterable[tuple[str, int]]) -> None:
+        for name, generation in generations:
+            if name in self.members:
+                member = self.members[name]
+                member.row = replace(member.row, desired=generation)
+
+    def take_dirty(self) -> list[InstanceRow]:
+        names, self.dirty = self.dirty, set()
+        return [self.members[name].row for name in names if name in self.members]
--- /dev/null
+++ b/ironscale/agent/links.py
@@ -0,0 +1,164 @@
+"""The agent's end of the control connections: one listener, a step a frame."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+from ironscale.agent.fleet import Denial, Fleet
+from ironscale.control.frames import Decoder, FrameError, encode
+from ironscale.control.messages import (
+    FROM_INSTANCE,
+    PROTOCOL,
+    Beat,
+    Bye,
+    Command,
+    Denied,
+    Hello,
+    Lease,
+    Message,
+    MessageError,
+    Result,
+    Welcome,
+    read,
+    write,
+)
+
+HELLO_S = 5.0
+MOST_UNSENT = 4 << 20  # a process that reads nothing (stopped, say) must not fill the agent's memory
+ACCEPTS = 200
+MOST_SILENT = 1_000  # connections that have not said hello
+
+
+class InstanceLink(asyncio.Protocol):
+    """One connection: what its process says goes to the fleet, what it answers to the engine."""
+
+    def __init__(self, links: Links) -> None:
+        self.links = links
+        self.boot = ""
+        self.name = ""
+        self.bye = ""
+        self.transport: asyncio.Transport | None = None
+        self.decoder = Decoder()
+        self.closing = False
+        self.patience = asyncio.get_running_loop().call_later(HELLO_S, self.close, "no hello")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.links.open.add(self)
+        self.links.silent += 1
+        if self.links.silent > MOST_SILENT:
+            self.close("too many that say nothing")
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        self.decoder.feed(data)
+        try:
+            while not self.closing and (raw := self.decoder.next()) is not None:
+                self.on_message(read(raw, FROM_INSTANCE))
+        except (FrameError, MessageError) as error:
+            self.links.garbled += 1
+            self.links.log(f"{self.name or self.peer()}: not understood: {error}")
+            self.deny(Denial("NOT_UNDERSTOOD", str(error), 5_000))
+
+    def peer(self) -> str:
+        where = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return f"{where[0]}:{where[1]}" if where else "a connection"
+
+    def on_message(self, message: Message) -> None:
+        if not self.name:
+            if not isinstance(message, Hello):
+                raise MessageError(f"expected hello, got {message.type}")
+            self.on_hello(message)
+        elif isinstance(message, Beat):
+            if self.links.fleet.beat(self.name, self, message.report):
+                self.send(Lease(message.seq))
+            else:
+                self.close("another process has its name")
+        elif isinstance(message, Result):
+            if message.report is not None:
+                self.links.fleet.beat(self.name, self, message.report)
+            self.links.on_result(self.name, self.boot, message)
+        elif isinstance(message, Bye):
+            self.bye = f"ended by itself: {message.reason}"
+        else:
+            raise MessageError(f"expected beat, result or bye, got {message.type}")
+
+    def on_hello(self, hello: Hello) -> None:
+        try:
+            if hello.protocol != PROTOCOL:
+                raise Denial("PROTOCOL", f"expected protocol {PROTOCOL}, got {hello.protocol}", 60_000)
+            if not self.links.admits(hello.token):
+                raise Denial("TOKEN", "expected a token of role instance; see `ironscale token`", 30_000)
+            self.boot, name = hello.boot, hello.name
+            fleet = self.links.fleet
+            fleet.check(hello)
+            self.send(Welcome(fleet.lease_ms, fleet.beat_ms, fleet.spread_ms()))
+            fleet.register(hello, self)
+            self.name = name
+            self.patience.cancel()
+            self.links.silent -= 1
+        except Denial as denial:
+            self.links.on_denied(hello, denial)
+            self.deny(denial)
+
+    def deny(self, denial: Denial) -> None:
+        self.send(Denied(denial.code, str(denial), denial.retry_ms))
+        self.close(str(denial))
+
+    def command(self, command: Command) -> None:
+        self.send(command)
+
+    def send(self, message: Message) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.transport.get_write_buffer_size() > MOST_UNSENT:
+            self.closing = True
+            self.transport.abort()
+            return
+        self.transport.write(encode(write(message)))
+
+    def close(self, why: str) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.patience.cancel()
+        self.links.open.discard(self)
+        if self.name:
+            self.links.fleet.unlink(self.name, self, self.bye)
+        else:
+            self.links.silent -= 1
+
+
+class Links:
+    """Listens for instances."""
+
+    def __init__(self, fleet: Fleet, admits: Callable[[str], bool],
+                 on_result: Callable[[str, str, Result], None], log: Callable[[str], None]) -> None:
+        self.fleet = fleet
+        self.admits = admits
+        self.on_result = on_result
+        self.log = log
+        self.on_denied: Callable[[Hello, Denial], None] = lambda hello, denial: None
+        self.open: set[InstanceLink] = set()
+        self.silent = 0
+        self.garbled = 0
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: tuple[str, int]) -> int:
+        sock = socket.create_server(address, backlog=4096)
+        self.server = await asyncio.get_running_loop().create_server(lambda: InstanceLink(self), sock=sock,
+                                                                     backlog=4096)
+        port: Any = sock.getsockname()[1]
+        return int(port)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.open):
+            link.close("the agent ends")
--- /dev/null
+++ b/ironscale/agent/schema.py
@@ -0,0 +1,500 @@
+"""The GraphQL schema on the engine: resolvers, thin."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from importlib import resources
+from typing import Any
+
+from graphql import GraphQLError, GraphQLSchema, build_schema, value_from_ast_untyped
+
+from ironscale.agent import tokens as secrets_
+from ironscale.agent.difference import difference
+from ironscale.agent.engine import Engine, Refusal
+from ironscale.agent.fleet import state_of
+from ironscale.agent.limits import MOST_PAGE
+from ironscale.agent.model import ON_FAILURE, OPEN, Kind, Operation, Policy, State, Target
+from ironscale.agent.selectors import SelectorError, selected
+from ironscale.agent.store import Event, Records, TokenRow
+from ironscale.control.messages import Report
+
+MOST_KEY = 200
+WATCH_GAP_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who asks: the name and role of their token."""
+
+    name: str
+    role: str
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    caller: Caller
+    engine: Engine
+    started_ms: int
+    version: str
+    reload_tokens: Callable[[], Any]
+
+
+def sdl() -> str:
+    return resources.files("ironscale.agent").joinpath("schema.graphql").read_text(encoding="utf-8")
+
+
+def error(code: str, text: str, **details: Any) -> GraphQLError:
+    return GraphQLError(text, extensions={"code": code, **details})
+
+
+def need(info: Any, role: str) -> Context:
+    context: Context = info.context
+    if not secrets_.may(context.caller.role, role):
+        raise error("FORBIDDEN", f"expected a token of role {role}, got {context.caller.role}")
+    return context
+
+
+def iso(ms: int) -> str | None:
+    return datetime.fromtimestamp(ms / 1000, UTC).isoformat(timespec="milliseconds") if ms else None
+
+
+def enum_name(value: str) -> str:
+    return value.upper().replace(" ", "_")
+
+
+def cursor(value: object) -> str:
+    return base64.urlsafe_b64encode(str(value).encode()).decode()
+
+
+def uncursor(text: str | None) -> str:
+    if not text:
+        return ""
+    try:
+        return base64.urlsafe_b64decode(text.encode("ascii")).decode()
+    except ValueError:
+        raise error("BAD_INPUT", f"after: expected a cursor from an earlier page, got {text!r:.60}") from None
+
+
+def uncursor_number(text: str | None) -> int:
+    value = uncursor(text)
+    if value and not (value.isascii() and value.isdecimal() and len(value) < 18):
+        raise error("BAD_INPUT", f"after: expected a cursor from an earlier page, got {text!r:.60}")
+    return int(value or 0)
+
+
+def page_size(first: int) -> int:
+    if not 0 <= first <= MOST_PAGE:
+        raise error("BAD_INPUT", f"first: expected 0 to {MOST_PAGE}, got {first}")
+    return first
+
+
+def connection(nodes: Sequence[Any], cursors: Sequence[str], more: bool, total: int | None = None) -> dict[str, Any]:
+    edges = [{"cursor": c, "node": node} for c, node in zip(cursors, nodes, strict=True)]
+    found = {"edges": edges,
+             "pageInfo": {"hasNextPage": more, "endCursor": cursors[-1] if cursors else None}}
+    return found if total is None else {**found, "totalCount": total}
+
+
+# Objects as the schema has them
+
+
+def report_object(report: Report) -> dict[str, Any]:
+    return {
+        "ready": report.ready, "draining": report.draining, "open": report.open,
+        "connections": report.connections, "upstreams": report.upstreams,
+        "upstreamsReady": report.upstreams_ready, "upstreamsResting": report.upstreams_resting,
+        "upstreamsCold": report.upstreams_cold,
+        "classes": [{"name": c.name, "served": c.served, "refused": c.refused, "failed": c.failed}
+                    for c in report.classes],
+        "refusals": [{"name": name, "count": count} for name, count in sorted(report.refusals.items())],
+        "cpuSeconds": report.cpu_s, "controlCpuSeconds": report.control_cpu_s, "memoryKb": report.memory_kb,
+        "descriptors": report.descriptors,
+    }
+
+
+def instance_object(engine: Engine, name: str) -> dict[str, Any]:
+    member, seen = engine.fleet.members[name], engine.fleet.seen(name)
+    assert seen is not None
+    row = member.row
+
+    async def inspect(info: Any, timeoutMs: int) -> dict[str, Any]:  # noqa: N803 (the schema's name)
+        if not 1 <= timeoutMs <= 60_000:
+            raise error("BAD_INPUT", f"timeoutMs: expected 1 to 60000, got {timeoutMs}")
+        found = await engine.inspect(name, timeoutMs / 1000)
+        return {"report": report_object(found.report), "upstreams": found.upstreams}
+
+    return {
+        "name": name, "state": enum_name(state_of(seen)), "zone": row.zone, "version": row.version,
+        "listen": row.listen, "pid": row.pid, "boot": row.boot, "startedAt": iso(row.started_ms),
+        "lastHeard": iso(row.heard_ms), "connected": seen.connected, "generation": row.generation,
+        "desiredGeneration": row.desired, "ended": row.ended, "supervised": seen.supervised,
+        "report": report_object(member.report) if member.report is not None else None, "inspect": inspect,
+    }
+
+
+def target_object(target: Target) -> dict[str, Any]:
+    return {"name": target.name, "state": target.state.name, "detail": target.detail, "since": iso(target.since_ms),
+            "boot": target.boot, "tries": target.tries, "fromGeneration": target.from_generation}
+
+
+def operation_object(engine: Engine, op: Operation, known: list[Target] | None = None) -> dict[str, Any]:
+    async def all_targets() -> list[Target]:
+        if known is not None:
+            return known
+        found = await engine.find(op.id)
+        assert found is not None
+        return found[1]
+
+    async def counts(info: Any) -> list[dict[str, Any]]:
+        found = Counter(target.state for target in await all_targets())
+        return [{"state": state.name, "count": found[state]} for state in State if found[state]]
+
+    async def targets(info: Any, first: int, after: str | None = None, state: str | None = None) -> dict[str, Any]:
+        size, last = page_size(first), uncursor(after)
+        found = [t for t in await all_targets() if state is None or t.state.name == state]
+        rest = [t for t in found if t.name > last] if last else found
+        page = rest[:size]
+        return connection([target_object(t) for t in page], [cursor(t.name) for t in page], len(rest) > size,
+                          len(found))
+
+    live = engine.live.get(op.id)
+    p = op.policy
+    return {
+        "id": op.id, "kind": op.kind.name, "phase": op.phase.name, "open": op.phase in OPEN, "actor": op.actor,
+        "note": op.note, "stalled": live.stalled if live else "", "generation": op.generation,
+        "fence": op.fence, "createdAt": iso(op.created_ms), "endedAt": iso(op.ended_ms),
+        "policy": {"wave": p.wave, "maxUnavailable": p.max_unavailable, "maxFailures": p.max_failures,
+                   "onFailure": p.on_failure.upper(), "answerMs": p.answer_ms, "tries": p.tries},
+        "counts": counts, "targets": targets,
+    }
+
+
+def event_object(event: Event) -> dict[str, Any]:
+    return {"id": event.id, "cursor": cursor(event.id), "at": iso(event.at_ms), "actor": event.actor,
+            "action": event.action, "subject": event.subject, "result": event.result, "detail": event.detail}
+
+
+def token_object(row: TokenRow) -> dict[str, Any]:
+    return {"name": row.name, "role": row.role.upper(), "createdAt": iso(row.created_ms),
+            "revokedAt": iso(row.revoked_ms)}
+
+
+# Queries
+
+
+def names_matching(engine: Engine, selector: str) -> list[str]:
+    holds = selected(selector)
+    return sorted(name for name in engine.fleet.members if holds(engine.fleet.values(name)))
+
+
+async def q_me(root: Any, info: Any) -> dict[str, Any]:
+    caller = need(info, "read").caller
+    return {"name": caller.name, "role": caller.role.upper()}
+
+
+async def q_fleet(root: Any, info: Any) -> dict[str, Any]:
+    context = need(info, "read")
+    engine = context.engine
+    generation = await engine.store.read(lambda records: records.current_generation())
+    states: Counter[str] = Counter()
+    behind = 0
+    for name, member in engine.fleet.members.items():
+        seen = engine.fleet.seen(name)
+        assert seen is not None
+        states[state_of(seen)] += 1
+        behind += member.row.generation != member.row.desired
+    return {
+        "generation": generation, "instances": len(engine.fleet.members), "ready": states["ready"],
+        "draining": states["draining"] + states["drained"], "silent": states["silent"], "gone": states["gone"],
+        "behind": behind, "openOperations": len(engine.live), "version": context.version,
+        "startedAt": iso(context.started_ms), "registrations": engine.fleet.registrations,
+        "heartbeats": engine.fleet.beats,
+    }
+
+
+def instances_page(engine: Engine, selector: str, first: int, after: str | None) -> dict[str, Any]:
+    size, last = page_size(first), uncursor(after)
+    names = names_matching(engine, selector)
+    rest = [name for name in names if name > last] if last else names
+    page = rest[:size]
+    return connection([instance_object(engine, name) for name in page], [cursor(name) for name in page],
+                      len(rest) > size, len(names))
+
+
+async def q_instances(root: Any, info: Any, selector: str, first: int, after: str | None = None) -> dict[str, Any]:
+    return instances_page(need(info, "read").engine, selector, first, after)
+
+
+async def q_instance(root: Any, info: Any, name: str) -> dict[str, Any] | None:
+    engine = need(info, "read").engine
+    return instance_object(engine, name) if name in engine.fleet.members else None
+
+
+async def q_operation(root: Any, info: Any, id: int) -> dict[str, Any] | None:
+    engine = need(info, "read").engine
+    found = await engine.find(id)
+    return operation_object(engine, *found) if found is not None else None
+
+
+async def q_operations(root: Any, info: Any, first: int, openOnly: bool,  # noqa: N803
+                       after: str | None = None) -> dict[str, Any]:
+    engine, size = need(info, "read").engine, page_size(first)
+    before = uncursor_number(after) or 2**62
+    ops = await engine.store.read(lambda records: records.operations(before, size + 1, openOnly))
+    ops = [engine.live[op.id].op if op.id in engine.live else op for op in ops]
+    page = ops[:size]
+    return connection([operation_object(engine, op) for op in page], [cursor(op.id) for op in page],
+                      len(ops) > size)
+
+
+async def q_configuration(root: Any, info: Any, generation: int) -> dict[str, Any] | None:
+    engine = need(info, "read").engine
+    found = await engine.store.read(lambda records: records.configuration(generation))
+    if found is None:
+        return None
+    return {"generation": found.generation, "overlay": found.overlay, "actor": found.actor,
+            "at": iso(found.at_ms), "operation": found.operation}
+
+
+async def q_plan(root: Any, info: Any, overlay: Any, selector: str) -> dict[str, Any]:
+    engine = need(info, "read").engine
+    overlay = overlay_object(overlay)
+    names = names_matching(engine, selector)
+    current = await engine.store.read(lambda records: records.configuration(records.current_generation()))
+    engine.check_size(overlay)
+    return {"generation": current.generation if current else 0, "matched": len(names), "sample": names[:10],
+            "difference": difference(current.overlay if current else {}, overlay)}
+
+
+async def q_events(root: Any, info: Any, first: int, after: str | None = None) -> dict[str, Any]:
+    engine, size = need(info, "read").engine, page_size(first)
+    found = await engine.events(uncursor_number(after), size + 1)
+    page = found[:size]
+    return connection([event_object(e) for e in page], [cursor(e.id) for e in page], len(found) > size)
+
+
+async def q_tokens(root: Any, info: Any) -> list[dict[str, Any]]:
+    engine = need(info, "admin").engine
+    return [token_object(row) for row in await engine.store.read(lambda records: records.tokens())]
+
+
+# Mutations
+
+
+def overlay_object(value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise error("BAD_INPUT", f"overlay: expected an object, got {value!r:.60}")
+    return value
+
+
+def read_policy(given: dict[str, Any] | None) -> Policy:
+    given = given or {}
+    policy = Policy(given.get("wave", 0), given.get("maxUnavailable", 0), given.get("maxFailures", 0),
+                    given.get("onFailure", "STOP").lower(), given.get("answerMs", 10_000))
+    for name, value, least, most in (
+        ("wave", policy.wave, 0, 1_000_000), ("maxUnavailable", policy.max_unavailable, 0, 1_000_000),
+        ("maxFailures", policy.max_failures, 0, 1_000_000), ("answerMs", policy.answer_ms, 100, 3_600_000),
+    ):
+        if value is None or not least <= value <= most:
+            raise error("BAD_INPUT", f"policy.{name}: expected {least} to {most}, got {value}")
+    assert policy.on_failure in ON_FAILURE
+    return policy
+
+
+async def begin(info: Any, kind: Kind, given: dict[str, Any], **more: Any) -> dict[str, Any]:
+    context = need(info, "operate")
+    engine, key = context.engine, given.get("idempotencyKey") or ""
+    if len(key) > MOST_KEY:
+        raise error("BAD_INPUT", f"idempotencyKey: expected {MOST_KEY} characters at most, got {len(key)}")
+    names = names_matching(engine, given.get("selector") or "")
+    op, _ = await engine.begin(context.caller.name, kind, names, read_policy(given.get("policy")), key=key,
+                               supersede=bool(given.get("supersede")), **more)
+    return operation_object(engine, op)
+
+
+def beginner(kind: Kind) -> Callable[..., Any]:
+    async def resolve(root: Any, info: Any, input: dict[str, Any]) -> dict[str, Any]:
+        if not input["selector"].strip():
+            raise error("BAD_INPUT", "selector: expected which instances are meant, got nothing; "
+                                     "`name=*` is all of them")
+        return await begin(info, kind, input)
+
+    return resolve
+
+
+async def m_apply(root: Any, info: Any, input: dict[str, Any]) -> dict[str, Any]:
+    return await begin(info, Kind.RECONFIGURE, input, overlay=overlay_object(input["overlay"]),
+                       expect=input["expectGeneration"])
+
+
+def controller(action: str) -> Callable[..., Any]:
+    async def resolve(root: Any, info: Any, operation: int) -> dict[str, Any]:
+        context = need(info, "operate")
+        op = await context.engine.control(context.caller.name, operation, action)
+        return operation_object(context.engine, op)
+
+    return resolve
+
+
+async def m_create_token(root: Any, info: Any, name: str, role: str) -> dict[str, Any]:
+    context = need(info, "admin")
+    if not 0 < len(name) <= 64 or not name.isprintable():
+        raise error("BAD_INPUT", f"name: expected 1 to 64 printable characters, got {name!r:.80}")
+    secret, now_ms = secrets_.new_token(), context.engine.now_ms()
+    row = TokenRow(name, role.lower(), secrets_.digest(secret), now_ms)
+
+    def work(records: Records) -> None:
+        if any(known.name == name for known in records.tokens()):
+            raise error("CONFLICT", f"there is a token {name!r} already; names are not used twice")
+        records.put_token(row)
+        records.audit(now_ms, context.caller.name, "create token", name, row.role)
+
+    await context.engine.store.write(work)
+    await context.reload_tokens()
+    return {"token": token_object(row), "secret": secret}
+
+
+async def m_revoke_token(root: Any, info: Any, name: str) -> dict[str, Any]:
+    context = need(info, "admin")
+    now_ms = context.engine.now_ms()
+
+    def work(records: Records) -> TokenRow:
+        rows = records.tokens()
+        found = next((row for row in rows if row.name == name), None)
+        if found is None:
+            raise error("NOT_FOUND", f"there is no token {name!r}")
+        if found.revoked_ms:
+            return found
+        admins = [row for row in rows if row.role == "admin" and not row.revoked_ms]
+        if admins == [found]:
+            raise error("CONFLICT", f"{name!r} is the last token of role admin; create another first")
+        new = TokenRow(found.name, found.role, found.digest, found.created_ms, now_ms)
+        records.put_token(new)
+        records.audit(now_ms, context.caller.name, "revoke token", name, found.role)
+        return new
+
+    row = await context.engine.store.write(work)
+    await context.reload_tokens()
+    return token_object(row)
+
+
+# Subscriptions
+
+
+async def changes(engine: Engine) -> AsyncIterator[None]:
+    """Now, and whenever something has changed, with a gap between two: thousands change at once."""
+    watcher = asyncio.Event()
+    engine.watchers.add(watcher)
+    try:
+        while True:
+            watcher.clear()
+            yield None
+            start_s = time.monotonic()
+            await watcher.wait()
+            await asyncio.sleep(max(0.0, WATCH_GAP_S - (time.monotonic() - start_s)))
+    finally:
+        engine.watchers.discard(watcher)
+
+
+async def s_operation(root: Any, info: Any, id: int) -> AsyncIterator[dict[str, Any]]:
+    engine = need(info, "read").engine
+    before: tuple[Any, ...] | None = None
+    async for _ in changes(engine):
+        found = await engine.find(id)
+        if found is None:
+            raise error("NOT_FOUND", f"there is no operation {id}; see `ironscale ops`")
+        stalled = engine.live[id].stalled if id in engine.live else ""
+        if (*found, stalled) != before:
+            before = (*found, stalled)
+            yield {"operation": operation_object(engine, *found)}
+        if found[0].phase not in OPEN:
+            return
+
+
+async def s_instances(root: Any, info: Any, selector: str, first: int,
+                      after: str | None = None) -> AsyncIterator[dict[str, Any]]:
+    engine = need(info, "read").engine
+    async for _ in changes(engine):
+        yield {"instances": instances_page(engine, selector, first, after)}
+
+
+async def s_events(root: Any, info: Any, after: str | None = None) -> AsyncIterator[dict[str, Any]]:
+    engine = need(info, "read").engine
+    last = uncursor_number(after)
+    if not after:
+        last = await engine.store.read(lambda records: records.last_event())
+    async for _ in changes(engine):
+        while found := await engine.events(last, 200):
+            for event in found:
+                last = event.id
+                yield {"events": event_object(event)}
+
+
+RESOLVERS: dict[str, dict[str, Callable[..., Any]]] = {
+    "Query": {
+        "me": q_me, "fleet": q_fleet, "instances": q_instances, "instance": q_instance,
+        "operation": q_operation, "operations": q_operations, "configuration": q_configuration,
+        "plan": q_plan, "events": q_events, "tokens": q_tokens,
+    },
+    "Mutation": {
+        "drain": beginner(Kind.DRAIN), "undrain": beginner(Kind.UNDRAIN), "stop": beginner(Kind.STOP),
+        "restart": beginner(Kind.RESTART), "apply": m_apply, "pause": controller("pause"),
+        "resume": controller("resume"), "abort": controller("abort"), "rollBack": controller("rollback"),
+        "createToken": m_create_token, "revokeToken": m_revoke_token,
+    },
+}
+SUBSCRIPTIONS: dict[str, Callable[..., Any]] = {
+    "operation": s_operation, "instances": s_instances, "events": s_events}
+
+
+def coded(resolve: Callable[..., Any]) -> Callable[..., Any]:
+    """What the engine refuses, as an error with its code; anything else stays inside."""
+    async def resolved(root: Any, info: Any, **arguments: Any) -> Any:
+        try:
+            return await resolve(root, info, **arguments)
+        except Refusal as refusal:
+            raise error(refusal.code, str(refusal), **refusal.details) from refusal
+        except SelectorError as problem:
+            raise error("BAD_INPUT", str(problem)) from problem
+
+    return resolved
+
+
+def coded_stream(subscribe: Callable[..., Any]) -> Callable[..., Any]:
+    async def subscribed(root: Any, info: Any, **arguments: Any) -> AsyncIterator[Any]:
+        try:
+            async for value in subscribe(root, info, **arguments):
+                yield value
+        except SelectorError as problem:
+            raise error("BAD_INPUT", str(problem)) from problem
+
+    return subscribed
+
+
+def make_schema() -> GraphQLSchema:
+    schema = build_schema(sdl())
+    types: Any = schema.type_map
+    for kind, fields in RESOLVERS.items():
+        for name, resolve in fields.items():
+            types[kind].fields[name].resolve = coded(resolve)
+    for name, subscribe in SUBSCRIPTIONS.items():
+        types["Subscription"].fields[name].subscribe = coded_stream(subscribe)
+    for name, asks in (("inspect", types["Instance"]), ("counts", types["Operation"]),
+                       ("targets", types["Operation"])):
+        asks.fields[name].resolve = coded(_member(name))
+    types["JSON"].parse_literal = lambda node, variables=None: value_from_ast_untyped(node, variables)
+    return schema
+
+
+def _member(name: str) -> Callable[..., Any]:
+    async def resolve(root: Any, info: Any, **arguments: Any) -> Any:
+        return await root[name](info, **arguments)
+
+    return resolve
+
--- /dev/null
+++ b/ironscale/agent/selectors.py
@@ -0,0 +1,57 @@
+"""Selectors: which instances are meant. `name=app-*,zone=a,state!=drained`. No I/O."""
+
+from __future__ import annotations
+
+import fnmatch
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+KEYS = ("name", "zone", "state", "generation", "version")
+STATES = ("ready", "not ready", "drained", "draining", "silent", "gone")
+TERM = re.compile(r"\s*([a-z]+)\s*(!=|<=|>=|=|<|>)\s*([^,]*?)\s*")
+
+
+class SelectorError(Exception):
+    """A selector that can't be read; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    key: str
+    operator: str
+    value: str
+
+    def holds(self, value: str) -> bool:
+        if self.operator in ("=", "!="):
+            return fnmatch.fnmatchcase(value, self.value) is (self.operator == "=")
+        number, other = int(value), int(self.value)
+        return {"<": number < other, ">": number > other, "<=": number <= other, ">=": number >= other}[
+            self.operator]
+
+
+def parse(text: str) -> tuple[Term, ...]:
+    """Terms that all must hold; none for an empty text. A bare word is a name."""
+    terms = []
+    for part in filter(None, (part.strip() for part in text.split(","))):
+        found = TERM.fullmatch(part if any(c in part for c in "=<>") else f"name={part}")
+        if found is None or found[1] not in KEYS:
+            raise SelectorError(f"selector: expected one of {', '.join(KEYS)} with =, !=, <, >, <= or >=, "
+                                f"got {part!r}")
+        key, operator, value = found.groups()
+        if operator not in ("=", "!=") and (key != "generation" or not value.isdecimal()):
+            raise SelectorError(f"selector: expected generation and a whole number beside {operator}, "
+                                f"got {part!r}")
+        if key == "state" and not any(fnmatch.fnmatchcase(state, value) for state in STATES):
+            raise SelectorError(f"selector: expected a state out of {', '.join(STATES)}, got {value!r}")
+        terms.append(Term(key, operator, value))
+    return tuple(terms)
+
+
+def matches(terms: tuple[Term, ...], values: Mapping[str, str]) -> bool:
+    return all(term.holds(values[term.key]) for term in terms)
+
+
+def selected(text: str) -> Callable[[Mapping[str, str]], bool]:
+    terms = parse(text)
+    return lambda values: matches(terms, values)
--- /dev/null
+++ b/ironscale/agent/store.py
@@ -0,0 +1,127 @@
+"""The record: what the agent keeps, behind one narrow interface. No SQL outside the module that fills it.
+
+A `Records` is handed to a piece of work within one transaction; `Store.write` returns once it is committed
+and durable, so whatever is told to an operator after it survives a kill.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol, TypeVar
+
+from ironscale.agent.model import Operation, Target
+
+T = TypeVar("T")
+
+
+class StoreError(Exception):
+    """The record can't be written or read; nothing of that piece of work was kept. The text is one line."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code  # FULL, LOCKED, READ_ONLY, DAMAGED, NEWER, FAILED
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRow:
+    """What is kept of an instance between its processes and the agent's."""
+
+    name: str
+    boot: str
+    pid: int
+    version: str
+    zone: str
+    listen: str
+    started_ms: int
+    first_seen_ms: int
+    heard_ms: int  # as of the last change of its state; see `Records.alive_ms`
+    connected: bool
+    generation: int  # as it last showed
+    desired: int  # that it should run: 0 = its file alone
+    ended: str = ""
+    host: str = ""
+    ticks: int = 0  # the kernel's start time of the process; with pid and host it names one process
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One generation: a JSON merge patch on each instance's own file."""
+
+    generation: int
+    overlay: dict[str, Any]
+    actor: str
+    at_ms: int
+    operation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A line of the audit log."""
+
+    id: int
+    at_ms: int
+    actor: str
+    action: str
+    subject: str
+    result: str
+    detail: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class TokenRow:
+    name: str
+    role: str
+    digest: str
+    created_ms: int
+    revoked_ms: int = 0
+
+
+class Records(Protocol):
+    """Everything that can be asked of the record, within one transaction."""
+
+    def instances(self) -> list[InstanceRow]: ...
+    def put_instances(self, rows: Iterable[InstanceRow]) -> None: ...
+    def set_desired(self, generations: Iterable[tuple[str, int]]) -> None: ...
+    def forget_instance(self, name: str) -> None: ...
+    def alive_ms(self) -> int: ...
+    def set_alive(self, at_ms: int) -> None: ...
+
+    def next_fence(self) -> int:
+        """A number above all that were given before."""
+
+    def next_operation(self) -> int: ...
+    def operation(self, ident: int) -> Operation | None: ...
+    def operations(self, before: int, most: int, open_only: bool = False) -> list[Operation]:
+        """The newest first, with ids under `before`."""
+
+    def put_operation(self, operation: Operation) -> None: ...
+    def targets(self, operation: int) -> list[Target]: ...
+    def put_targets(self, operation: int, targets: Iterable[Target]) -> None: ...
+
+    def current_generation(self) -> int: ...
+    def configuration(self, generation: int) -> Configuration | None: ...
+    def add_configuration(self, configuration: Configuration) -> None:
+        """Raises StoreError where the generation is taken."""
+
+    def mutation(self, actor: str, key: str) -> tuple[str, int] | None:
+        """Fingerprint and operation of an earlier mutation with this idempotency key."""
+
+    def add_mutation(self, actor: str, key: str, fingerprint: str, operation: int, at_ms: int) -> None: ...
+
+    def audit(self, at_ms: int, actor: str, action: str, subject: str, result: str,
+              detail: dict[str, Any] | None = None) -> None: ...
+    def events(self, after: int, most: int) -> list[Event]: ...
+    def last_event(self) -> int: ...
+
+    def tokens(self) -> list[TokenRow]: ...
+    def put_token(self, token: TokenRow) -> None: ...
+
+
+class Store(Protocol):
+    async def write(self, work: Callable[[Records], T]) -> T:
+        """Runs `work` in a transaction; returns when it is durable. Raises StoreError, or what `work` raised."""
+
+    async def read(self, work: Callable[[Records], T]) -> T: ...
+
+    def close(self) -> None: ...
--- /dev/null
+++ b/ironscale/agent/supervisor.py
@@ -0,0 +1,304 @@
+"""Local instances that the agent starts, keeps running and replaces. They outlive the agent and are taken over
+by the next one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ironscale.agent.fleet import Fleet
+from ironscale.agent.model import Send
+from ironscale.agent.restarts import Restarts
+from ironscale.control.processes import is_alive, start_ticks
+from ironscale.operator_file import OperatorFileError, Service
+
+READY_S = 30.0  # a successor has so long to become ready before the old process is told to end
+MOST_LOG = 16 << 20
+
+
+class Run:
+    """One process, ours or taken over."""
+
+    def __init__(self, pid: int, ticks: int, boot: str, child: subprocess.Popen[bytes] | None) -> None:
+        self.pid, self.ticks, self.boot, self.child = pid, ticks, boot, child
+        self.started_s = time.monotonic()
+        self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self.pidfd = -1
+        with contextlib.suppress(OSError):
+            self.pidfd = os.pidfd_open(pid)
+        if self.pidfd >= 0:
+            asyncio.get_running_loop().add_reader(self.pidfd, self.on_end)
+        else:
+            self.on_end()
+
+    def on_end(self) -> None:
+        """Readable: the process has ended. What is no child of ours keeps its exit code to itself."""
+        how = "its process has ended"
+        if self.child is not None:
+            code = self.child.poll()
+            if code is None:
+                return
+            how = f"exit {code}" if code >= 0 else f"signal {-code}"
+        if self.pidfd >= 0:
+            asyncio.get_running_loop().remove_reader(self.pidfd)
+            os.close(self.pidfd)
+            self.pidfd = -1
+        if not self.ended.done():
+            self.ended.set_result(how)
+
+    def kill(self, number: int) -> None:
+        # hazard: the number may be another process's by now
+        if not self.ended.done() and is_alive(self.pid, self.ticks):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
+
+    async def stop(self, within_s: float) -> None:
+        self.kill(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(within_s):
+                await asyncio.shield(self.ended)
+        except TimeoutError:
+            self.kill(signal.SIGKILL)
+            await asyncio.shield(self.ended)
+
+    def release(self) -> None:
+        """The agent ends; the process goes on."""
+        if self.pidfd >= 0:
+            asyncio.get_running_loop().remove_reader(self.pidfd)
+            os.close(self.pidfd)
+            self.pidfd = -1
+
+
+@dataclass(slots=True)
+class Supervised:
+    service: Service
+    index: int
+    name: str
+    base: dict[str, Any]
+    restarts: Restarts = field(default_factory=Restarts)
+    run: Run | None = None
+    held: bool = False  # an operator stopped it
+    gave_up: str = ""
+    wake: asyncio.Event = field(default_factory=asyncio.Event)  # start it now
+    replacing: bool = False
+
+    def is_awaited(self) -> bool:
+        return self.replacing or not (self.held or self.gave_up)
+
+
+class Supervisor:
+    def __init__(self, services: tuple[Service, ...], data: Path, agent: tuple[str, int], token_file: Path,
+                 fleet: Fleet, overlay: Callable[[int], dict[str, Any]], log: Callable[[str], None]) -> None:
+        self.folder, self.logs = data / "instances", data / "logs"
+        self.agent, self.token_file, self.fleet = agent, token_file, fleet
+        self.overlay, self.log = overlay, log
+        self.members: dict[str, Supervised] = {}
+        self.tasks: asyncio.TaskGroup | None = None
+        self.ending = False
+        for service in services:
+            base = self.read_base(service)
+            for index in range(service.count):
+                name = f"{service.name}-{index}"
+                if name in self.members:
+                    raise OperatorFileError(f"service {service.name}: expected names that differ, "
+                                            f"got {name} twice")
+                self.members[name] = Supervised(service, index, name, base)
+        fleet.supervised = self.supervised
+
+    @staticmethod
+    def read_base(service: Service) -> dict[str, Any]:
+        try:
+            base = json.loads(service.config.read_text(encoding="utf-8"))
+        except OSError as error:
+            raise OperatorFileError(f"{service.config}: expected the configuration of {service.name}, "
+                                    f"got {error.strerror}") from error
+        except ValueError as error:
+            raise OperatorFileError(f"{service.config}: expected JSON, got {error}") from error
+        if not isinstance(base, dict) or not isinstance(base.get("settings"), dict):
+            raise OperatorFileError(f"{service.config}: expected an object with settings, got {base!r:.60}")
+        return base
+
+    def supervised(self, name: str) -> str | None:
+        member = self.members.get(name)
+        return None if member is None else "awaited" if member.is_awaited() else ""
+
+    async def run(self) -> None:
+        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.logs.mkdir(mode=0o700, parents=True, exist_ok=True)
+        async with asyncio.TaskGroup() as self.tasks:
+            for member in self.members.values():
+                self.tasks.create_task(self.keep(member))
+
+    # One instance
+
+    def state_file(self, member: Supervised) -> Path:
+        return self.folder / f"{member.name}.state"
+
+    def remember(self, member: Supervised) -> None:
+        """What the next agent needs to take the process over."""
+        run = member.run
+        state = {"pid": run.pid, "ticks": run.ticks, "boot": run.boot} if run else {}
+        path = self.state_file(member)
+        aside = path.with_suffix(".new")
+        aside.write_text(json.dumps({**state, "held": member.held}), encoding="ascii")
+        aside.replace(path)
+
+    def take_over(self, member: Supervised) -> Run | None:
+        """The process that the last agent left, if it still runs."""
+        try:
+            state = json.loads(self.state_file(member).read_text(encoding="ascii"))
+            member.held = bool(state.get("held", False))
+            pid, ticks, boot = int(state["pid"]), int(state["ticks"]), str(state["boot"])
+        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+            return None
+        return Run(pid, ticks, boot, None) if is_alive(pid, ticks) else None
+
+    async def keep(self, member: Supervised) -> None:
+        """Starts it, and again whenever it ends by itself."""
+        member.run = self.take_over(member)
+        while not self.ending:
+            if member.run is None:
+                if member.held or member.gave_up:
+                    await member.wake.wait()
+                member.wake.clear()
+                member.run = self.start(member, "")
+                if member.run is None:
+                    await asyncio.sleep(1.0)
+                    continue
+            run = member.run
+            how = await asyncio.shield(run.ended)
+            if member.run is not run:
+                continue  # its successor has its place
+            self.fleet.ended(member.name, run.boot, how)
+            member.run = None
+            self.remember(member)
+            if member.held or member.wake.is_set() or self.ending:
+                continue
+            wait_s = member.restarts.ended(time.monotonic(), time.monotonic() - run.started_s)
+            if wait_s is None:
+                member.gave_up = f"crash loop, last {how}"
+                self.log(f"{member.name}: given up ({member.gave_up}); see {self.logs / member.name}.log, "
+                         "then `ironscale restart`")
+                self.fleet.touch_if_known(member.name)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await member.wake.wait()
+
+    def start(self, member: Supervised, replaces: str) -> Run | None:
+        """A new process with what its instance should run now."""
+        service, name = member.service, member.name
+        known = self.fleet.members.get(name)
+        generation = known.row.desired if known is not None else 0
+        boot = secrets.token_hex(8)
+        port = service.first_port + member.index if service.first_port else 0
+        settings = {**member.base["settings"], "self-index": member.index}
+        config = {**member.base, "name": name, "listen": f"{service.host}:{port}", "settings": settings}
+        files = {"config": config, "overlay": {"generation": generation, "overlay": self.overlay(generation)}}
+        try:
+            for what, content in files.items():
+                (self.folder / f"{name}.{what}.json").write_text(json.dumps(content), encoding="utf-8")
+            operator = self.folder / "sidecar.toml"
+            operator.write_text("[sidecar]\nreuse_port = true\n", encoding="ascii")
+            environ = {
+                **os.environ, **service.environment, "GW_NAME": name, "GW_BOOT": boot, "GW_REPLACES": replaces,
+                "GW_CONFIG": str(self.folder / f"{name}.config.json"),
+                "GW_OVERLAY": str(self.folder / f"{name}.overlay.json"),
+                "GW_AGENT": f"{self.agent[0]}:{self.agent[1]}", "GW_AGENT_TOKEN_FILE": str(self.token_file),
+                "GW_ZONE": service.zone, "GW_OPERATOR": str(operator) if service.make_before_break else "",
+            }
+            environ.pop("GW_LISTEN", None)
+            log_path = self.logs / f"{name}.log"
+            if log_path.exists() and log_path.stat().st_size > MOST_LOG:
+                log_path.replace(log_path.with_suffix(".log.1"))
+            with open(log_path, "ab") as log:
+                child = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], env=environ, stdout=log,
+                                         stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
+        except OSError as error:
+            self.log(f"{name}: can't start: {error}")
+            return None
+        run = Run(child.pid, start_ticks(child.pid) or 0, boot, child)
+        member.run = run if not replaces else member.run
+        if not replaces:
+            self.remember(member)
+        return run
+
+    # What operations ask for
+
+    def stopping(self, name: str) -> None:
+        """An operator stops it: it stays stopped, also under the next agent."""
+        member = self.members.get(name)
+        if member is not None:
+            member.held = True
+            self.remember(member)
+
+    def restart(self, send: Send) -> None:
+        """Replaces the process `send.boot`; nothing where that has been done."""
+        member = self.members.get(send.name)
+        if member is None or member.replacing or self.tasks is None:
+            return
+        if member.run is not None and member.run.boot != send.boot:
+            return
+        member.restarts.forgive()
+        member.held, member.gave_up, member.replacing = False, "", True
+        self.fleet.touch_if_known(member.name)
+        self.tasks.create_task(self.replace(member))
+
+    async def replace(self, member: Supervised) -> None:
+        try:
+            old = member.run
+            if old is None:
+                member.wake.set()
+            elif member.service.make_before_break and member.service.first_port:
+                await self.make_before_break(member, old)
+            else:
+                member.wake.set()  # `keep` starts the next as soon as this has ended
+                await old.stop(member.service.stop_s)
+        finally:
+            member.replacing = False
+            self.fleet.touch_if_known(member.name)
+
+    async def make_before_break(self, member: Supervised, old: Run) -> None:
+        new = self.start(member, old.boot)
+        if new is None:
+            return
+        deadline_s = time.monotonic() + READY_S
+        while not self.is_ready(member.name, new.boot):
+            if new.ended.done() or time.monotonic() > deadline_s or old.ended.done():
+                self.log(f"{member.name}: its successor did not become ready; the old process goes on")
+                await new.stop(member.service.stop_s)
+                return
+            await asyncio.sleep(0.02)
+        member.run = new
+        self.remember(member)
+        await old.stop(member.service.stop_s)
+
+    def is_ready(self, name: str, boot: str) -> bool:
+        member = self.fleet.members.get(name)
+        return (member is not None and member.row.boot == boot and member.report is not None
+                and member.report.ready)
+
+    # The end
+
+    async def stop_all(self) -> None:
+        """SIGTERM to all, SIGKILL to those that outstay their time; returns when none is left."""
+        self.ending = True
+        runs = [(m.run, m.service.stop_s) for m in self.members.values() if m.run is not None]
+        await asyncio.gather(*(run.stop(stop_s) for run, stop_s in runs))
+
+    def release_all(self) -> None:
+        self.ending = True
+        for member in self.members.values():
+            if member.run is not None:
+                member.run.release()
--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -134,6 +134,7 @@
         self.armed_us = 0  # the next timer already asked for; 0 = none
         self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
+        self.draining = False
         self.ask_list_at(now_us)
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -152,6 +153,10 @@
             self.requests[event.request].streaming = True
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
+        elif isinstance(event, api.DrainChanged):
+            self.draining = event.draining
+        elif isinstance(event, api.SettingsChanged):
+            self.on_settings(event.settings)
         if self.buffer is not None and self.try_send(self.buffer):
             self.buffer = None
         self.arm()
@@ -162,10 +167,13 @@
         if event.request in self.requests:
             return
         if event.class_index >= len(self.settings.classes):  # one that the settings don't have
-            self.actions.append(api.Refuse(event.request))
+            self.actions.append(api.Refuse(event.request, reason="unknown class"))
             return
         request = Request(event)
         self.requests[event.request] = request
+        if self.draining:
+            self.finish(request, "draining")
+            return
         if event.tenant < len(self.tenant_seen):
             self.tenant_seen = [seen * (1.0 - 1.0 / TENANT_MEMORY) for seen in self.tenant_seen]
             self.tenant_seen[event.tenant] += 1.0
@@ -190,11 +198,12 @@
             # hazard: in a shortage the bulk of cheap requests would keep the dear ones out of every slot
             self.buffer = request
             if holder is not None:
-                self.finish(holder)
+                self.finish(holder, "displaced")
             until_us = self.now_us + self.half_aim_us(request.event.class_index)
             self.wake(min(until_us, self.latest_start_us(request)), "buffer", request.event.request)
         else:
-            self.finish(request)
+            spent = request.attempts and not self.may_send(request)
+            self.finish(request, "too late" if not in_time else "tries spent" if spent else "full")
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time given to this request; what is beyond its tenant's share counts less.
@@ -221,13 +230,14 @@
         answer_us = int(self.latency[request.event.class_index].mean_us)
         return request.event.due_us - min(answer_us, self.half_aim_us(request.event.class_index))
 
-    def finish(self, request: Request) -> None:
+    def finish(self, request: Request, reason: str) -> None:
         """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
         ident, kind = request.event.request, self.class_of(request)
         harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
                     or (kind.effect == "deduplicated" and kind.group == "all"))
         self.close(request)
-        self.actions.append(api.Refuse(ident, self.retry_after_us(request)) if harmless else api.Fail(ident))
+        self.actions.append(api.Refuse(ident, self.retry_after_us(request), reason) if harmless
+                            else api.Fail(ident))
 
     def close(self, request: Request) -> None:
         request.done = True
@@ -455,6 +465,29 @@
         self.order = ready[start:] + ready[:start]
         self.subset = max(SUBSET, 2.0 * SUBSET * len(ready) / count)
 
+    def on_settings(self, settings: api.Settings) -> None:
+        """Takes on new settings between two events; what has been learned and what is out stays."""
+        old, self.settings = self.settings, settings
+        self.latency += [Latency(c.aim_us) for c in settings.classes[len(self.latency):]]
+        places = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
+        moved = [places.get(tenant.name, len(places)) for tenant in old.tenants]
+        seen, self.tenant_seen = self.tenant_seen, [0.0 for _ in settings.tenants]
+        for index, place in enumerate(moved):
+            if place < len(places):
+                self.tenant_seen[place] = seen[index]
+        for request in self.requests.values():  # hazard: one that waits would be judged by another's share
+            tenant = request.event.tenant
+            request.event.tenant = moved[tenant] if tenant < len(moved) else len(places)
+        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
+        self.least_each = min(1.0, KEPT_IN_HAND / settings.instances)
+        self.rank()
+
+    def view(self) -> list[api.UpstreamView]:
+        """Each upstream as it stands now."""
+        return [api.UpstreamView(i, s.entry.state, s.window.slots, s.used, s.window.open(self.now_us) == 0,
+                                 self.warmth(s) < 1.0, s.failing, s.mute > 1, s.least_us)
+                for i, s in self.servers.items()]
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
@@ -483,4 +516,4 @@
             elif what == "late" and ident in self.requests:
                 self.on_late(self.requests[ident])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
-                self.finish(self.buffer)
+                self.finish(self.buffer, "waited")
--- /dev/null
+++ b/ironscale/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m ironscale.cli`."""
+
+from ironscale.cli.main import entry
+
+entry()
--- /dev/null
+++ b/ironscale/cli/client.py
@@ -0,0 +1,142 @@
+"""The command line's end of the agent's API."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from ironscale.cli.output import CODES, Exit, fail
+from ironscale.operator_file import OperatorFileError, read_secret
+
+CALL_S = 10.0
+
+
+@dataclass(slots=True)
+class Where:
+    """The agent's address and the token, from options, environment or the data folder."""
+
+    address: str | None
+    token_file: Path | None
+    data: Path
+
+    def url(self) -> str:
+        address = self.address or os.environ.get("IRONSCALE_AGENT")
+        if not address:
+            try:
+                address = (self.data / "address").read_text(encoding="ascii").strip()
+            except OSError:
+                fail(Exit.NO_AGENT, f"no agent: {self.data}/address is not there; start one with `ironscale agent`, "
+                     "or name it with --agent URL")
+        if not address.startswith(("http://", "https://")):
+            address = f"http://{address}"
+        return address.rstrip("/") + "/graphql"
+
+    def token(self) -> str:
+        path = self.token_file or (Path(os.environ["IRONSCALE_TOKEN_FILE"])
+                                   if os.environ.get("IRONSCALE_TOKEN_FILE") else self.data / "admin.token")
+        try:
+            return read_secret(path)
+        except OperatorFileError as error:
+            fail(Exit.DENIED, f"{error}; name a token with --token-file")
+
+
+class Api:
+    """GraphQL calls, and errors as exit codes."""
+
+    def __init__(self, where: Where) -> None:
+        self.url = where.url()
+        self.client = httpx.Client(headers={"Authorization": f"Bearer {where.token()}",
+                                            "Accept": "application/graphql-response+json"},
+                                   timeout=CALL_S, trust_env=False)
+
+    def call(self, query: str, **variables: Any) -> dict[str, Any]:
+        """One call. Raises CliError."""
+        try:
+            answer = self.client.post(self.url, json={"query": query, "variables": variables})
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            fail(Exit.NO_AGENT, f"no agent answers at {self.url}: {error}; is it running? `ironscale agent` starts one")
+        return self.read(answer)
+
+    def read(self, answer: httpx.Response) -> dict[str, Any]:
+        try:
+            body = answer.json()
+            errors, data = body.get("errors") or [], body.get("data")
+        except (ValueError, AttributeError):
+            fail(Exit.NO_AGENT, f"{self.url} is no agent: it answered {answer.status_code} with no GraphQL")
+        if errors:
+            first = errors[0]
+            code = (first.get("extensions") or {}).get("code", "")
+            fail(CODES.get(code, Exit.FAILED), describe(first))
+        found: dict[str, Any] = data
+        return found
+
+    def mutate(self, query: str, input_: dict[str, Any], within_s: float = 30.0) -> dict[str, Any]:
+        """A mutation, told again by the same idempotency key where its answer was lost: its effect comes once."""
+        keyed = {**input_, "idempotencyKey": input_.get("idempotencyKey") or uuid.uuid4().hex}
+        deadline_s = time.monotonic() + within_s
+        while True:
+            try:
+                return self.read(self.client.post(self.url, json={"query": query, "variables": {"input": keyed}}))
+            except httpx.ConnectError as error:
+                # never sent, if this is the first try; after that the key makes it one
+                problem: Exception = error
+            except httpx.HTTPError as error:
+                problem = error
+            if time.monotonic() >= deadline_s:
+                fail(Exit.NO_AGENT, f"no answer from {self.url} ({problem}): whether it was begun is not known; "
+                     f"look with `ironscale ops`, or repeat with --key {keyed['idempotencyKey']}")
+            time.sleep(0.3)
+
+    def stream(self, query: str, **variables: Any) -> Iterator[dict[str, Any]]:
+        """Results of a subscription until it completes. Raises CliError, httpx errors where it breaks."""
+        headers = {"Accept": "text/event-stream"}
+        with self.client.stream("POST", self.url, json={"query": query, "variables": variables}, headers=headers,
+                                timeout=httpx.Timeout(CALL_S, read=30.0)) as answer:
+            if answer.headers.get("content-type", "").partition(";")[0] != "text/event-stream":
+                answer.read()
+                self.read(answer)
+                fail(Exit.FAILED, f"{self.url} answered {answer.status_code} with no event stream")
+            kind, data = "", ""
+            for line in answer.iter_lines():
+                if line.startswith("event: "):
+                    kind = line[7:]
+                elif line.startswith("data: "):
+                    data += line[6:]
+                elif not line and kind:
+                    if kind == "complete":
+                        return
+                    body = json.loads(data)
+                    if body.get("errors"):
+                        first = body["errors"][0]
+                        code = (first.get("extensions") or {}).get("code", "")
+                        fail(CODES.get(code, Exit.FAILED), describe(first))
+                    yield body["data"]
+                    kind, data = "", ""
+
+    def pages(self, query: str, field: str, **variables: Any) -> Iterator[dict[str, Any]]:
+        """All nodes of a connection, page by page."""
+        after = None
+        while True:
+            page = self.call(query, after=after, **variables)[field]
+            for edge in page["edges"]:
+                yield edge["node"]
+            if not page["pageInfo"]["hasNextPage"]:
+                return
+            after = page["pageInfo"]["endCursor"]
+
+
+def describe(error: dict[str, Any]) -> str:
+    """An error in one line, and what the agent says beside it."""
+    extensions = error.get("extensions") or {}
+    text = str(error.get("message"))
+    if extensions.get("difference"):
+        text += "; differs: " + "; ".join(extensions["difference"][:5])
+    return text
--- /dev/null
+++ b/ironscale/control/beside.py
@@ -0,0 +1,62 @@
+"""Runs the client beside a started sidecar, where the operator file names an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import secrets
+import time
+from collections.abc import AsyncIterator, Callable, Mapping
+from importlib import metadata
+
+from ironscale.control.client import Client, Identity
+from ironscale.control.instance import SidecarInstance
+from ironscale.control.processes import machine, start_ticks
+from ironscale.net.sidecar import Beside, Sidecar
+from ironscale.operator_file import Control, read_secret
+
+
+def version() -> str:
+    try:
+        return metadata.version("ironscale")
+    except metadata.PackageNotFoundError:  # started from a checkout
+        return "0"
+
+
+def client_for(sidecar: Sidecar, control: Control, token: str, environ: Mapping[str, str],
+               end: Callable[[], None]) -> Client:
+    host, port = sidecar.config.listen
+    identity = Identity(
+        name=sidecar.config.name, boot=environ.get("GW_BOOT") or secrets.token_hex(8), pid=os.getpid(),
+        version=version(), started_ms=time.time_ns() // 1_000_000, zone=control.zone,
+        listen=f"{host}:{sidecar.port or port}", token=token, replaces=environ.get("GW_REPLACES", ""),
+        host=machine(), ticks=start_ticks(os.getpid()) or 0)
+    instance = SidecarInstance(sidecar, end)
+    client = Client(instance, identity, control.agent, random.Random(secrets.randbits(64)))
+
+    def report_fence(fence: int) -> None:
+        instance.fence = fence
+
+    client.report_fence = report_fence
+    return client
+
+
+def beside(control: Control, environ: Mapping[str, str]) -> Beside:
+    """Raises OperatorFileError where the token can't be read; later failures are the client's to outlive."""
+    token = read_secret(control.token_file)
+
+    @contextlib.asynccontextmanager
+    async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
+        client = client_for(sidecar, control, token, environ, end)
+        task = asyncio.create_task(client.run())
+        try:
+            yield
+        finally:
+            client.bye("ended")
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    return running
--- /dev/null
+++ b/ironscale/control/client.py
@@ -0,0 +1,314 @@
+"""The one connection that an instance dials to its agent.
+
+Whatever the agent does, the data path goes on: every frame is a step of its own on the loop, and the steps
+together take no more than `pacing.SHARE` of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, cast
+
+from ironscale.control.commands import Commands
+from ironscale.control.frames import MAX_FRAME, Decoder, FrameError, encode
+from ironscale.control.instance import Instance, Refused, RestartNeeded
+from ironscale.control.messages import (
+    FROM_AGENT,
+    PROTOCOL,
+    Beat,
+    Bye,
+    Command,
+    Denied,
+    Hello,
+    Lease,
+    Message,
+    MessageError,
+    Report,
+    Result,
+    Welcome,
+    read,
+    write,
+)
+from ironscale.control.pacing import Redial, Slice
+
+CONNECT_S, WELCOME_S = 2.0, 5.0
+PART = 100  # upstreams in one part of an inspection: a step of about a millisecond
+MOST_UNSENT = 2 * MAX_FRAME  # bytes that an agent has not read; past that no more is produced
+LOG_GAP_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who an instance is to its agent."""
+
+    name: str
+    boot: str
+    pid: int
+    version: str
+    started_ms: int
+    zone: str
+    listen: str
+    token: str
+    replaces: str = ""
+    host: str = ""
+    ticks: int = 0
+
+
+class Client:
+    """Keeps the instance connected to its agent for as long as `run` runs."""
+
+    def __init__(self, instance: Instance, identity: Identity, address: tuple[str, int], rng: random.Random,
+                 log: Callable[[str], None] | None = None) -> None:
+        self.instance = instance
+        self.identity = identity
+        self.address = address
+        self.commands = Commands(identity.boot)
+        self.redial = Redial(rng)
+        self.slice = Slice()
+        self.log_line = log or (lambda text: print(f"{identity.name}: {text}", file=sys.stderr, flush=True))
+        self.next_log_s = 0.0
+        self.session: Session | None = None
+        self.report_fence: Callable[[int], None] = lambda fence: None
+
+    def log(self, text: str) -> None:
+        """A line in LOG_GAP_S at most: an agent that talks nonsense must not fill the log."""
+        now_s = time.monotonic()
+        if now_s >= self.next_log_s:
+            self.next_log_s = now_s + LOG_GAP_S
+            self.log_line(f"agent {self.address[0]}:{self.address[1]}: {text}")
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(await self.connect_once())
+
+    async def connect_once(self) -> float:
+        """One connection from dialling to its end; gives the seconds until the next."""
+        session = Session(self)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await asyncio.get_running_loop().create_connection(lambda: session, *self.address)
+        except (OSError, TimeoutError, ValueError) as error:
+            session.drop()
+            self.log(f"can't connect: {error or 'no answer'}")
+            return self.redial.failed()
+        self.session = session
+        try:
+            await session.ended.wait()
+        finally:
+            self.session = None
+            session.drop()
+        if session.why:
+            self.log(session.why)
+        if session.denied is not None:
+            return self.redial.denied(session.denied.retry_ms / 1000)
+        return self.redial.lost() if session.welcome is not None else self.redial.failed()
+
+    def bye(self, reason: str) -> None:
+        if self.session is not None and self.session.welcome is not None:
+            self.session.send(Bye(reason))
+
+    def report(self) -> Report:
+        return self.instance.report(self.slice.spent_s)
+
+    def carry_out(self, command: Command) -> Result:
+        """The effect of an admitted command; whatever goes wrong is an answer."""
+        try:
+            detail = self.effect(command)
+        except Refused as error:
+            return Result(command.id, "refused", str(error))
+        except RestartNeeded as error:
+            return Result(command.id, "needs restart", str(error))
+        except Exception as error:  # hazard: the agent would wait, and the next frame never be read
+            traceback.print_exc()
+            return Result(command.id, "failed", f"{type(error).__name__}: {error}")
+        return Result(command.id, "applied", detail, self.report())
+
+    def effect(self, command: Command) -> str:
+        match command.kind:
+            case "drain" | "undrain":
+                self.instance.drain(command.kind == "drain")
+                return ""
+            case "reconfigure":
+                generation, overlay = command.args.get("generation"), command.args.get("overlay")
+                if not isinstance(generation, int) or isinstance(generation, bool) or generation < 0:
+                    raise Refused(f"generation: expected a whole number of 0 or more, got {generation!r:.60}")
+                if not isinstance(overlay, Mapping):
+                    raise Refused(f"overlay: expected an object, got {overlay!r:.60}")
+                self.instance.reconfigure(generation, overlay)
+                return ""
+            case "stop":
+                self.instance.stop()
+                return "ending"
+        raise Refused(f"{command.kind}: not known here")
+
+
+class Session(asyncio.Protocol):
+    """One connection: bytes in, one step a frame, within the loop's slice."""
+
+    def __init__(self, client: Client) -> None:
+        self.client = client
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.decoder = Decoder()
+        self.ended = asyncio.Event()
+        self.why = ""
+        self.welcome: Welcome | None = None
+        self.denied: Denied | None = None
+        self.seq = 0
+        self.heard_s = self.loop.time()
+        self.jobs: deque[Callable[[], None]] = deque()  # steps that the agent's frames have led to
+        self.pump_handle: asyncio.TimerHandle | None = None
+        self.beat_handle: asyncio.TimerHandle | None = None
+        self.silence = self.loop.call_later(WELCOME_S, self.end, "no welcome")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.ended.is_set():
+            self.transport.abort()
+            return
+        who, report = self.client.identity, self.client.report()
+        self.send(Hello(
+            PROTOCOL, who.name, who.boot, who.pid, who.version, who.started_ms, who.zone, who.listen, who.token,
+            report.generation, self.client.commands.fence, who.replaces, who.host, who.ticks))
+
+    def data_received(self, data: bytes) -> None:
+        if self.ended.is_set():
+            return
+        self.decoder.feed(data)
+        if len(self.decoder.buffer) > 2 * MAX_FRAME and self.transport is not None:
+            self.transport.pause_reading()
+        self.schedule()
+
+    def schedule(self) -> None:
+        if self.pump_handle is None and not self.ended.is_set():
+            wait_s = self.client.slice.wait_s(self.loop.time())
+            self.pump_handle = self.loop.call_later(wait_s, self.pump)
+
+    def pump(self) -> None:
+        """One step: a job, else one frame."""
+        self.pump_handle = None
+        if self.ended.is_set():
+            return
+        if self.transport is not None and self.transport.get_write_buffer_size() > MOST_UNSENT:
+            self.pump_handle = self.loop.call_later(0.1, self.pump)  # the agent doesn't read
+            return
+        if self.step(self.jobs.popleft() if self.jobs else self.take_frame):
+            self.schedule()
+
+    def step(self, work: Callable[[], object]) -> bool:
+        """Runs and accounts for a piece of control work; False where there was none."""
+        start_s = self.loop.time()
+        try:
+            return work() is not False
+        except (FrameError, MessageError) as error:
+            self.end(f"not understood: {error}")
+            return False
+        finally:
+            now_s = self.loop.time()
+            self.client.slice.spend(now_s, now_s - start_s)
+
+    def take_frame(self) -> bool:
+        raw = self.decoder.next()
+        if raw is None:
+            return False
+        if self.transport is not None:
+            self.transport.resume_reading()
+        self.on_message(read(raw, FROM_AGENT))
+        return True
+
+    def on_message(self, message: Message) -> None:
+        if self.welcome is None:
+            if isinstance(message, Welcome):
+                self.on_welcome(message)
+            elif isinstance(message, Denied):
+                self.denied = message
+                self.end(f"denied ({message.code}): {message.text}")
+            else:
+                raise MessageError(f"expected welcome or denied, got {message.type}")
+        elif isinstance(message, Lease):
+            self.heard()
+        elif isinstance(message, Command):
+            self.heard()
+            self.on_command(message)
+        else:
+            raise MessageError(f"expected lease or command, got {message.type}")
+
+    def on_welcome(self, welcome: Welcome) -> None:
+        if welcome.beat_ms < 10 or welcome.lease_ms < welcome.beat_ms:
+            raise MessageError(f"welcome: expected a lease over a heartbeat of 10 ms or more, got "
+                               f"{welcome.lease_ms} and {welcome.beat_ms}")
+        self.welcome = welcome
+        self.client.redial.failures = 0
+        self.client.redial.spread_s = min(600.0, welcome.spread_ms / 1000)
+        self.heard()
+        # the first at a random moment: thousands that came together must not beat together
+        self.beat_handle = self.loop.call_later(
+            self.client.redial.random.random() * welcome.beat_ms / 1000, self.beat)
+
+    def heard(self) -> None:
+        assert self.welcome is not None
+        self.silence.cancel()
+        self.silence = self.loop.call_later(self.welcome.lease_ms / 1000, self.end, "silent past the lease")
+
+    def beat(self) -> None:
+        assert self.welcome is not None
+        if not self.ended.is_set():
+            self.beat_handle = self.loop.call_later(self.welcome.beat_ms / 1000, self.beat)
+            if self.transport is None or self.transport.get_write_buffer_size() <= MOST_UNSENT:
+                self.step(self.send_beat)
+
+    def send_beat(self) -> None:
+        self.seq += 1
+        self.send(Beat(self.seq, self.client.report()))
+
+    def on_command(self, command: Command) -> None:
+        commands = self.client.commands
+        admitted, answer = commands.admit(command)
+        if admitted and command.kind == "inspect":
+            self.jobs.append(partial(self.inspect, command.id, None, 0))
+        elif admitted:
+            self.client.report_fence(commands.fence)
+            answer = self.client.carry_out(command)
+            commands.finish(answer)
+            self.send(answer)
+            self.send_beat()  # what it runs now is shown by a report, not by the answer
+        elif answer is not None:
+            self.send(answer)
+
+    def inspect(self, ident: str, upstreams: list[dict[str, Any]] | None, start: int) -> None:
+        """A part a step: a long list must not hold up the loop."""
+        if upstreams is None:
+            upstreams = self.client.instance.upstreams()
+        more = start + PART < len(upstreams)
+        self.send(Result(ident, "applied", "", None if more else self.client.report(),
+                         upstreams[start:start + PART], more))
+        if more:
+            self.jobs.append(partial(self.inspect, ident, upstreams, start + PART))
+
+    def send(self, message: Message) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(encode(write(message)))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end("the connection ended")
+
+    def end(self, why: str) -> None:
+        if not self.ended.is_set():
+            self.why = why
+            self.drop()
+
+    def drop(self) -> None:
+        self.ended.set()
+        for handle in (self.silence, self.pump_handle, self.beat_handle):
+            if handle is not None:
+                handle.cancel()
+        if self.transport is not None:
+            self.transport.close()  # what is written still goes out
--- /dev/null
+++ b/ironscale/control/instance.py
@@ -0,0 +1,119 @@
+"""What control work needs of an instance, and the real sidecar behind that."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from ironscale import interface as api
+from ironscale.control.messages import ClassCounts, Report
+from ironscale.net.config import ConfigError
+from ironscale.net.sidecar import NeedsRestart, Sidecar
+
+# What each instance has of its own: a patch for many can't set it.
+OWN_KEYS = ("name", "listen", "seed", "known")
+OWN_SETTINGS = ("self-index",)
+OUTCOMES = ("served", "refused", "failed")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class Refused(Exception):
+    """An instance won't do it, and nothing has changed; the text is one line."""
+
+
+class RestartNeeded(Exception):
+    """Valid, but only a new process can take it on; nothing has changed."""
+
+
+class Instance(Protocol):
+    """What the client of the agent drives. Each call is short and done when it returns."""
+
+    def report(self, control_s: float) -> Report: ...
+
+    def upstreams(self) -> list[dict[str, Any]]:
+        """Each upstream as the decisions see it, for `inspect`."""
+
+    def drain(self, draining: bool) -> None: ...
+
+    def reconfigure(self, generation: int, overlay: Mapping[str, Any]) -> None:
+        """All or nothing. Raises Refused or RestartNeeded."""
+
+    def stop(self) -> None: ...
+
+
+def check_overlay(overlay: Mapping[str, Any]) -> None:
+    """Raises Refused where a patch for many sets what each has of its own."""
+    for key in OWN_KEYS:
+        if key in overlay:
+            raise Refused(f"{key}: expected no key that each instance has of its own, "
+                          f"got {overlay[key]!r:.60}")
+    settings = overlay.get("settings", {})
+    if not isinstance(settings, Mapping):
+        raise Refused(f"settings: expected an object, got {settings!r:.60}")
+    for key in OWN_SETTINGS:
+        if key in settings:
+            raise Refused(f"settings.{key}: expected no key that each instance has of its own, "
+                          f"got {settings[key]!r:.60}")
+
+
+def memory_kb() -> int:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * PAGE // 1024
+
+
+class SidecarInstance:
+    """A running sidecar."""
+
+    def __init__(self, sidecar: Sidecar, end: Callable[[], None]) -> None:
+        self.sidecar = sidecar
+        self.end = end
+        self.fence = 0
+
+    def report(self, control_s: float) -> Report:
+        sidecar = self.sidecar
+        views = sidecar.balancer.view()
+        ready = [view for view in views if view.state is api.UpstreamState.READY]
+        return Report(
+            generation=sidecar.generation, fence=self.fence,
+            ready=sidecar.is_ready() and not sidecar.server.stopping,
+            draining=sidecar.draining or sidecar.server.stopping,
+            open=len(sidecar.requests), connections=len(sidecar.server.connections),
+            upstreams=len(views), upstreams_ready=len(ready),
+            upstreams_resting=sum(view.resting for view in ready),
+            upstreams_cold=sum(view.cold for view in ready),
+            classes=[ClassCounts(c.name, *(sidecar.answers[i, what] for what in OUTCOMES))
+                     for i, c in enumerate(sidecar.config.settings.classes)],
+            refusals={reason or "not told": count for reason, count in sidecar.refusals.items()},
+            cpu_s=time.process_time(), control_cpu_s=control_s, memory_kb=memory_kb(),
+            descriptors=len(os.listdir("/proc/self/fd")),
+        )
+
+    def upstreams(self) -> list[dict[str, Any]]:
+        pools = self.sidecar.upstreams.pools
+        return [{
+            "name": pools[view.id].member.name if view.id in pools else str(view.id),
+            "state": view.state.value, "slots": round(view.slots, 3), "used": view.used,
+            "resting": view.resting, "cold": view.cold, "failing": view.failing, "mute": view.mute,
+            "leastMs": round(view.least_us / 1000, 3),
+        } for view in self.sidecar.balancer.view()]
+
+    def drain(self, draining: bool) -> None:
+        if self.sidecar.server.stopping:
+            raise Refused("the process is ending")
+        self.sidecar.drain(draining)
+
+    def reconfigure(self, generation: int, overlay: Mapping[str, Any]) -> None:
+        if self.sidecar.server.stopping:
+            raise Refused("the process is ending")
+        check_overlay(overlay)
+        try:
+            self.sidecar.reconfigure(generation, overlay)
+        except ConfigError as error:
+            raise Refused(str(error)) from error
+        except NeedsRestart as error:
+            raise RestartNeeded(str(error)) from error
+
+    def stop(self) -> None:
+        self.end()
--- /dev/null
+++ b/ironscale/control/processes.py
@@ -0,0 +1,27 @@
+"""Which process a number stands for: a pid alone may be another's by now."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+
+def machine() -> str:
+    """This machine's boot; empty where the kernel doesn't tell."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text(encoding="ascii").strip()
+    except OSError:
+        return ""
+
+
+def start_ticks(pid: int) -> int | None:
+    """When the process started, in the kernel's ticks since boot; None if there is none, or only its remains."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="latin-1")
+    except OSError:
+        return None
+    fields = stat.rpartition(")")[2].split()  # the name before it may hold anything
+    return None if fields[0] in "ZX" else int(fields[19])
+
+
+def is_alive(pid: int, ticks: int) -> bool:
+    return start_ticks(pid) == ticks
--- a/ironscale/interface.py
+++ b/ironscale/interface.py
@@ -41,6 +41,9 @@
     FAILED = "failed"  # a call failed or the subscription broke; the list stays as it was
 
 
+# Why a request was refused: the instance drains, its class is not known, it came too late for an answer in
+# time, no slot and the buffer taken, a dearer one took the buffer, the buffer's wait was over, tries used up.
+REFUSALS = ("draining", "unknown class", "too late", "full", "displaced", "waited", "tries spent")
 EFFECTS = ("idempotent", "deduplicated", "at_most_once")
 GROUPS = ("all", "zone", "cell")
 
@@ -205,6 +208,22 @@
     token: int
 
 
+@dataclass(slots=True)
+class DrainChanged:
+    """An operator takes this sidecar out of service, or puts it back: what is new is refused, what was taken
+    goes on."""
+
+    draining: bool
+
+
+@dataclass(slots=True)
+class SettingsChanged:
+    """New settings for a running instance. The classes keep their names, order, effects, groups and streams
+    (new ones may follow), as requests that are open were judged by them."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -212,7 +231,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
-         | TimerFired | PeerMessage)
+         | TimerFired | PeerMessage | DrainChanged | SettingsChanged)
 
 
 # Actions
@@ -233,6 +252,7 @@
 
     request: int
     retry_after_us: int = 0  # 0 = no advice
+    reason: str = ""  # one of REFUSALS, for those who watch; clients are not told
 
 
 @dataclass(slots=True)
@@ -287,3 +307,34 @@
 
 Action = (Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle
           | TellPeer | Log)
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamView:
+    """One upstream as the decisions see it now; to look at, not to decide by."""
+
+    id: int
+    state: UpstreamState
+    slots: float  # for this sidecar's sends; under 1 the one slot rests between sends
+    used: int
+    resting: bool
+    cold: bool
+    failing: bool
+    mute: bool  # answers nothing at present
+    least_us: int  # its quickest answer; 0 = none yet
+
+
+def unchangeable(old: Settings, new: Settings) -> str:
+    """What of `new` a running instance can't take on, as one phrase; empty if it can take all of it."""
+    def kept(c: RequestClass) -> tuple[object, ...]:
+        return c.name, c.effect, c.group, c.stream
+
+    for index, before in enumerate(old.classes):
+        if index >= len(new.classes):
+            return f"request class {before.name!r} is taken away"
+        if kept(before) != kept(new.classes[index]):
+            return f"name, effect, group or stream of request class {before.name!r}"
+    for name in ("list_on_request", "report_names", "zone"):
+        if getattr(old, name) != getattr(new, name):
+            return name.replace("_", " ")
+    return ""
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ironscale import settings
@@ -32,6 +32,9 @@
     idle_us: int  # an upstream closes a connection that has been idle for this long
     directory: Directory  # reads discovery's lists with the settings' zone and kind names
     known: Listing  # the list as last known; may be empty or old
+    document: Mapping[str, Any]  # the JSON that all this was read from
+    generation: int = 0  # of the overlay that it was started with; 0 = none
+    overlay: Mapping[str, Any] = field(default_factory=dict)
 
 
 def parse_address(text: object, what: str) -> Address:
@@ -76,6 +79,7 @@
             idle_us=options.whole("bounds.conn-idle", "15000000"),
             directory=directory,
             known=known,
+            document=data,
         )
     except settings.SettingsError as error:
         raise ConfigError(str(error)) from error
@@ -85,10 +89,20 @@
         raise ConfigError(f"seed or limits: {error}") from error
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    path = environ.get("GW_CONFIG")
-    if not path:
-        raise ConfigError("GW_CONFIG is not set")
+def merged(base: Any, patch: Any) -> Any:
+    """`base` with a JSON merge patch (RFC 7396) on it; neither is changed."""
+    if not isinstance(patch, Mapping):
+        return patch
+    result = dict(base) if isinstance(base, Mapping) else {}
+    for name, value in patch.items():
+        if value is None:
+            result.pop(name, None)
+        else:
+            result[name] = merged(result.get(name), value)
+    return result
+
+
+def read_object(path: str) -> dict[str, Any]:
     try:
         with open(path, encoding="utf-8") as file:
             data = json.load(file)
@@ -98,4 +112,20 @@
         raise ConfigError(f"{path}: not JSON: {error}") from error
     if not isinstance(data, dict):
         raise ConfigError(f"{path}: expected a JSON object")
-    return parse(data, environ)
+    return data
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """GW_CONFIG names the file; GW_OVERLAY, if set, one of `generation` and `overlay`, a patch on the first."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    base = read_object(path)
+    patch_path = environ.get("GW_OVERLAY")
+    if not patch_path:
+        return parse(base, environ)
+    patch = read_object(patch_path)
+    generation, overlay = patch.get("generation"), patch.get("overlay")
+    if not isinstance(generation, int) or not isinstance(overlay, dict):
+        raise ConfigError(f"{patch_path}: expected a whole generation and an object overlay, got {patch!r:.80}")
+    return replace(parse(merged(base, overlay), environ), document=base, generation=generation, overlay=overlay)
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -271,8 +271,8 @@
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
 
-    async def listen(self, address: tuple[str, int]) -> int:
-        self.listener = listener = socket.create_server(address, backlog=1024)
+    async def listen(self, address: tuple[str, int], reuse_port: bool = False) -> int:
+        self.listener = listener = socket.create_server(address, backlog=1024, reuse_port=reuse_port)
         listener.setblocking(False)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what it accepts inherits it
         self.loop.add_reader(listener, self.accept)
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -10,15 +10,17 @@
 import sys
 import time
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager, nullcontext
 from functools import partial
 from hashlib import blake2b
+from typing import Any
 from urllib.parse import parse_qs
 
 from ironscale import interface as api
 from ironscale.balance import Balancer
-from ironscale.net.config import Config, ConfigError, load
+from ironscale.net.config import Config, ConfigError, load, merged, parse
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.server import HOP_BY_HOP, Exchange, Headers, Server
 from ironscale.net.upstream import Answer, Attempt, Upstreams
@@ -70,11 +72,16 @@
         self.handle.cancel()
 
 
+class NeedsRestart(Exception):
+    """A configuration that is valid, but that only a new process can take on; the text says what of it."""
+
+
 class Request:
     """A taken request, until it is answered and all its attempts have ended."""
 
-    def __init__(self, ident: int, txn: str, exchange: Exchange, due_us: int) -> None:
+    def __init__(self, ident: int, index: int, txn: str, exchange: Exchange, due_us: int) -> None:
         self.ident = ident
+        self.index = index  # of its class
         self.txn = txn
         self.exchange = exchange
         self.due_us = due_us
@@ -111,8 +118,10 @@
 
 
 class Sidecar:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, environ: Mapping[str, str] | None = None) -> None:
         self.config = config
+        self.environ = environ or {}
+        self.base = config.document
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
         settings = config.settings
@@ -129,11 +138,19 @@
         self.events: deque[api.Event] = deque()
         self.pumping = False
         self.has_list = False
-
-    async def start(self) -> int:
+        self.draining = False
+        self.port = 0  # that it listens on
+        self.generation = config.generation  # of the configuration that runs; 0 = the file alone
+        self.overlay = config.overlay
+        # Answers by (index of the class, what it was: served, refused, failed), and refusals by their reason.
+        self.answers: Counter[tuple[int, str]] = Counter()
+        self.refusals: Counter[str] = Counter()
+
+    async def start(self, reuse_port: bool = False) -> int:
         """Listen, with the list as last known; gives the port."""
         self.on_list(api.ListKind.CACHED, self.config.known)
-        return await self.server.listen(self.config.listen)
+        self.port = await self.server.listen(self.config.listen, reuse_port)
+        return self.port
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again. Discovery's address can change; the rest needs a restart."""
@@ -147,9 +164,42 @@
         address, before = config.discovery_in_file, self.config.discovery_in_file
         self.config.discovery_in_file = address
         if address is not None and address != before:
+            self.base = {**self.base, "discovery": config.document["discovery"]}
             self.log(f"reload: discovery is at {address[0]}:{address[1]}")
             self.discovery.move(address)
 
+    def drain(self, draining: bool) -> None:
+        """Out of service, or back: readiness says 503 and the decisions refuse what is new."""
+        self.draining = draining
+        self.post(api.DrainChanged(draining))
+
+    def reconfigure(self, generation: int, overlay: Mapping[str, Any]) -> None:
+        """Runs the file's configuration with `overlay` (a JSON merge patch) on it: all of it, or nothing.
+
+        Raises ConfigError if that is no valid configuration, NeedsRestart if only a new process can run it.
+        Called between two events, so no request sees half of it.
+        """
+        base, old = self.base, self.config
+        new = parse(merged(base, overlay), self.environ)
+        fixed = api.unchangeable(old.settings, new.settings)
+        for name in ("name", "listen"):
+            if getattr(old, name) != getattr(new, name):
+                fixed = fixed or name
+        places = [(c.directory.zones, c.directory.kinds, c.report_fields) for c in (old, new)]
+        fixed = fixed or ("areas, kinds or report fields" if places[0] != places[1] else "")
+        if fixed:
+            raise NeedsRestart(fixed)
+        # Nothing below can fail: each takes on a value that has been checked.
+        self.config, self.generation, self.overlay = new, generation, overlay
+        half = max(1, (new.sockets - SPARE_SOCKETS) // 2)
+        self.server.most = self.upstreams.most = half
+        self.upstreams.set_times(new.idle_us, new.settings.connect_timeout_us)
+        self.classes = {c.name: i for i, c in enumerate(new.settings.classes)}
+        self.tenants = {t.name: i for i, t in enumerate(new.settings.tenants)}
+        self.post(api.SettingsChanged(new.settings))
+        if new.discovery_in_file is not None and new.discovery_in_file != old.discovery_in_file:
+            self.discovery.move(new.discovery_in_file)  # as at a reload: the environment counts at the start
+
     async def stop(self) -> None:
         longest_s = max(c.deadline_us for c in self.config.settings.classes) / 1e6
         await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, STOP_MOST_S + longest_s)
@@ -191,7 +241,7 @@
                     self.fail(action.request)
 
     def is_ready(self) -> bool:
-        return self.has_list
+        return self.has_list and not self.draining
 
     def on_request(self, exchange: Exchange) -> None:
         txn, index = exchange.header(b"x-txn"), self.classes.get(exchange.header(b"x-lane"))
@@ -205,7 +255,7 @@
         ident = self.next_request
         self.next_request += 1
         # hazard: counted from later, a request that waited behind another would be answered too late
-        request = Request(ident, txn, exchange, exchange.arrived_us + remaining_us - MARGIN_US)
+        request = Request(ident, index, txn, exchange, exchange.arrived_us + remaining_us - MARGIN_US)
         self.requests[ident] = self.by_txn[txn] = request
         # hazard: an answer must come even if the decisions lose the request
         request.backstop = self.at(request.due_us + BACKSTOP_US, partial(self.fail, ident))
@@ -257,6 +307,7 @@
         if outcome is api.Outcome.OK and answer is not None and request.is_open():
             headers = [h for h in answer.headers if h[0] not in HOP_BY_HOP]
             request.exchange.answer(200, headers, answer.body)
+            self.answers[request.index, "served"] += 1
             self.close(request)
         elapsed_us = self.clock.now_us() - sent_us
         report = read_report(answer.headers, self.config.report_fields) if answer is not None else []
@@ -269,6 +320,7 @@
             case api.Send():
                 self.send(action)
             case api.Refuse():
+                self.refusals[action.reason] += 1
                 after_us = action.retry_after_us
                 headers = [(b"Retry-After", b"%.3f" % (after_us / 1e6))] if after_us > 0 else []
                 self.answer(action.request, 503, headers)
@@ -332,6 +384,7 @@
         request = self.requests.get(ident)
         if request is not None and request.is_open():
             request.exchange.answer(status, headers)
+            self.answers[request.index, "refused" if status == 503 else "failed"] += 1
             self.close(request)
 
     def fail(self, ident: int) -> None:
@@ -366,15 +419,22 @@
         print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
 
 
-async def serve(environ: Mapping[str, str]) -> None:
+# What a subsystem runs beside a started sidecar: given the sidecar and what ends the process.
+Beside = Callable[[Sidecar, Callable[[], None]], AbstractAsyncContextManager[None]]
+
+
+async def serve(environ: Mapping[str, str], beside: Beside | None = None,
+                reuse_port: bool = False) -> None:
+    """One sidecar from its start to its end by a signal, or by `beside`."""
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    sidecar = Sidecar(load(environ))
+    sidecar = Sidecar(load(environ), environ)
     loop.add_signal_handler(signal.SIGHUP, sidecar.reload, environ)
-    await sidecar.start()
+    await sidecar.start(reuse_port)
     gc.collect()
     gc.freeze()  # what is here stays: the collector need not walk it again
-    await stopped.wait()
-    await sidecar.stop()
+    async with beside(sidecar, stopped.set) if beside is not None else nullcontext():
+        await stopped.wait()
+        await sidecar.stop()
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -377,8 +377,7 @@
 
     def __init__(self, now_us: Callable[[], int], idle_us: int, connect_us: int, most: int) -> None:
         self.now_us = now_us
-        self.idle_us = int(idle_us * IDLE_SHARE)
-        self.connect_s = connect_us / 1e6 or DEFAULT_CONNECT_S
+        self.set_times(idle_us, connect_us)
         self.most = most  # open connections
         self.open = 0  # connections, those coming up among them
         self.pools: dict[int, Pool] = {}
@@ -386,6 +385,10 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
+    def set_times(self, idle_us: int, connect_us: int) -> None:
+        self.idle_us = int(idle_us * IDLE_SHARE)
+        self.connect_s = connect_us / 1e6 or DEFAULT_CONNECT_S
+
     def settle_addresses(self, members: list[Member], full: bool) -> list[Member]:
         """The list, with those gone whose address another has taken over. Hazard: what is meant for one
         that has gone, if its end is told late, would go to the cold process in its place."""
--- /dev/null
+++ b/ironscale/operator_file.py
@@ -0,0 +1,272 @@
+"""The operator file: one reader for everything that is off unless it is named there.
+
+One error style: file, key path, what was expected, what stood there, in one line.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar
+
+Address = tuple[str, int]
+T = TypeVar("T")
+MOST_INSTANCES = 5_000
+
+
+class OperatorFileError(Exception):
+    """An operator file that cannot be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Control:
+    """`[control]`: the instance's side. It dials the agent and keeps one connection."""
+
+    agent: Address
+    token_file: Path
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Sidecar:
+    """`[sidecar]`: how the listener is opened."""
+
+    reuse_port: bool = False  # a successor may listen on the same port before this one has ended
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """`[[agent.service]]`: local instances that the agent starts and keeps running."""
+
+    name: str  # instances are called name-0, name-1 ...
+    count: int
+    config: Path  # JSON; its `name`, `listen` and `settings.self-index` are set for each instance
+    host: str = "127.0.0.1"
+    first_port: int = 0  # instance i listens on first_port + i; 0 = each on one from the kernel
+    zone: str = ""
+    environment: Mapping[str, str] = field(default_factory=dict)
+    stop_s: float = 8.0  # from SIGTERM to SIGKILL; no less than the longest deadline and 1.5 s
+    make_before_break: bool = False  # the successor starts on the same port before the old one is told to end
+
+
+@dataclass(frozen=True, slots=True)
+class Agent:
+    """`[agent]`: the agent itself."""
+
+    data: Path = Path(".ironscale")  # folder of the store and the tokens
+    control: Address = ("127.0.0.1", 7400)  # instances dial here
+    api: Address = ("127.0.0.1", 7401)  # GraphQL over HTTP
+    remote: bool = False  # addresses other than loopback are allowed
+    introspection: bool = True
+    lease_s: float = 6.0
+    heartbeat_s: float = 2.0
+    most_instances: int = MOST_INSTANCES
+    services: tuple[Service, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorFile:
+    control: Control | None = None
+    sidecar: Sidecar = Sidecar()
+    agent: Agent | None = None
+
+
+class _Table:
+    """One table of the file; keys that nobody asked for are errors."""
+
+    def __init__(self, file: str, path: str, values: Any, folder: Path) -> None:
+        self.file, self.path, self.folder = file, path, folder
+        if not isinstance(values, dict):
+            raise OperatorFileError(f"{file}: {path}: expected a table, got {values!r}")
+        self.values: dict[str, Any] = values
+        self.asked: set[str] = set()
+
+    def at(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def fail(self, key: str, expected: str) -> OperatorFileError:
+        got = repr(self.values[key]) if key in self.values else "nothing"
+        return OperatorFileError(f"{self.file}: {self.at(key)}: expected {expected}, got {got}")
+
+    def get(self, key: str, expected: str, read: Callable[[Any], T | None], default: T | None = None) -> T:
+        """The value, checked by `read` (None = not what is expected); without a default it must be there."""
+        self.asked.add(key)
+        if key not in self.values and default is not None:
+            return default
+        value = read(self.values[key]) if key in self.values else None
+        if value is None:
+            raise self.fail(key, expected)
+        return value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        return self.get(key, "a text without line breaks", _text, default)
+
+    def flag(self, key: str, default: bool) -> bool:
+        return self.get(key, "true or false", lambda v: v if isinstance(v, bool) else None, default)
+
+    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
+        def read(value: Any) -> int | None:
+            right = isinstance(value, int) and not isinstance(value, bool) and least <= value <= most
+            return value if right else None
+
+        return self.get(key, f"a whole number from {least} to {most}", read, default)
+
+    def seconds(self, key: str, least: float, most: float, default: float) -> float:
+        def read(value: Any) -> float | None:
+            right = isinstance(value, int | float) and not isinstance(value, bool) and least <= value <= most
+            return float(value) if right else None
+
+        return self.get(key, f"seconds from {least:g} to {most:g}", read, default)
+
+    def address(self, key: str, default: Address | None = None) -> Address:
+        return self.get(key, "HOST:PORT", read_address, default)
+
+    def file_path(self, key: str, default: Path | None = None) -> Path:
+        text = self.get(key, "a path", _text, str(default) if default is not None else None)
+        return self.folder / text
+
+    def table(self, key: str) -> _Table | None:
+        self.asked.add(key)
+        return _Table(self.file, self.at(key), self.values[key], self.folder) if key in self.values else None
+
+    def tables(self, key: str) -> list[_Table]:
+        self.asked.add(key)
+        entries = self.values.get(key, [])
+        if not isinstance(entries, list):
+            raise self.fail(key, f"tables [[{self.at(key)}]]")
+        return [_Table(self.file, f"{self.at(key)}[{i}]", entry, self.folder)
+                for i, entry in enumerate(entries)]
+
+    def end(self) -> None:
+        for key in self.values:
+            if key not in self.asked:
+                known = ", ".join(sorted(self.asked)) or "no key"
+                raise OperatorFileError(f"{self.file}: {self.at(key)}: expected one of {known}, got this key")
+
+
+def _text(value: Any) -> str | None:
+    return value if isinstance(value, str) and value and value.isprintable() else None
+
+
+def read_address(value: Any) -> Address | None:
+    host, colon, port = str(value).rpartition(":")
+    right = (isinstance(value, str) and colon and host and host.isprintable() and port.isascii()
+             and port.isdecimal() and int(port) <= 65535)
+    return (host, int(port)) if right else None
+
+
+def is_loopback(address: Address) -> bool:
+    return address[0] in ("localhost", "::1") or address[0].startswith("127.")
+
+
+def _service(table: _Table) -> Service:
+    count = table.whole("count", 1, MOST_INSTANCES)
+    first_port = table.whole("first_port", 0, 65535, 0)
+    if first_port + count - 1 > 65535:
+        raise table.fail("first_port", f"a port with room for {count} instances")
+    environment = {}
+    variables = table.table("environment")
+    if variables is not None:
+        environment = {name: variables.text(name) for name in variables.values}
+    service = Service(
+        name=table.text("name"), count=count, config=table.file_path("config"),
+        host=table.text("host", "127.0.0.1"), first_port=first_port, zone=table.get("zone", "a text", _text, ""),
+        environment=environment, stop_s=table.seconds("stop_s", 0.5, 3600, 8.0),
+        make_before_break=table.flag("make_before_break", False),
+    )
+    if service.make_before_break and first_port == 0:
+        raise table.fail("make_before_break", "false, or a first_port that the successor can share")
+    table.end()
+    return service
+
+
+def _agent(table: _Table) -> Agent:
+    agent = Agent(
+        data=table.file_path("data", Path(".ironscale")),
+        control=table.address("control", ("127.0.0.1", 7400)),
+        api=table.address("api", ("127.0.0.1", 7401)),
+        remote=table.flag("remote", False),
+        introspection=table.flag("introspection", True),
+        lease_s=table.seconds("lease_s", 0.2, 600, 6.0),
+        heartbeat_s=table.seconds("heartbeat_s", 0.05, 120, 2.0),
+        most_instances=table.whole("most_instances", 1, 100_000, MOST_INSTANCES),
+        services=tuple(_service(entry) for entry in table.tables("service")),
+    )
+    for key, address in (("control", agent.control), ("api", agent.api)):
+        if not agent.remote and not is_loopback(address):
+            raise table.fail(key, "a loopback address, or remote = true beside it")
+    if agent.lease_s < 2 * agent.heartbeat_s:
+        raise table.fail("lease_s", f"seconds of two heartbeats ({2 * agent.heartbeat_s:g}) or more")
+    names = [service.name for service in agent.services]
+    for name in names:
+        if names.count(name) > 1:
+            raise OperatorFileError(f"{table.file}: {table.at('service')}: expected names that differ, "
+                                    f"got {name!r} twice")
+    table.end()
+    return agent
+
+
+def parse(text: str, file: str, folder: Path) -> OperatorFile:
+    """Checks the whole file; relative paths in it start from `folder`."""
+    try:
+        root = _Table(file, "", tomllib.loads(text), folder)
+    except tomllib.TOMLDecodeError as error:
+        raise OperatorFileError(f"{file}: expected TOML, got {error}") from error
+    control = root.table("control")
+    sidecar = root.table("sidecar")
+    agent = root.table("agent")
+    found = OperatorFile(
+        control=Control(control.address("agent"), control.file_path("token_file"),
+                        control.get("zone", "a text", _text, "")) if control is not None else None,
+        sidecar=Sidecar(sidecar.flag("reuse_port", False)) if sidecar is not None else Sidecar(),
+        agent=_agent(agent) if agent is not None else None,
+    )
+    for table in (control, sidecar, root):
+        if table is not None:
+            table.end()
+    return found
+
+
+def load(path: str | Path) -> OperatorFile:
+    path = Path(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise OperatorFileError(f"{path}: expected a file that can be read, got {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise OperatorFileError(f"{path}: expected UTF-8, got byte {error.object[error.start]:#04x} "
+                                f"at {error.start}") from error
+    return parse(text, str(path), path.parent)
+
+
+def read_secret(path: Path) -> str:
+    """A token from a file that nobody else can read."""
+    try:
+        mode = path.stat().st_mode
+        text = path.read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "not ASCII"
+        raise OperatorFileError(f"{path}: expected a token, got {reason}") from error
+    if mode & 0o077:
+        raise OperatorFileError(f"{path}: expected mode 0600, got {mode & 0o777:04o}; chmod 600 it")
+    if not text or not text.isprintable():
+        raise OperatorFileError(f"{path}: expected a token in one line, got {len(text)} characters")
+    return text
+
+
+def from_environment(environ: Mapping[str, str]) -> OperatorFile:
+    """GW_OPERATOR names the file; GW_AGENT, GW_AGENT_TOKEN_FILE and GW_ZONE go before its [control]."""
+    path = environ.get("GW_OPERATOR")
+    found = load(path) if path else OperatorFile()
+    if not environ.get("GW_AGENT"):
+        return found
+    address = read_address(environ["GW_AGENT"])
+    if address is None:
+        raise OperatorFileError(f"GW_AGENT: expected HOST:PORT, got {environ['GW_AGENT']!r}")
+    token_file = environ.get("GW_AGENT_TOKEN_FILE") or (found.control.token_file if found.control else None)
+    if not token_file:
+        raise OperatorFileError("GW_AGENT_TOKEN_FILE: expected a path, got nothing")
+    zone = environ.get("GW_ZONE") or (found.control.zone if found.control else "")
+    return OperatorFile(Control(address, Path(token_file), zone), found.sidecar, found.agent)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -587,7 +587,7 @@
     world = ready_world(2)
     unknown = RequestArrived(9_999, world.now_us + 500_000, class_index=7)
     actions = world.balancer.handle(world.now_us, unknown)
-    assert actions == [Refuse(9_999)]
+    assert actions == [Refuse(9_999, reason="unknown class")]
 
 
 def test_the_readme_names_the_lines_that_are_written() -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -275,16 +275,21 @@
     monkeypatch.setattr(module, "REST_US", 20_000_000)
 
     async def test() -> None:
-        peer = await Peer(reply(ok(b"one"))).start()
+        answered: list[asyncio.StreamWriter] = []
+
+        async def one(peer: Peer, message: Message, writer: asyncio.StreamWriter) -> None:
+            answered.append(writer)
+            writer.write(ok(b"one"))
+
+        peer = await Peer(one).start()
         line = Line(peer)
         follower: list[asyncio.Future[Any]] = []
         first = Attempt(GET, lambda: True, lambda *end: follower.append(line.start()[1]))
         line.pool.start(first)
         await until(lambda: follower)
-        writers = list(peer.writers)
+        # to the first connection alone: the follower's may be up already, and strays would end it
         peer.behave = reply(ok(b"next"))
-        for writer in writers:
-            writer.write(ok(b"copy"))
+        answered[0].write(ok(b"copy"))
         assert (await follower[0])[1].body in (b"one", b"next") and peer.opened == 2
 
     run(test)
