--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -80,7 +80,8 @@
 
 
 def _unheard(target: Target, seen: Seen) -> Target:
-    had = "had applied; " if target.state is State.APPLIED else ""
+    applied = target.state is State.APPLIED or target.detail.startswith("had applied; ")
+    had = "had applied; " if applied else ""
     if seen.ended:
         return replace(target, state=State.GONE, detail=f"{had}{seen.ended}")
     if target.state in (State.NO_ANSWER, State.GONE):
--- /dev/null
+++ b/tests/agent/scene.py
@@ -0,0 +1,130 @@
+"""An agent in this process, light instances around it, and a caller of its API."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import httpx
+import uvloop
+
+from ironscale.agent.engine import Engine
+from ironscale.agent.model import OPEN, Kind, Operation, Policy, State, Target
+from ironscale.agent.serve import Agent, running
+from ironscale.control.client import Client
+from ironscale.control.light import LightInstance, light, stop
+from ironscale.operator_file import Agent as Section
+from ironscale.operator_file import read_secret
+
+LIMIT_S = 60.0
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    async def limited() -> None:
+        await asyncio.wait_for(test(), LIMIT_S)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(limited())
+
+
+async def until(condition: Callable[[], object]) -> None:
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+def section(data: Path, **changes: Any) -> Section:
+    values: dict[str, Any] = {"control": ("127.0.0.1", 0), "api": ("127.0.0.1", 0), "lease_s": 2.0,
+                              "heartbeat_s": 0.1, **changes}
+    return Section(data=data, **values)
+
+
+class AgentScene:
+    """Light instances by name, on one agent."""
+
+    def __init__(self, agent: Agent, seed: int) -> None:
+        self.agent = agent
+        self.random = random.Random(seed)
+        self.instances: dict[str, LightInstance] = {}
+        self.clients: dict[str, Client] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.token = read_secret(agent.data / "instance.token")
+        self.admin = read_secret(agent.data / "admin.token")
+
+    @property
+    def engine(self) -> Engine:
+        return self.agent.engine
+
+    def start(self, name: str, **changes: Any) -> LightInstance:
+        """A process of this name; a former one is gone without a word."""
+        if name in self.tasks:
+            self.tasks[name].cancel()
+        address = ("127.0.0.1", self.agent.control_port)
+        rng = random.Random(self.random.random())
+        instance, client = light(name, address, changes.pop("token", self.token), rng=rng, **changes)
+        self.instances[name], self.clients[name] = instance, client
+        self.tasks[name] = asyncio.create_task(client.run())
+        return instance
+
+    async def start_many(self, count: int, **changes: Any) -> None:
+        for index in range(count):
+            self.start(f"i{index:04}", **changes)
+        await until(lambda: sum(m.link is not None and m.report is not None
+                                for m in self.agent.fleet.members.values()) >= count)
+
+    def kill(self, name: str) -> None:
+        self.tasks.pop(name).cancel()
+
+    def cut(self, name: str) -> None:
+        """Its connection breaks: what it says from now on is lost."""
+        session = self.clients[name].session
+        assert session is not None and session.transport is not None
+        session.transport.abort()
+
+    async def begin(self, kind: Kind = Kind.RECONFIGURE, names: list[str] | None = None, actor: str = "ann",
+                    policy: Policy | None = None, **changes: Any) -> int:
+        if kind is Kind.RECONFIGURE and "overlay" not in changes:
+            changes.update(overlay={"settings": {"instances": 2}}, expect=0)
+        op, _ = await self.engine.begin(actor, kind, names if names is not None else list(self.instances),
+                                        policy or Policy(), **changes)
+        return op.id
+
+    async def end(self, ident: int) -> tuple[Operation, list[Target]]:
+        while True:
+            found = await self.engine.find(ident)
+            assert found is not None
+            if found[0].phase not in OPEN:
+                return found
+            await asyncio.sleep(0.005)
+
+    async def states(self, ident: int) -> dict[str, State]:
+        _, targets = await self.end(ident)
+        return {target.name: target.state for target in targets}
+
+    def api(self, token: str | None = None) -> httpx.AsyncClient:
+        headers = {"Authorization": f"Bearer {token or self.admin}"}
+        return httpx.AsyncClient(base_url=f"http://127.0.0.1:{self.agent.api_port}", headers=headers, trust_env=False,
+                                 timeout=20)
+
+    async def ask(self, query: str, token: str | None = None, **variables: Any) -> dict[str, Any]:
+        async with self.api(token) as client:
+            answer = await client.post("/graphql", json={"query": query, "variables": variables})
+            body: dict[str, Any] = answer.json()
+            return body
+
+    async def close(self) -> None:
+        for task in self.tasks.values():
+            await stop(task)
+
+
+@contextlib.asynccontextmanager
+async def scene(data: Path, seed: int = 1, **changes: Any) -> AsyncIterator[AgentScene]:
+    async with running(section(data, **changes)) as agent:
+        found = AgentScene(agent, seed)
+        try:
+            yield found
+        finally:
+            await found.close()
--- /dev/null
+++ b/tests/agent/test_store.py
@@ -0,0 +1,247 @@
+"""The record in SQLite: what is told to be kept is kept, and what can't be kept is told."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.agent import sqlite as module
+from ironscale.agent.model import Kind, Operation, Phase, Policy, State, Target
+from ironscale.agent.sqlite import MIGRATIONS, SCHEMA, SqliteStore, connect
+from ironscale.agent.store import Configuration, InstanceRow, Records, StoreError, TokenRow
+from tests.deployed import ROOT
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 30))
+
+
+def row(name: str, **changes: Any) -> InstanceRow:
+    values: dict[str, Any] = {"boot": "b", "pid": 1, "version": "0", "zone": "a", "listen": "h:1", "started_ms": 5,
+                              "first_seen_ms": 6, "heard_ms": 7, "connected": True, "generation": 2, "desired": 0,
+                              **changes}
+    return InstanceRow(name, **values)
+
+
+OP = Operation(1, Kind.RECONFIGURE, 3, Phase.RUNNING, "ann", Policy(2, 1, 1, "pause", 5_000, 2), 4, {"a": [1]}, "n", 8)
+TARGET = Target("i0", 0, State.NO_ANSWER, "d", 9, "b", "1.0.1", 10, 2, "applied", True, True, 3)
+
+
+def test_everything_comes_back_as_it_was_also_after_the_file_is_opened_anew(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+
+        def fill(r: Records) -> None:
+            r.put_instances([row("i0", host="m", ticks=4, ended="exit 0"), row("i1", connected=False)])
+            r.put_operation(OP)
+            r.put_targets(1, [TARGET, Target("i1", 1)])
+            r.add_configuration(Configuration(1, {"settings": {"x": None}}, "ann", 5, 1))
+            r.add_mutation("ann", "k", "f", 1, 6)
+            r.audit(1, "ann", "drain", "i0", "applied", {"x": 1})
+            r.put_token(TokenRow("t", "read", "d", 1))
+            r.set_alive(77)
+
+        await store.write(fill)
+        await store.write(lambda r: r.set_desired([("i0", 9)]))
+        await store.write(lambda r: r.put_instances([row("i0", boot="c", desired=0)]))
+        store.close()
+        store = SqliteStore(tmp_path / "a.db")
+        found = await store.read(lambda r: r.instances())
+        assert found == [row("i0", boot="c", desired=9), row("i1", connected=False)]  # only set_desired sets that
+        assert await store.read(lambda r: r.operation(1)) == OP
+        assert await store.read(lambda r: r.targets(1)) == [TARGET, Target("i1", 1)]
+        kept = Configuration(1, {"settings": {"x": None}}, "ann", 5, 1)
+        assert await store.read(lambda r: r.configuration(1)) == kept
+        assert await store.read(lambda r: r.mutation("ann", "k")) == ("f", 1)
+        assert await store.read(lambda r: r.mutation("bob", "k")) is None
+        events = await store.read(lambda r: r.events(0, 9))
+        assert [(e.actor, e.action, e.subject, e.result, e.detail) for e in events] == [
+            ("ann", "drain", "i0", "applied", {"x": 1})]
+        assert await store.read(lambda r: (r.alive_ms(), r.current_generation())) == (77, 1)
+        assert [await store.write(lambda r: r.next_fence()) for _ in range(3)] == [1, 2, 3]
+        store.close()
+
+    run(test())
+
+
+def test_a_piece_of_work_that_fails_leaves_nothing_and_takes_no_other_along(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+
+        def half(records: Records) -> None:
+            records.put_token(TokenRow("half", "read", "d", 1))
+            raise ValueError("in the middle")
+
+        def twice(records: Records) -> None:
+            records.put_operation(OP)
+            for _ in range(2):
+                records.add_configuration(Configuration(1, {}, "ann", 1, 1))
+
+        results = await asyncio.gather(
+            store.write(lambda r: r.put_token(TokenRow("first", "read", "d", 1))), store.write(half),
+            store.write(twice), store.write(lambda r: r.put_token(TokenRow("last", "read", "d", 1))),
+            return_exceptions=True)
+        assert isinstance(results[1], ValueError) and isinstance(results[2], StoreError)
+        assert [t.name for t in await store.read(lambda r: r.tokens())] == ["first", "last"]
+        assert await store.read(lambda r: r.operation(1)) is None
+        store.close()
+
+    run(test())
+
+
+def test_what_is_asked_for_during_a_commit_shares_the_next(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+        await asyncio.gather(*(store.write(lambda r: r.next_fence()) for _ in range(500)))
+        assert store.commits < 100
+        assert await store.write(lambda r: r.next_fence()) == 501
+        store.close()
+
+    run(test())
+
+
+def test_the_audit_log_is_append_only(tmp_path: Path) -> None:
+    connection = connect(tmp_path / "a.db")
+    module.SqliteRecords(connection).audit(1, "ann", "drain", "i0", "applied")
+    for statement in ("UPDATE audit SET actor = 'bob'", "DELETE FROM audit"):
+        with pytest.raises(sqlite3.DatabaseError, match="append-only"):
+            connection.execute(statement)
+    assert connection.execute("SELECT count(*) FROM audit").fetchone() == (1,)
+
+
+def test_files_are_for_the_owner_alone(tmp_path: Path) -> None:
+    os.umask(0o022)
+    connection = connect(tmp_path / "a.db")
+    connection.execute("INSERT INTO counters VALUES ('x', 1)")
+    assert {path.name: oct(path.stat().st_mode & 0o777) for path in tmp_path.iterdir()} == {
+        "a.db": "0o600", "a.db-wal": "0o600", "a.db-shm": "0o600"}
+
+
+def test_a_newer_file_is_refused_and_left_as_it_is(tmp_path: Path) -> None:
+    connect(tmp_path / "a.db").execute(f"PRAGMA user_version = {SCHEMA + 4}")
+    with pytest.raises(StoreError, match=f"expected schema {SCHEMA} or older, got {SCHEMA + 4}") as found:
+        connect(tmp_path / "a.db")
+    assert found.value.code == "NEWER"
+    assert sqlite3.connect(tmp_path / "a.db").execute("PRAGMA user_version").fetchone() == (SCHEMA + 4,)
+
+
+def test_an_older_file_is_brought_up_and_a_migration_that_fails_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module.SqliteRecords(connect(tmp_path / "a.db")).put_token(TokenRow("t", "read", "d", 1))
+    monkeypatch.setattr(module, "SCHEMA", SCHEMA + 1)
+    broken = "ALTER TABLE tokens ADD COLUMN note TEXT;\nINSERT INTO nowhere VALUES (1);\n"
+    monkeypatch.setattr(module, "MIGRATIONS", (*MIGRATIONS, broken))
+    with pytest.raises(StoreError, match="no such table"):
+        connect(tmp_path / "a.db")
+    plain = sqlite3.connect(tmp_path / "a.db")
+    assert plain.execute("PRAGMA user_version").fetchone() == (SCHEMA,)
+    assert "note" not in [r[1] for r in plain.execute("PRAGMA table_info(tokens)")]
+    plain.close()
+    monkeypatch.setattr(module, "MIGRATIONS", (*MIGRATIONS, "ALTER TABLE tokens ADD COLUMN note TEXT;\n"))
+    migrated = connect(tmp_path / "a.db")
+    assert migrated.execute("SELECT name, note FROM tokens").fetchall() == [("t", None)]
+
+
+def test_a_full_disk_is_told_nothing_is_half_kept_and_it_goes_on_when_there_is_room(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+        await store.write(lambda r: r.audit(1, "ann", "a", "b", "c"))
+        pages = store.connection.execute("PRAGMA page_count").fetchone()[0]
+        store.connection.execute(f"PRAGMA max_page_count = {pages + 2}")
+        kept = 0
+        with pytest.raises(StoreError, match="full; free space") as found:
+            for _ in range(200):
+                await store.write(lambda r: r.audit(1, "ann", "a", "b", "c", {"x": "y" * 500}))
+                kept += 1
+        assert found.value.code == "FULL"
+        assert len(await store.read(lambda r: r.events(0, 1_000))) == kept + 1
+        store.connection.execute("PRAGMA max_page_count = 100000")
+        await store.write(lambda r: r.audit(1, "ann", "a", "b", "again"))
+        assert len(await store.read(lambda r: r.events(0, 1_000))) == kept + 2
+        store.close()
+
+    run(test())
+
+
+def test_a_file_that_another_process_holds_is_told_as_locked(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "BUSY_MS", 50)
+
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+        other = sqlite3.connect(tmp_path / "a.db", isolation_level=None)
+        other.execute("BEGIN IMMEDIATE")
+        with pytest.raises(StoreError) as found:
+            await store.write(lambda r: r.next_fence())
+        assert found.value.code == "LOCKED"
+        other.execute("COMMIT")
+        assert await store.write(lambda r: r.next_fence()) == 1
+        store.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("damage", [b"not a database at all" * 100, b"SQLite format 3\0" + b"\xff" * 4000])
+def test_a_file_that_is_no_database_is_refused(damage: bytes, tmp_path: Path) -> None:
+    (tmp_path / "a.db").write_bytes(damage)
+    with pytest.raises(StoreError) as found:
+        connect(tmp_path / "a.db")
+    assert found.value.code in ("DAMAGED", "FAILED") and str(tmp_path / "a.db") in str(found.value)
+    assert (tmp_path / "a.db").read_bytes() == damage
+
+
+def test_a_folder_that_is_not_there_is_told(tmp_path: Path) -> None:
+    with pytest.raises(StoreError, match="No such file") as found:
+        connect(tmp_path / "none" / "a.db")
+    assert found.value.code == "READ_ONLY"
+
+
+def test_a_file_that_can_not_be_written_is_told(tmp_path: Path) -> None:
+    """Run as root, permissions bind nobody: a connection that may only read stands for them."""
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "a.db")
+        store.connection.execute("PRAGMA query_only = 1")
+        with pytest.raises(StoreError) as found:
+            await store.write(lambda r: r.next_fence())
+        assert found.value.code == "READ_ONLY"
+        store.close()
+
+    run(test())
+
+
+WRITER = """
+import asyncio, sys
+from pathlib import Path
+from ironscale.agent.sqlite import SqliteStore
+async def main():
+    store = SqliteStore(Path(sys.argv[1]))
+    while True:
+        n = await store.write(lambda r: r.next_fence())
+        await store.write(lambda r: r.audit(n, "w", "step", str(n), "done"))
+        print(n, flush=True)
+asyncio.run(main())
+"""
+
+
+def test_what_was_told_as_kept_survives_a_kill_at_any_moment(tmp_path: Path) -> None:
+    for turn in range(6):
+        writer = subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path / "a.db")], cwd=ROOT,
+                                  stdout=subprocess.PIPE, text=True)
+        assert writer.stdout is not None
+        told = [int(writer.stdout.readline()) for _ in range(5)]
+        time.sleep(0.003 * turn)
+        writer.send_signal(signal.SIGKILL)
+        told += [int(line) for line in writer.stdout.read().splitlines() if line]
+        writer.wait()
+        subjects = [r[0] for r in connect(tmp_path / "a.db").execute("SELECT subject FROM audit")]
+        assert set(map(str, told)) <= set(subjects) and len(subjects) == len(set(subjects))
--- /dev/null
+++ b/tests/control/test_client.py
@@ -0,0 +1,417 @@
+"""The client of the agent on sockets: whatever the agent does, and a real sidecar's traffic beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import pytest
+
+from ironscale.control import client as module
+from ironscale.control.client import Client, Identity
+from ironscale.control.frames import Decoder, encode
+from ironscale.control.instance import SidecarInstance
+from ironscale.control.light import LightInstance, light
+from ironscale.control.messages import (
+    FROM_INSTANCE,
+    Beat,
+    Bye,
+    Command,
+    Denied,
+    Hello,
+    Lease,
+    Message,
+    Result,
+    Welcome,
+    read,
+    write,
+)
+from ironscale.standins.http import ok
+from ironscale.standins.settings import SETTINGS
+from ironscale.standins.upstream import Peer, hang, reply
+from tests.sockets import Scene, run, until
+
+WELCOME = Welcome(5_000, 1_000, 10)
+
+
+class ScriptedAgent:
+    """Listens, keeps what it is told, says what the test says."""
+
+    def __init__(self, greet: Message | bytes | None = WELCOME) -> None:
+        self.greet = greet
+        self.got: list[Message] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> ScriptedAgent:
+        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        decoder = Decoder()
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                decoder.feed(data)
+                while (raw := decoder.next()) is not None:
+                    message = read(raw, FROM_INSTANCE)
+                    self.got.append(message)
+                    if isinstance(message, Hello) and self.greet is not None:
+                        self.say(self.greet)
+                    if isinstance(message, Beat) and isinstance(self.greet, Welcome):
+                        self.say(Lease(message.seq))
+        writer.close()
+
+    def say(self, message: Message | bytes) -> None:
+        self.writers[-1].write(message if isinstance(message, bytes) else encode(write(message)))
+
+    def results(self) -> list[Result]:
+        return [m for m in self.got if isinstance(m, Result)]
+
+    def beats(self) -> list[Beat]:
+        return [m for m in self.got if isinstance(m, Beat)]
+
+    async def command(self, ident: str, fence: int, kind: str, boot: str = "boot", **args: Any) -> Result:
+        before = len(self.results())
+        self.say(Command(ident, fence, boot, kind, args))
+        await until(lambda: len(self.results()) > before)
+        return self.results()[-1]
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def connected(agent: ScriptedAgent, log: Callable[[str], None] = lambda text: None) -> Any:
+    instance, client = light("app-0", ("127.0.0.1", agent.port), "token", boot="boot", rng=random.Random(1), log=log)
+    task = asyncio.create_task(client.run())
+    try:
+        yield instance, client
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        agent.stop()
+
+
+def test_it_says_who_it_is_beats_and_answers() -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent(Welcome(5_000, 20, 10)).start()
+        async with connected(agent) as (instance, _):
+            await until(lambda: len(agent.beats()) >= 3)
+            hello = agent.got[0]
+            assert isinstance(hello, Hello) and (hello.name, hello.boot, hello.token) == ("app-0", "boot", "token")
+            assert [beat.seq for beat in agent.beats()[:3]] == [1, 2, 3]
+            assert (await agent.command("1.0.1", 4, "drain")).status == "applied" and instance.draining
+            await until(lambda: agent.beats()[-1].report.draining and agent.beats()[-1].report.fence == 4)
+
+    run(test)
+
+
+def test_a_command_delivered_again_is_answered_and_not_done_again() -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, _):
+            await until(lambda: agent.got)
+            for _ in range(3):
+                result = await agent.command("1.0.1", 4, "reconfigure", generation=2, overlay={"settings": {}})
+                assert result.status == "applied"
+            assert instance.effects == ["generation 2"]
+            assert "superseded" in (await agent.command("0.0.1", 3, "drain")).detail
+            assert "another process" in (await agent.command("2.0.1", 9, "drain", boot="older")).detail
+            assert instance.effects == ["generation 2"]
+
+    run(test)
+
+
+def test_also_after_the_connection_was_lost_in_between() -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, _):
+            await until(lambda: agent.got)
+            agent.say(Command("1.0.1", 4, "boot", "drain"))
+            await until(lambda: instance.effects)
+            agent.writers[-1].transport.abort()
+            await until(lambda: len(agent.writers) == 2 and isinstance(agent.got[-1], Hello))
+            assert [m.fence for m in agent.got if isinstance(m, Hello)] == [0, 4]
+            assert (await agent.command("1.0.1", 4, "drain")).status == "applied"
+            assert instance.effects == ["drain"]
+
+    run(test)
+
+
+@pytest.mark.parametrize(("args", "status", "words"), [
+    ({"generation": "1", "overlay": {}}, "refused", "generation: expected a whole number"),
+    ({"generation": True, "overlay": {}}, "refused", "generation: expected"),
+    ({"generation": 1, "overlay": [1]}, "refused", "overlay: expected an object"),
+    ({"generation": 1}, "refused", "overlay: expected an object, got None"),
+    ({"generation": 1, "overlay": {"name": "other"}}, "refused", "name: expected no key"),
+    ({"generation": 1, "overlay": {"settings": {"self-index": 3}}}, "refused", "settings.self-index"),
+    ({"generation": 1, "overlay": {"settings": 3}}, "refused", "settings: expected an object"),
+    ({"generation": 1, "overlay": {"restart": 1}}, "needs restart", "listen"),
+])
+def test_a_reconfigure_that_can_not_be_carried_out_says_why(args: dict[str, Any], status: str, words: str) -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, _):
+            await until(lambda: agent.got)
+            result = await agent.command("1.0.1", 4, "reconfigure", **args)
+            assert result.status == status and words in result.detail
+            assert instance.effects == [] and instance.generation == 0
+
+    run(test)
+
+
+def test_an_instance_that_breaks_on_a_command_says_failed_and_goes_on(capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, _):
+            def broken(what: str) -> None:
+                raise RuntimeError("a bug")
+
+            instance.before_effect = broken
+            await until(lambda: agent.got)
+            result = await agent.command("1.0.1", 4, "drain")
+            assert (result.status, result.detail) == ("failed", "RuntimeError: a bug")
+            instance.before_effect = lambda what: None
+            assert (await agent.command("1.0.2", 4, "drain")).status == "applied"
+
+    run(test)
+    assert "a bug" in capsys.readouterr().err
+
+
+NONSENSE: list[bytes | Message] = [
+    b"HTTP/1.1 400 Bad Request\r\n\r\n", b"\xff" * 4000, encode({"type": "welcome"}),
+    encode(write(Lease(1))), encode(write(Command("1", 1, "boot", "drain"))),
+    encode(write(Welcome(10, 1_000, 0))), encode(write(Welcome(5_000, 0, 0))),
+    Denied("TOKEN", "no", 1),
+]
+
+
+@pytest.mark.parametrize("greeting", NONSENSE)
+def test_an_agent_that_talks_nonsense_is_left_and_asked_again(greeting: bytes | Message) -> None:
+    async def test() -> None:
+        lines: list[str] = []
+        agent = await ScriptedAgent(greeting).start()
+        async with connected(agent, lines.append) as (instance, _):
+            await until(lambda: len(agent.writers) >= 3)
+            assert len(lines) == 1 and "\n" not in lines[0]  # one line in five seconds
+            assert instance.effects == []
+            agent.greet = WELCOME
+            await until(lambda: agent.beats())
+
+    run(test)
+
+
+def test_an_agent_that_falls_silent_is_left_when_its_lease_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hazard: a machine that vanished says nothing, and the connection stays open for ever."""
+    async def test() -> None:
+        agent = await ScriptedAgent(Welcome(150, 20, 10)).start()
+        async with connected(agent):
+            await until(lambda: agent.beats())
+            agent.greet = None  # takes all and says nothing more
+            await until(lambda: len(agent.writers) >= 2)
+
+    run(test)
+
+
+def test_an_agent_that_never_says_welcome_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "WELCOME_S", 0.05)
+
+    async def test() -> None:
+        agent = await ScriptedAgent(None).start()
+        async with connected(agent):
+            await until(lambda: len(agent.writers) >= 2)
+
+    run(test)
+
+
+def test_an_agent_that_reads_nothing_does_not_fill_the_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MOST_UNSENT", 64 << 10)
+
+    async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(encode(write(Welcome(20_000, 10, 10))))
+        for i in range(2_000):
+            writer.write(encode(write(Command(f"q{i}", 0, "boot", "inspect"))))
+        await asyncio.sleep(20)
+
+    async def test() -> None:
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
+        instance, client = light("app-0", ("127.0.0.1", server.sockets[0].getsockname()[1]), "t", boot="boot")
+        many = instance.upstreams() * 200
+        instance.upstreams = lambda: many  # type: ignore[method-assign]
+        monkeypatch.setattr("ironscale.control.pacing.SHARE", 1.0)
+        task = asyncio.create_task(client.run())
+        await until(lambda: client.session is not None and client.session.transport is not None
+                    and client.session.transport.get_write_buffer_size() > 64 << 10)
+        await asyncio.sleep(0.3)
+        assert client.session is not None and client.session.transport is not None
+        assert client.session.transport.get_write_buffer_size() < 256 << 10
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+
+    run(test)
+
+
+def test_a_long_inspection_comes_in_parts() -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, _):
+            many = [{**instance.upstreams()[0], "name": f"node-{i}"} for i in range(1_234)]
+            instance.upstreams = lambda: many
+            await until(lambda: agent.got)
+            agent.say(Command("q1", 0, "boot", "inspect"))
+            await until(lambda: agent.results() and not agent.results()[-1].more)
+            parts = agent.results()
+            assert len(parts) == 13 and max(len(part.data) for part in parts) == module.PART
+            assert [u["name"] for part in parts for u in part.data] == [f"node-{i}" for i in range(1_234)]
+            assert [part.report is None for part in parts] == [True] * 12 + [False]
+
+    run(test)
+
+
+# A real sidecar
+
+
+def client_of(scene: Scene, agent: ScriptedAgent) -> tuple[SidecarInstance, Client]:
+    instance = SidecarInstance(scene.sidecar, lambda: None)
+    identity = Identity("n0", "boot", 1, "0", 1, "", f"127.0.0.1:{scene.port}", "token")
+    return instance, Client(instance, identity, ("127.0.0.1", agent.port), random.Random(2), lambda text: None)
+
+
+async def traffic(scene: Scene, statuses: Counter[int], stop: asyncio.Event) -> None:
+    lanes = ("view", "mark", "pay")
+    turn = 0
+    while not stop.is_set():
+        turn += 1
+        statuses[(await scene.call(lanes[turn % 3])).status] += 1
+
+
+def served_since(statuses: Counter[int], least: int) -> bool:
+    return sum(statuses.values()) >= least
+
+
+@pytest.mark.parametrize("what", ["gone", "nonsense", "commands", "away from the start"])
+def test_traffic_goes_on_whatever_the_agent_does(what: str) -> None:
+    async def test() -> None:
+        peers = [await Peer().start() for _ in range(4)]
+        scene = await Scene().start(*(peer.entry(f"s-{i}") for i, peer in enumerate(peers)))
+        agent = await ScriptedAgent(b"\x00\x00\x00\x05junk!" if what == "nonsense" else WELCOME).start()
+        if what == "away from the start":
+            agent.stop()
+        _, client = client_of(scene, agent)
+        control, stop, statuses = asyncio.create_task(client.run()), asyncio.Event(), Counter[int]()
+        callers = [asyncio.create_task(traffic(scene, statuses, stop)) for _ in range(3)]
+        if what != "away from the start":
+            await until(lambda: agent.got)
+        for generation in range(1, 30):
+            if what == "commands":
+                classes = [{**c, "aim": 4_000_000 - generation} for c in SETTINGS["request-classes"]]
+                result = await agent.command(f"{generation}.0.1", generation, "reconfigure", generation=generation,
+                                             overlay={"settings": {"request-classes": classes}})
+                assert (result.status, scene.sidecar.generation) == ("applied", generation)
+            elif what == "gone":
+                for writer in agent.writers:
+                    writer.transport.abort()
+            done = sum(statuses.values())
+            await until(partial(served_since, statuses, done + 10))
+        stop.set()
+        await asyncio.gather(*callers)
+        control.cancel()
+        await asyncio.gather(control, return_exceptions=True)
+        assert set(statuses) == {200}
+        runs = Counter(message.headers["x-txn"] for peer in peers for message in peer.got)
+        assert len(runs) == sum(statuses.values()) and set(runs.values()) == {1}
+        assert client.slice.longest_s < 0.5
+        agent.stop()
+
+    run(test)
+
+
+def test_a_drain_refuses_what_is_new_and_answers_what_was_taken() -> None:
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        agent = await ScriptedAgent().start()
+        instance, client = client_of(scene, agent)
+        control = asyncio.create_task(client.run())
+        held = asyncio.create_task(scene.call("pay"))
+        await until(lambda: peer.got and agent.got)
+        probe = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+        assert (await scene.raw(probe)).status == 200
+        assert (await agent.command("1.0.1", 1, "drain")).status == "applied"
+        assert (await scene.raw(probe)).status == 503
+        refused = await scene.call("pay")
+        assert refused.status == 503 and float(refused.headers["retry-after"]) > 0
+        assert instance.report(0).open == 1 and instance.report(0).refusals == {"draining": 1}
+        peer.behave = reply(ok())
+        peer.answer_held(ok())
+        assert (await held).status == 200 and len(peer.got) == 1
+        await until(lambda: instance.report(0).open == 0)
+        assert (await agent.command("2.0.1", 2, "undrain")).status == "applied"
+        assert (await scene.call()).status == 200
+        assert [(c.name, c.served, c.refused) for c in instance.report(0).classes] == [
+            ("view", 1, 0), ("pay", 1, 1), ("mark", 0, 0)]
+        control.cancel()
+        await asyncio.gather(control, return_exceptions=True)
+        agent.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("overlay", "status", "words"), [
+    ({"settings": {"instances": "many"}}, "refused", "setting instances: expected a number"),
+    ({"settings": None}, "refused", "settings: expected an object"),
+    ({"limits": {"sockets": 3}}, "refused", "limits.sockets: expected 64 or more"),
+    ({"settings": {"request-classes": None}}, "refused", "request-classes.count is missing"),
+    ({"discovery": "nowhere"}, "refused", "discovery: expected HOST:PORT"),
+    ({"settings": {"request-classes": SETTINGS["request-classes"][:2]}}, "needs restart", "'mark' is taken away"),
+    ({"settings": {"areas": ["b", "a"]}}, "needs restart", "areas"),
+])
+def test_a_reconfigure_is_all_or_nothing(overlay: dict[str, Any], status: str, words: str) -> None:
+    async def test() -> None:
+        scene = await Scene().start((await Peer().start()).entry("s-1"))
+        agent = await ScriptedAgent().start()
+        instance, client = client_of(scene, agent)
+        control = asyncio.create_task(client.run())
+        await until(lambda: agent.got)
+        good = {"settings": {"bounds": {"max-retry-after": 7_000}}, "limits": {"sockets": 100}}
+        assert (await agent.command("1.0.1", 1, "reconfigure", generation=1, overlay=good)).status == "applied"
+        sidecar = scene.sidecar
+        before = (sidecar.generation, sidecar.config, sidecar.balancer.settings, sidecar.server.most)
+        assert sidecar.balancer.settings.max_retry_after_us == 7_000 and sidecar.server.most == 34
+        result = await agent.command("2.0.1", 2, "reconfigure", generation=2, overlay={**good, **overlay})
+        assert result.status == status and words in result.detail
+        assert (sidecar.generation, sidecar.config, sidecar.balancer.settings, sidecar.server.most) == before
+        assert (await scene.call()).status == 200
+        back = await agent.command("3.0.1", 3, "reconfigure", generation=0, overlay={})
+        assert back.status == "applied" and sidecar.balancer.settings.max_retry_after_us == 1_000_000
+        control.cancel()
+        await asyncio.gather(control, return_exceptions=True)
+        agent.stop()
+
+    run(test)
+
+
+def test_a_stop_says_so_and_ends_the_process_gently() -> None:
+    async def test() -> None:
+        agent = await ScriptedAgent().start()
+        async with connected(agent) as (instance, client):
+            assert isinstance(instance, LightInstance)
+            await until(lambda: agent.got)
+            assert (await agent.command("1.0.1", 1, "stop")).detail == "ending" and instance.ended
+            client.bye("ended")
+            await until(lambda: isinstance(agent.got[-1], Bye))
+
+    run(test)
--- /dev/null
+++ b/tests/control/test_decisions.py
@@ -0,0 +1,110 @@
+"""The instance's own decisions without I/O: commands once, when to dial again, the slice of the loop."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironscale.control.commands import REMEMBERED, Commands
+from ironscale.control.messages import Command, Result
+from ironscale.control.pacing import MOST_S, SHARE, Redial, Slice
+
+
+def command(ident: str, fence: int, kind: str = "drain", boot: str = "b") -> Command:
+    return Command(ident, fence, boot, kind)
+
+
+def carry(commands: Commands, one: Command) -> str:
+    """done, or how it was answered instead."""
+    admitted, answer = commands.admit(one)
+    if admitted:
+        commands.finish(Result(one.id, "applied", "first"))
+        return "done"
+    return answer.status if answer is not None else "under way"
+
+
+def test_a_command_delivered_again_is_answered_from_memory() -> None:
+    commands = Commands("b")
+    assert carry(commands, command("1", 5)) == "done"
+    admitted, answer = commands.admit(command("1", 5))
+    assert not admitted and answer == Result("1", "applied", "first")
+
+
+def test_one_that_is_under_way_is_neither_done_nor_answered_twice() -> None:
+    commands = Commands("b")
+    assert commands.admit(command("1", 5)) == (True, None)
+    assert commands.admit(command("1", 5)) == (False, None)
+
+
+def test_a_superseded_operation_is_refused_and_changes_nothing() -> None:
+    commands = Commands("b")
+    assert carry(commands, command("2", 7)) == "done"
+    admitted, answer = commands.admit(command("1", 6))
+    assert not admitted and answer is not None and "superseded: fence 6 is below 7" in answer.detail
+    assert carry(commands, command("3", 7)) == "done"
+
+
+def test_a_command_for_the_process_before_is_refused() -> None:
+    admitted, answer = Commands("b").admit(command("1", 5, boot="a"))
+    assert not admitted and answer is not None and answer.status == "refused"
+
+
+def test_questions_have_no_fence_and_are_asked_again() -> None:
+    commands = Commands("b", fence=9)
+    assert commands.admit(command("q", 0, "inspect")) == commands.admit(command("q", 0, "inspect")) == (True, None)
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.integers(0, 12)), max_size=1200))
+def test_no_command_is_ever_done_twice(deliveries: list[tuple[int, int]]) -> None:
+    """An id belongs to one fence, as in the agent; deliveries come in any order and as often as they like."""
+    commands, done = Commands("b"), []
+    for ident, _ in deliveries:
+        one = command(str(ident), ident // 20)
+        if carry(commands, one) == "done":
+            done.append(one.id)
+    assert len(done) == len(set(done))
+
+
+def test_memory_is_bounded_and_forgets_only_what_the_fence_refuses() -> None:
+    commands = Commands("b")
+    for i in range(3 * REMEMBERED):
+        carry(commands, command(str(i), i))
+    assert len(commands.answered) == REMEMBERED
+    assert carry(commands, command("0", 0)) == "refused"
+    for i in range(2 * REMEMBERED):  # all at one fence: none may be forgotten
+        carry(commands, command(f"x{i}", 10_000))
+    assert carry(commands, command("x0", 10_000)) == "applied"
+
+
+def test_five_thousand_that_lost_one_agent_do_not_come_back_in_one_second() -> None:
+    """The agent tells them the spread: 5,000 at 200 a second is 25 s."""
+    waits = [Redial(random.Random(seed), spread_s=25.0).lost() for seed in range(5_000)]
+    busiest = max(sum(at <= wait < at + 1 for wait in waits) for at in range(26))
+    assert 150 <= busiest <= 300 and max(waits) <= 25.0
+
+
+def test_tries_that_come_to_nothing_back_off_and_stay_spread() -> None:
+    redial = Redial(random.Random(3))
+    longest = [max(Redial(random.Random(s), failures=n).failed() for s in range(200)) for n in range(8)]
+    assert longest == sorted(longest) and longest[0] < 1.1 and 25 < longest[-1] <= MOST_S
+    for _ in range(100):
+        assert 0.0 <= redial.failed() <= MOST_S
+    assert redial.lost() <= 1.0 and redial.failures == 0
+
+
+def test_denied_waits_as_long_as_it_was_told_but_not_for_ever() -> None:
+    assert 5.0 <= Redial(random.Random(1)).denied(5.0) <= 6.0
+    assert Redial(random.Random(1)).denied(1e9) <= 2 * MOST_S
+
+
+@given(st.lists(st.floats(0.0, 0.05), min_size=1, max_size=200))
+def test_control_work_stays_within_its_slice(steps: list[float]) -> None:
+    work, now_s = Slice(), 100.0
+    for took_s in steps:
+        now_s += work.wait_s(now_s) + took_s
+        work.spend(now_s, took_s)
+    whole_s = now_s + work.wait_s(now_s) - 100.0
+    assert work.spent_s <= SHARE * whole_s * 1.000001 + 1e-9
+    assert work.longest_s == max(steps)
--- /dev/null
+++ b/tests/control/test_drain_and_settings.py
@@ -0,0 +1,129 @@
+"""The decisions under a drain and under new settings, without sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironscale.interface import (
+    DrainChanged,
+    Fail,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Settings,
+    SettingsChanged,
+    Tenant,
+    Upstream,
+    unchangeable,
+)
+from tests.test_slots import MARK, PAY, READ, fill, ready_world
+from tests.world import settings
+
+
+def test_a_drained_sidecar_refuses_what_is_new_and_answers_what_it_took() -> None:
+    world = ready_world(4)
+    taken = world.arrive(PAY)
+    world.tell(DrainChanged(True))
+    new = world.arrive(READ)
+    refusal = world.answer(new)
+    assert isinstance(refusal, Refuse) and refusal.reason == "draining" and refusal.retry_after_us > 0
+    assert not world.sends(new) and world.answer(taken) is None
+    world.end(taken, 0, Outcome.OK)
+    assert world.owed[taken].answers == 1
+    world.tell(DrainChanged(False))
+    assert world.sends(world.arrive(READ))
+
+
+def test_what_waited_in_the_buffer_when_the_drain_began_is_sent() -> None:
+    world = ready_world(2)
+    waiting = fill(world)[-1]
+    world.tell(DrainChanged(True))
+    world.end(world.sends()[0].request, 0, Outcome.OK)
+    assert world.sends(waiting)
+
+
+def test_what_was_taken_is_tried_again_during_a_drain() -> None:
+    world = ready_world(4)
+    taken = world.arrive(READ)
+    world.tell(DrainChanged(True))
+    world.end(taken, 0, Outcome.FULL)
+    assert len(world.sends(taken)) == 2
+
+
+@pytest.mark.parametrize(("class_index", "kind"), [(PAY, Fail), (READ, Refuse)])
+def test_a_drain_promises_no_more_than_before(class_index: int, kind: type[object]) -> None:
+    world = ready_world(1)
+    taken = world.arrive(class_index)
+    world.tell(DrainChanged(True))
+    world.end(taken, 0, Outcome.RESET)
+    world.advance(5_000_000)
+    assert isinstance(world.answer(taken), kind)
+
+
+def test_new_settings_keep_what_was_learned_and_what_is_out() -> None:
+    world = ready_world(2, tenants=[Tenant("big", 100.0), Tenant("small", 10.0)])
+    out = world.arrive(PAY, tenant=0)
+    before = {ident: server.window.slots for ident, server in world.balancer.servers.items()}
+    world.balancer.tenant_seen = [7.0, 3.0]
+    new = settings(tenants=[Tenant("new", 5.0), Tenant("small", 10.0), Tenant("big", 200.0)])
+    new.classes.append(RequestClass("extra", 100_000, 500_000))
+    world.tell(SettingsChanged(new))
+    world.settings = new
+    assert {i: s.window.slots for i, s in world.balancer.servers.items()} == before
+    assert world.balancer.tenant_seen == [0.0, 3.0, 7.0]
+    assert world.balancer.requests[out].event.tenant == 2  # still big's
+    world.end(out, 0, Outcome.OK)
+    assert world.owed[out].answers == 1
+    assert world.sends(world.arrive(3))  # the new class is served
+
+
+def test_a_request_whose_tenant_is_taken_away_counts_as_nobodys() -> None:
+    world = ready_world(2, tenants=[Tenant("a", 1.0)])
+    out = world.arrive(READ, tenant=0)
+    world.tell(SettingsChanged(settings(tenants=[])))
+    assert world.balancer.requests[out].event.tenant == 0 >= len(world.balancer.tenant_seen)
+    assert world.sends(world.arrive(READ, tenant=0))
+
+
+def test_a_new_aim_counts_from_the_next_request() -> None:
+    world = ready_world(2, second_copies=False)
+    changed = settings(second_copies=False)
+    changed.classes[READ] = RequestClass("read", 30_000, 1_000_000)
+    world.tell(SettingsChanged(changed))
+    assert world.sends(world.arrive(READ))[0].timeout_us == 45_000
+
+
+@pytest.mark.parametrize(("change", "words"), [
+    (lambda s: s.classes.pop(), "taken away"),
+    (lambda s: setattr(s.classes[0], "name", "other"), "request class"),
+    (lambda s: setattr(s.classes[1], "effect", "idempotent"), "request class"),
+    (lambda s: setattr(s.classes[MARK], "group", "all"), "request class"),
+    (lambda s: setattr(s, "zone", 3), "zone"),
+    (lambda s: setattr(s, "report_names", ["x"]), "report names"),
+    (lambda s: setattr(s, "list_on_request", not s.list_on_request), "list on request"),
+])
+def test_what_open_requests_were_judged_by_can_not_change(change: object, words: str) -> None:
+    """Hazard: an unsafe request that is out would be sent again as if it were safe."""
+    old, new = settings(), settings()
+    change(new)  # type: ignore[operator]
+    assert words in unchangeable(old, new)
+
+
+def test_other_settings_can_change() -> None:
+    old, new = settings(), settings(instances=9, max_attempts=1, retry_after=False, cold_share=0.5)
+    new.classes[0] = RequestClass("read", 1_000, 2_000, memory_us=5)
+    new.classes.append(RequestClass("more", 1_000, 2_000))
+    new.classes[0].effect, new.classes[0].group = old.classes[0].effect, old.classes[0].group
+    new.classes[0].name = old.classes[0].name
+    assert unchangeable(old, new) == ""
+
+
+def test_the_view_shows_each_upstream() -> None:
+    world = ready_world(1)
+    world.tell_list([Upstream(100), Upstream(101, started_us=world.now_us)])
+    request = world.arrive(PAY)
+    views = {view.id: view for view in world.balancer.view()}
+    assert set(views) == {100, 101} and views[101].cold and not views[100].cold
+    assert sum(view.used for view in views.values()) == 1
+    assert views[world.sends(request)[0].upstream].slots >= 1.0
+    assert isinstance(world.balancer.settings, Settings)
--- /dev/null
+++ b/tests/control/test_off.py
@@ -0,0 +1,118 @@
+"""What is off costs nothing: the platform's sidecar loads none of it."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from ironscale.__main__ import operated
+from ironscale.net.config import ConfigError, load
+from ironscale.operator_file import OperatorFileError, from_environment, parse, read_secret
+from ironscale.standins.settings import SETTINGS
+from tests.deployed import ROOT
+
+
+def test_without_an_operator_file_nothing_beyond_the_data_path_is_loaded() -> None:
+    code = ("import sys, ironscale.__main__ as m; assert m.operated({}) == (None, False); "
+            "print(*sorted(n for n in sys.modules if n.startswith('ironscale')))")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+                          timeout=60)
+    assert done.stdout.split() == [
+        "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.interface", "ironscale.net",
+        "ironscale.net.config", "ironscale.net.discovery", "ironscale.net.server", "ironscale.net.sidecar",
+        "ironscale.net.upstream", "ironscale.settings"]
+
+
+def test_the_instances_side_needs_no_extra() -> None:
+    """A sidecar with an agent runs on requirements.txt alone."""
+    code = ("import sys, ironscale.control.beside; "
+            "print(*sorted({m.split('.')[0] for m in sys.modules} - set(sys.stdlib_module_names)))")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+                          timeout=60)
+    loaded = {name for name in done.stdout.split() if not name.startswith(("_", "cython", "sitecustomize"))}
+    assert loaded == {"ironscale", "httptools", "uvloop"}
+
+
+def test_the_shipped_operator_file_is_valid_and_switches_nothing_on() -> None:
+    text = (ROOT / "deploy" / "operator.toml").read_text()
+    found = parse(text, "operator.toml", Path("."))
+    assert found.control is None and found.agent is None and not found.sidecar.reuse_port
+    every = "\n".join(line.removeprefix("# ") for line in text.splitlines() if line.startswith("# ")
+                      and ("=" in line or "[" in line) and not line.startswith(("# Check", "# The", "# A side")))
+    full = parse(every, "operator.toml", Path("/etc"))  # and what it shows is valid too
+    assert full.agent is not None and full.agent.services[0].environment == {"LANG": "C"}
+    assert full.control is not None and full.control.token_file == Path("/etc/instance.token")
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("[control]\n", "F: control.agent: expected HOST:PORT, got nothing"),
+    ('[control]\nagent = 7400\ntoken_file = "t"', "F: control.agent: expected HOST:PORT, got 7400"),
+    ('[control]\nagent = "a:70000"\ntoken_file = "t"', "got 'a:70000'"),
+    ('[control]\nagent = "a:1"', "control.token_file: expected a path, got nothing"),
+    ('[control]\nagent = "a:1"\ntoken_file = "t"\nzome = "a"', "control.zome: expected one of agent, token_file"),
+    ("[contrl]\n", "contrl: expected one of agent, control, sidecar, got this key"),
+    ("control = 3", "control: expected a table, got 3"), ("[agent\n", "expected TOML"),
+    ("[agent]\nlease_s = '6'", "agent.lease_s: expected seconds from"), ("[agent]\nlease_s = nan", "agent.lease_s"),
+    ("[agent]\nlease_s = 2.0\nheartbeat_s = 1.5", "agent.lease_s: expected seconds of two heartbeats (3) or more"),
+    ('[agent]\napi = "0.0.0.0:1"', "agent.api: expected a loopback address, or remote = true"),
+    ("[agent]\nmost_instances = true", "agent.most_instances: expected a whole number"),
+    ("[[agent.service]]\n", "agent.service[0].count: expected a whole number from 1 to 5000, got nothing"),
+    ('[[agent.service]]\nname="a"\ncount=2\nconfig="c"\nfirst_port=65535', "a port with room for 2 instances"),
+    ('[[agent.service]]\nname="a"\ncount=2\nconfig="c"\nmake_before_break=true', "expected false, or a first_port"),
+    ('[[agent.service]]\nname="a"\ncount=2\nconfig="c"\n[[agent.service]]\nname="a"\ncount=2\nconfig="c"',
+     "expected names that differ, got 'a' twice"),
+    ("[agent]\nservice = 3", "agent.service: expected tables [[agent.service]], got 3"),
+])
+def test_a_bad_operator_file_is_told_in_one_line_with_its_place(text: str, words: str) -> None:
+    with pytest.raises(OperatorFileError) as found:
+        parse(text, "F", Path("."))
+    assert words in str(found.value) and "\n" not in str(found.value)
+
+
+def test_the_environment_names_the_agent_before_the_file(tmp_path: Path) -> None:
+    (tmp_path / "o.toml").write_text('[control]\nagent = "127.0.0.1:1"\ntoken_file = "t"\nzone = "b"\n')
+    file = {"GW_OPERATOR": str(tmp_path / "o.toml")}
+    found = from_environment(file).control
+    assert found is not None and (found.agent, found.token_file) == (("127.0.0.1", 1), tmp_path / "t")
+    found = from_environment({**file, "GW_AGENT": "127.0.0.1:2", "GW_ZONE": "c"}).control
+    assert found is not None and (found.agent, found.zone) == (("127.0.0.1", 2), "c")
+    with pytest.raises(OperatorFileError, match="GW_AGENT: expected HOST:PORT"):
+        from_environment({"GW_AGENT": "x"})
+    with pytest.raises(OperatorFileError, match="GW_AGENT_TOKEN_FILE: expected a path"):
+        from_environment({"GW_AGENT": "h:1"})
+    with pytest.raises(ConfigError, match="expected a file that can be read"):
+        operated({"GW_OPERATOR": str(tmp_path / "none.toml")})
+
+
+def test_a_token_file_that_others_can_read_is_refused(tmp_path: Path) -> None:
+    path = tmp_path / "t"
+    path.write_text("secret\n")
+    path.chmod(0o644)
+    with pytest.raises(OperatorFileError, match="expected mode 0600, got 0644"):
+        read_secret(path)
+    path.chmod(0o600)
+    assert read_secret(path) == "secret"
+    path.write_text("two\nlines")
+    with pytest.raises(OperatorFileError, match="expected a token in one line"):
+        read_secret(path)
+    with pytest.raises(OperatorFileError, match="expected a token, got No such file"):
+        read_secret(tmp_path / "none")
+
+
+def test_a_sidecar_can_start_with_an_overlay(tmp_path: Path) -> None:
+    base = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    (tmp_path / "c.json").write_text(json.dumps(base))
+    overlay = {"settings": {"instances": 7, "fees": None}}
+    (tmp_path / "o.json").write_text(json.dumps({"generation": 5, "overlay": overlay}))
+    environ = {"GW_CONFIG": str(tmp_path / "c.json"), "GW_OVERLAY": str(tmp_path / "o.json")}
+    found = load(environ)
+    assert (found.generation, found.overlay, found.settings.instances) == (5, overlay, 7)
+    assert found.document == base
+    for bad in ("{}", '{"generation": "5", "overlay": {}}', "[]", "{"):
+        (tmp_path / "o.json").write_text(bad)
+        with pytest.raises(ConfigError, match="o.json"):
+            load(environ)
