--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -289,6 +289,7 @@
         if overlay is not None:
             self.check_size(overlay)
         now_ms = self.now_ms()
+        rows = [self.fleet.members[name].row for name in names if name in self.fleet.members]
 
         def work(records: Records) -> tuple[Operation, list[Target] | None]:
             earlier = records.mutation(actor, key) if key else None
@@ -310,6 +311,8 @@
             op = Operation(ident, kind, fence, Phase.RUNNING, actor, policy, made, {"supersede": supersede},
                            "", now_ms)
             targets = [Target(name, place) for place, name in enumerate(names)]
+            # hazard: an agent killed before it had written who its targets are would not know them again
+            records.put_instances(rows)
             records.put_operation(op)
             records.put_targets(ident, targets)
             if overlay is not None:
--- a/ironscale/agent/fleet.py
+++ b/ironscale/agent/fleet.py
@@ -202,7 +202,7 @@
                 name, row.boot, member.leased, member.link is not None, row.heard_ms, row.generation,
                 report.fence if report else 0, report.ready if report else False,
                 report.draining if report else False, report.open if report else 0, row.ended,
-                supervised is not None, supervised == "awaited")
+                supervised is not None, supervised == "awaited", report is not None)
         return member.cached
 
     def view(self, names: Iterable[str]) -> Mapping[str, Seen]:
--- a/ironscale/agent/model.py
+++ b/ironscale/agent/model.py
@@ -112,6 +112,7 @@
     ended: str = ""  # how the process is known to have ended: "exit 0", "signal 9" ...; empty = not known
     supervised: bool = False
     restart_awaited: bool = False  # supervised, and to be started again
+    shown: bool = True  # this process has reported to this agent; else the rest is as the record has it
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -111,6 +111,8 @@
         return _unheard(target, seen)
     if shows(op, target, seen):
         return replace(target, state=State.REVERTED if target.reverting else State.APPLIED, detail="")
+    if target.state is State.APPLIED and not seen.shown:
+        return target  # hazard: a restarted agent's record may be older than what the process has shown
     if target.state is State.APPLIED:
         return replace(target, state=State.FAILED, detail=f"had applied; now {_missing(op, target, seen)}")
     if target.state in (State.NO_ANSWER, State.GONE):
--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -76,7 +76,7 @@
     if not text:
         return ""
     try:
-        return base64.urlsafe_b64decode(text.encode("ascii")).decode()
+        return base64.b64decode(text.encode("ascii"), altchars=b"-_", validate=True).decode()
     except ValueError:
         raise error("BAD_INPUT", f"after: expected a cursor from an earlier page, got {text!r:.60}") from None
 
--- /dev/null
+++ b/tests/agent/killed_agent.py
@@ -0,0 +1,57 @@
+"""An agent that kills itself at its Nth step: `python -m tests.agent.killed_agent DATA PORT STEP COUNT`.
+
+It begins one rollout by an idempotency key, as an operator who repeats a lost call would, waits for its end and
+prints what the record says of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from ironscale.agent.model import OPEN, Kind, Policy
+from ironscale.agent.serve import running
+from ironscale.operator_file import Agent as Section
+
+
+async def main(data: Path, port: int, fatal: int, count: int) -> None:
+    section = Section(data=data, control=("127.0.0.1", port), api=("127.0.0.1", 0), lease_s=3.0, heartbeat_s=0.1)
+    async with running(section) as agent:
+        steps = 0
+
+        def step(where: str) -> None:
+            nonlocal steps
+            steps += 1
+            if steps == fatal:
+                os.kill(os.getpid(), signal.SIGKILL)
+
+        agent.engine.step = step
+        while sum(m.link is not None and m.report is not None for m in agent.fleet.members.values()) < count:
+            await asyncio.sleep(0.01)
+        names = sorted(agent.fleet.members)
+        op, _ = await agent.engine.begin("ann", Kind.RECONFIGURE, names, Policy(wave=1), key="k", expect=0,
+                                         overlay={"settings": {"instances": 7}})
+        while True:
+            found = await agent.engine.find(op.id)
+            assert found is not None
+            if found[0].phase not in OPEN:
+                break
+            await asyncio.sleep(0.01)
+        events = await agent.engine.events(0, 500)
+        print(json.dumps({
+            "steps": steps, "phase": found[0].phase, "id": op.id,
+            "targets": {t.name: t.state for t in found[1]},
+            "begun": sum(e.result == "begun" for e in events),
+            "succeeded": sum(e.result == "succeeded" for e in events),
+            "applied": sum(e.result == "applied" for e in events),
+        }), flush=True)
+
+
+if __name__ == "__main__":
+    uvloop.run(main(Path(sys.argv[1]), *map(int, sys.argv[2:5])))
--- /dev/null
+++ b/tests/agent/test_killed.py
@@ -0,0 +1,70 @@
+"""The agent killed with SIGKILL at each of its steps: the next one ends what it began, and nothing is done twice."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.control.light import light, stop
+from ironscale.operator_file import read_secret
+from tests.agent.scene import run
+from tests.deployed import ROOT
+
+COUNT = 2
+# Two steps round the beginning, two round each commit and each send; found by running with a step out of reach.
+STEPS = 12
+
+
+async def agent(data: Path, port: int, fatal: int) -> tuple[int, dict[str, Any]]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "tests.agent.killed_agent", str(data), str(port), str(fatal), str(COUNT), cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+    out, err = await process.communicate()
+    assert process.returncode in (0, -signal.SIGKILL), err.decode()
+    return process.returncode, json.loads(out) if out else {}
+
+
+async def rollout(data: Path, fatal: int) -> tuple[int, dict[str, Any], list[list[str]]]:
+    """With an agent that dies at step `fatal`, and then with one that does not."""
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        port = found.getsockname()[1]
+    first = asyncio.create_task(agent(data, port, fatal))
+    while not (data / "instance.token").exists():
+        await asyncio.sleep(0.01)
+    token = read_secret(data / "instance.token")
+    made = [light(f"i{n}", ("127.0.0.1", port), token, rng=random.Random(n)) for n in range(COUNT)]
+    for _, client in made:
+        client.redial.spread_s = 0.05
+    tasks = [asyncio.create_task(client.run()) for _, client in made]
+    with contextlib.ExitStack() as ends:
+        for task in tasks:
+            ends.callback(task.cancel)
+        code, told = await first
+        if code:
+            code, told = await agent(data, port, 10**9)
+            assert code == 0
+            code = -signal.SIGKILL
+    for task in tasks:
+        await stop(task)
+    return code, told, [instance.effects for instance, _ in made]
+
+
+@pytest.mark.parametrize("fatal", range(1, STEPS + 2))
+def test_killed_at_this_step_the_rollout_still_ends_and_nothing_is_done_twice(fatal: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        code, told, effects = await rollout(tmp_path, fatal)
+        assert (code != 0) is (fatal <= STEPS), (fatal, told)  # the last one lives: every step has been one to die at
+        assert told["phase"] == "succeeded" and told["targets"] == {f"i{n}": "applied" for n in range(COUNT)}
+        assert (told["id"], told["begun"], told["succeeded"], told["applied"]) == (1, 1, 1, COUNT)
+        assert effects == [["generation 1"]] * COUNT
+
+    run(test)
