--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -20,7 +20,7 @@
 from ironscale.control.messages import Command, Report, Result, write
 
 RETRY_S = 1.0  # after the record could not be written
-REST_SHARE = 4  # an operation rests for so many times what its last round took: thousands report at once
+REST_SHARE = 1  # an operation rests for so many times what its last round took: thousands report at once
 CATCH_UP_S = 1.0
 INSPECT_S = 5.0
 AGENT = "agent"  # the actor of what the agent does by itself
@@ -42,6 +42,7 @@
     op: Operation
     targets: list[Target]
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    names: set[str] | None = None  # of instances that may show something new; None = any may
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     answers: deque[tuple[str, str, str]] = field(default_factory=deque)  # command, status, detail
     superseded: dict[str, int] = field(default_factory=dict)
@@ -104,6 +105,7 @@
     def adopt(self, op: Operation, targets: list[Target]) -> Live:
         for other in self.live.values():
             other.superseded.update({t.name: op.id for t in targets if t.name in other.index})
+            other.names = None
             other.changed.set()
         live = self.live[op.id] = Live(op, targets)
         if self.tasks is not None:
@@ -128,6 +130,8 @@
     def on_changed(self, name: str) -> None:
         for live in self.live.values():
             if name in live.index:
+                if live.names is not None:
+                    live.names.add(name)
                 live.changed.set()
         self.notify()
 
@@ -192,21 +196,29 @@
     async def round(self, live: Live) -> tuple[bool, int | None]:
         """One look at an operation: what changes is recorded, then sent. True if another is due at once."""
         op, answered = live.op, list(live.targets)
-        taken = len(live.answers)
+        taken, names = len(live.answers), live.names
+        live.names = set()
         for command, status, detail in list(live.answers):
             # the answers carry no place: their id does
             place = int(command.split(".")[1])
             if place < len(answered):
+                if names is not None:
+                    names.add(answered[place].name)
                 answered[place] = planner.answer(op, answered[place], command, status, detail)
-        plan = planner.advance(op, answered, self.fleet.view(live.index), self.now_ms(), live.superseded)
-        after = {t.position: t for t in plan.targets}
-        changed = {t.name: t for t in (after.get(t.position, t) for t in answered)
-                   if t != live.targets[t.position]}
+        plan = planner.advance(op, answered, self.fleet, self.now_ms(), live.superseded, names)
+        for target in plan.targets:
+            answered[target.position] = target
+        changed = {after.name: after for before, after in zip(live.targets, answered, strict=True)
+                   if after is not before and after != before}
         if not changed and plan.phase is None and not plan.rollback:
             for _ in range(taken):
                 live.answers.popleft()
             return False, plan.wake_ms
-        new_op = await self.record(op, list(changed.values()), plan)
+        try:
+            new_op = await self.record(op, list(changed.values()), plan)
+        except StoreError:
+            live.names = None  # what was seen has not been taken in
+            raise
         for _ in range(taken):
             live.answers.popleft()
         for target in changed.values():
@@ -411,6 +423,7 @@
                 return new
 
             live.op = await self.store.write(work)
+            live.names = None
             live.changed.set()
             self.notify()
             return live.op
--- a/ironscale/agent/fleet.py
+++ b/ironscale/agent/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -65,6 +65,7 @@
         self.changed: Callable[[str], None] = lambda name: None  # something that operations look at
         self.connected: Callable[[str], None] = lambda name: None  # a process may be told things again
         self.supervised: Callable[[str], str | None] = lambda name: None  # "" or "awaited" if it is
+        self.ordered: list[str] = []
         self.dirty: set[str] = set()  # to be written to the record
         self.here = machine()
         self.registrations = self.beats = 0
@@ -205,8 +206,15 @@
                 supervised is not None, supervised == "awaited", report is not None)
         return member.cached
 
-    def view(self, names: Iterable[str]) -> Mapping[str, Seen]:
-        return {name: seen for name in names if (seen := self.seen(name)) is not None}
+    def get(self, name: str, /) -> Seen | None:
+        """As a planner's view."""
+        return self.seen(name)
+
+    def names(self) -> list[str]:
+        """All names in order."""
+        if len(self.ordered) != len(self.members):  # a name stays once it is known
+            self.ordered = sorted(self.members)
+        return self.ordered
 
     def values(self, name: str) -> dict[str, str]:
         """What selectors look at."""
--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import replace
+from typing import Protocol
 
 from ironscale.agent.model import (
     FAILURES,
@@ -147,27 +148,39 @@
     return replace(target, answered=status, detail=f"needs restart: {detail}")
 
 
-def advance(op: Operation, targets: Sequence[Target], fleet: Mapping[str, Seen], now_ms: int,
-            superseded: Mapping[str, int]) -> Plan:
-    """The next steps of an open operation. `superseded`: instances that a newer operation has, and its id."""
+class View(Protocol):
+    """The fleet by name, as it shows itself at this moment."""
+
+    def get(self, name: str, /) -> Seen | None: ...
+
+
+def advance(op: Operation, targets: Sequence[Target], fleet: View, now_ms: int, superseded: Mapping[str, int],
+            changed: Collection[str] | None = None) -> Plan:
+    """The next steps of an open operation. `superseded`: instances that a newer operation has, and its id.
+    `changed`: the instances that may show something new since the last look, where that is known; the others are
+    judged only where time alone can change them."""
     plan = Plan()
     if op.phase not in OPEN:
         return plan
     current = list(targets)
     for index, target in enumerate(current):
+        if changed is not None and target.state is not State.UNDER_WAY and target.name not in changed:
+            continue
         after = judge(op, target, fleet.get(target.name), now_ms)
         if target.name in superseded and after.state in (State.NOT_STARTED, *OUT):
             after = replace(after, state=State.SUPERSEDED,
                             detail=f"operation {superseded[target.name]} has it")
         elif after.answered == "needs restart" and not after.restarting and after.state is State.UNDER_WAY:
-            after = _restart(op, after, fleet[after.name], now_ms, plan)
+            seen = fleet.get(after.name)
+            assert seen is not None  # else it would not be under way
+            after = _restart(op, after, seen, now_ms, plan)
         current[index] = after
     if op.phase is Phase.ROLLING_BACK:
         _roll_back(op, current, fleet, now_ms, plan)
     elif op.phase is Phase.RUNNING:
         _start(op, current, fleet, now_ms, plan)
     for index, (before, after) in enumerate(zip(targets, current, strict=True)):
-        if after != before:
+        if after is not before and after != before:
             moved = after.state is not before.state and after.state is not State.NO_ANSWER
             current[index] = replace(after, since_ms=now_ms) if moved else after
             plan.targets.append(current[index])
@@ -200,7 +213,7 @@
                    tries=tries, answered="", restarting=False, from_generation=before)
 
 
-def _start(op: Operation, targets: list[Target], fleet: Mapping[str, Seen], now_ms: int, plan: Plan) -> None:
+def _start(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan) -> None:
     """Starts what the policy allows: wave by wave, with no more out at a time than it says."""
     policy = op.policy
     failures = sum(t.state in FAILURES for t in targets)
@@ -239,7 +252,7 @@
         plan.phase, plan.note = Phase.ABORTING, f"{out} unavailable, {most} allowed"
 
 
-def _roll_back(op: Operation, targets: list[Target], fleet: Mapping[str, Seen], now_ms: int,
+def _roll_back(op: Operation, targets: list[Target], fleet: View, now_ms: int,
                plan: Plan) -> None:
     """Every target that was told something goes back to what it ran; what never was told stays."""
     for index, target in enumerate(targets):
--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import time
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
@@ -190,7 +191,7 @@
 
 def names_matching(engine: Engine, selector: str) -> list[str]:
     holds = selected(selector)
-    return sorted(name for name in engine.fleet.members if holds(engine.fleet.values(name)))
+    return [name for name in engine.fleet.names() if not selector or holds(engine.fleet.values(name))]
 
 
 async def q_me(root: Any, info: Any) -> dict[str, Any]:
@@ -219,12 +220,18 @@
 
 
 def instances_page(engine: Engine, selector: str, first: int, after: str | None) -> dict[str, Any]:
-    size, last = page_size(first), uncursor(after)
-    names = names_matching(engine, selector)
-    rest = [name for name in names if name > last] if last else names
-    page = rest[:size]
-    return connection([instance_object(engine, name) for name in page], [cursor(name) for name in page],
-                      len(rest) > size, len(names))
+    """From the cursor on until the page is full: a page costs what it holds, and what it passes over. The count of
+    all that match is made only where it is asked for."""
+    size, last, holds = page_size(first), uncursor(after), selected(selector)
+    names, page = engine.fleet.names(), []
+    for place in range(bisect_right(names, last) if last else 0, len(names)):
+        if not selector or holds(engine.fleet.values(names[place])):
+            page.append(names[place])
+            if len(page) > size:
+                break
+    found = connection([instance_object(engine, name) for name in page[:size]],
+                       [cursor(name) for name in page[:size]], len(page) > size)
+    return {**found, "totalCount": lambda info: len(names_matching(engine, selector))}
 
 
 async def q_instances(root: Any, info: Any, selector: str, first: int, after: str | None = None) -> dict[str, Any]:
--- a/ironscale/agent/sqlite.py
+++ b/ironscale/agent/sqlite.py
@@ -9,7 +9,8 @@
 import sqlite3
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, astuple
+from dataclasses import asdict, fields
+from operator import attrgetter
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -58,6 +59,10 @@
     """,
 )
 SCHEMA = len(MIGRATIONS)
+# `dataclasses.astuple` copies deeply, for thousands of rows at a time
+_instance_values = attrgetter(*(f.name for f in fields(InstanceRow)))
+_target_values = attrgetter(*(f.name for f in fields(Target)))
+_token_values = attrgetter(*(f.name for f in fields(TokenRow)))
 
 
 def told(error: sqlite3.Error, path: Path) -> StoreError:
@@ -103,7 +108,7 @@
                   " boot=excluded.boot, pid=excluded.pid, version=excluded.version, zone=excluded.zone,"
                   " listen=excluded.listen, started_ms=excluded.started_ms, heard_ms=excluded.heard_ms,"
                   " connected=excluded.connected, generation=excluded.generation, ended=excluded.ended,"
-                  " host=excluded.host, ticks=excluded.ticks", map(astuple, rows))
+                  " host=excluded.host, ticks=excluded.ticks", map(_instance_values, rows))
 
     def set_desired(self, generations: Iterable[tuple[str, int]]) -> None:
         self.many("UPDATE instances SET desired = ?2 WHERE name = ?1", generations)
@@ -163,7 +168,7 @@
     def put_targets(self, operation: int, targets: Iterable[Target]) -> None:
         self.many("INSERT OR REPLACE INTO targets (operation, name, position, state, detail, since_ms, boot,"
                   " command, sent_ms, tries, answered, restarting, reverting, from_generation)"
-                  " VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)", ((operation, *astuple(t)) for t in targets))
+                  " VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)", ((operation, *_target_values(t)) for t in targets))
 
     def current_generation(self) -> int:
         return int(self.sql("SELECT coalesce(max(generation), 0) FROM configurations").fetchone()[0])
@@ -200,7 +205,7 @@
         return [TokenRow(*row) for row in self.sql("SELECT * FROM tokens ORDER BY name")]
 
     def put_token(self, token: TokenRow) -> None:
-        self.sql("INSERT OR REPLACE INTO tokens VALUES (?,?,?,?,?)", astuple(token))
+        self.sql("INSERT OR REPLACE INTO tokens VALUES (?,?,?,?,?)", _token_values(token))
 
 
 def connect(path: Path) -> sqlite3.Connection:
--- a/ironscale/cli/instances.py
+++ b/ironscale/cli/instances.py
@@ -28,7 +28,7 @@
   ended supervised report { ready draining open connections upstreams upstreamsReady upstreamsResting upstreamsCold
   cpuSeconds controlCpuSeconds memoryKb descriptors refusals { name count } classes { name served refused failed } }"""
 LIST = """query($selector: String!, $after: String) { instances(selector: $selector, first: 250, after: $after) {
-  totalCount pageInfo { hasNextPage endCursor } edges { node { %s } } } }""" % FIELDS  # noqa: UP031
+  pageInfo { hasNextPage endCursor } edges { node { %s } } } }""" % FIELDS  # noqa: UP031
 FLEET = """{ fleet { generation instances ready draining silent gone behind openOperations version startedAt } }"""
 
 
--- a/ironscale/control/messages.py
+++ b/ironscale/control/messages.py
@@ -7,8 +7,8 @@
 
 import dataclasses
 import math
-import types
 import typing
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, ClassVar
 
@@ -139,62 +139,108 @@
 Message = Hello | Beat | Result | Bye | Welcome | Denied | Lease | Command
 FROM_INSTANCE: tuple[type[Message], ...] = (Hello, Beat, Result, Bye)
 FROM_AGENT: tuple[type[Message], ...] = (Welcome, Denied, Lease, Command)
-_HINTS: dict[type[Any], dict[str, Any]] = {
-    kind: {f.name: typing.get_type_hints(kind)[f.name] for f in dataclasses.fields(kind)}
-    for kind in (*FROM_INSTANCE, *FROM_AGENT, Report, ClassCounts)}
-_REQUIRED: dict[type[Any], set[str]] = {
-    kind: {f.name for f in dataclasses.fields(kind)
-           if f.default is dataclasses.MISSING and f.default_factory is dataclasses.MISSING}
-    for kind in _HINTS}
-
-
-def _value(hint: Any, value: Any, at: str) -> Any:
-    wrong = MessageError(f"{at}: expected {getattr(hint, '__name__', hint)}, got {str(value)[:60]!r}")
-    if isinstance(hint, types.UnionType):  # only `X | None`
-        return None if value is None else _value(typing.get_args(hint)[0], value, at)
-    if hint is int:
-        # hazard: in JSON true is no number, in Python it is one; and a count can't be negative
-        if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= MOST:
-            raise wrong
-        return value
-    if hint is float:
-        if not isinstance(value, int | float) or isinstance(value, bool):
-            raise wrong
-        if not math.isfinite(value) or value < 0:
-            raise wrong
-        return float(value)
-    if hint is bool or hint is str:
-        if not isinstance(value, hint) or (isinstance(value, str) and len(value) > MAX_TEXT):
-            raise wrong
-        return value
-    if hint in _HINTS:
-        return _object(hint, value, at)
+
+
+Reader = Callable[[Any, str], Any]
+
+
+def _wrong(expected: str, value: Any, at: str) -> MessageError:
+    return MessageError(f"{at}: expected {expected}, got {str(value)[:60]!r}")
+
+
+def _read_int(value: Any, at: str) -> int:
+    # hazard: in JSON true is no number, in Python it is one; and a count can't be negative
+    if type(value) is not int or not 0 <= value <= MOST:
+        raise _wrong("int", value, at)
+    return value
+
+
+def _read_float(value: Any, at: str) -> float:
+    if type(value) not in (int, float) or not 0 <= value < math.inf:  # NaN is not at least 0
+        raise _wrong("float", value, at)
+    return float(value)
+
+
+def _read_bool(value: Any, at: str) -> bool:
+    if type(value) is not bool:
+        raise _wrong("bool", value, at)
+    return value
+
+
+def _read_str(value: Any, at: str) -> str:
+    if type(value) is not str or len(value) > MAX_TEXT:
+        raise _wrong("str", value, at)
+    return value
+
+
+def _read_any(value: Any, at: str) -> Any:
+    return value
+
+
+_READERS: dict[Any, Reader] = {int: _read_int, float: _read_float, bool: _read_bool, str: _read_str, Any: _read_any}
+
+
+def _reader(hint: Any) -> Reader:
+    """The reader of a type, made once: thousands of heartbeats a second are read by it."""
+    if hint not in _READERS:
+        _READERS[hint] = _make_reader(hint)
+    return _READERS[hint]
+
+
+def _make_reader(hint: Any) -> Reader:
+    if dataclasses.is_dataclass(hint):
+        return _object_reader(hint)
     origin, args = typing.get_origin(hint), typing.get_args(hint)
-    if origin is list and isinstance(value, list):
-        return [_value(args[0], item, f"{at}[{i}]") for i, item in enumerate(value)]
-    if origin is dict and isinstance(value, dict):
-        if args[1] is Any:
-            return value
-        return {k: _value(args[1], v, f"{at}.{k[:60]}") for k, v in value.items()}
-    raise wrong
-
-
-def _object(kind: type[Any], value: Any, at: str) -> Any:
-    if not isinstance(value, dict):
-        raise MessageError(f"{at}: expected an object, got {str(value)[:60]!r}")
-    hints = _HINTS[kind]
-    missing = _REQUIRED[kind] - value.keys()
-    if missing:
-        raise MessageError(f"{at}: expected {min(missing)!r}, got nothing")
-    # keys that are not known are skipped: a newer side may say more
-    return kind(**{name: _value(hints[name], value[name], f"{at}.{name}") for name in hints if name in value})
+    inner = _reader(args[-1] if origin is dict else args[0])
+
+    def read_optional(value: Any, at: str) -> Any:
+        return None if value is None else inner(value, at)
+
+    def read_list(value: Any, at: str) -> list[Any]:
+        if type(value) is not list:
+            raise _wrong("a list", value, at)
+        return [inner(item, f"{at}[{i}]") for i, item in enumerate(value)]
+
+    def read_dict(value: Any, at: str) -> dict[str, Any]:
+        if type(value) is not dict:
+            raise _wrong("an object", value, at)
+        return {k: inner(v, f"{at}.{k[:60]}") for k, v in value.items()}
+
+    return read_list if origin is list else read_dict if origin is dict else read_optional
+
+
+def _object_reader(kind: Any) -> Reader:
+    hints = typing.get_type_hints(kind)
+    fields = dataclasses.fields(kind)
+    readers = [(f.name, _reader(hints[f.name])) for f in fields]
+    required = {f.name for f in fields
+                if f.default is dataclasses.MISSING and f.default_factory is dataclasses.MISSING}
+
+    def read_object(value: Any, at: str) -> Any:
+        if type(value) is not dict:
+            raise _wrong("an object", value, at)
+        if not required <= value.keys():
+            raise MessageError(f"{at}: expected {min(required - value.keys())!r}, got nothing")
+        # keys that are not known are skipped: a newer side may say more
+        return kind(**{name: reader(value[name], f"{at}.{name}") for name, reader in readers if name in value})
+
+    return read_object
+
+
+def _plain(value: Any) -> Any:
+    """As `dataclasses.asdict`, without its copies of what is plain already."""
+    if dataclasses.is_dataclass(value):
+        return {name: _plain(getattr(value, name)) for name in value.__slots__}  # type: ignore[union-attr]
+    if type(value) is list and value and dataclasses.is_dataclass(value[0]):
+        return [_plain(item) for item in value]
+    return value
 
 
 def read(message: dict[str, Any], allowed: tuple[type[Message], ...]) -> Message:
     """A decoded frame as one of `allowed`. Raises MessageError."""
     for kind in allowed:
         if kind.type == message.get("type"):
-            found: Message = _object(kind, message, kind.type)
+            found: Message = _reader(kind)(message, kind.type)
             _check(found)
             return found
     expected = ", ".join(kind.type for kind in allowed)
@@ -222,4 +268,4 @@
 
 def write(message: Message) -> dict[str, Any]:
     """The message as a JSON object."""
-    return {"type": message.type, **dataclasses.asdict(message)}
+    return {"type": message.type, **_plain(message)}
--- a/tests/agent/test_planner.py
+++ b/tests/agent/test_planner.py
@@ -37,12 +37,26 @@
         self.fleet = {name: seen(name) for name in names}
         self.superseded: dict[str, int] = {}
         self.now_ms = T0
+        self.looked: tuple[object, ...] = ()
+        self.shown: dict[str, Seen] = {}
+        self.touched: set[str] = set()
+
+    def changed(self) -> set[str] | None:
+        """The names that the engine would hand over: of instances that show something else than at the last look."""
+        now = {name: replace(one, heard_ms=0) for name, one in self.fleet.items()}
+        names = {name for name in now if now[name] != self.shown.get(name)} | self.touched
+        looked = (self.op, dict(self.superseded))
+        known = looked == self.looked
+        self.shown, self.looked, self.touched = now, looked, set()
+        return names if known else None
 
     def step(self) -> list[Send]:
         """Looks until there is nothing new; what is sent."""
         sends: list[Send] = []
         for _ in range(50):
             plan = planner.advance(self.op, self.targets, self.fleet, self.now_ms, self.superseded)
+            less = planner.advance(self.op, self.targets, self.fleet, self.now_ms, self.superseded, self.changed())
+            assert less == plan  # what is passed over has nothing new to say
             for target in plan.targets:
                 self.targets[target.position] = target
             sends += plan.sends
@@ -56,6 +70,7 @@
 
     def answer(self, send: Send, status: str = "applied", detail: str = "") -> None:
         place = next(t.position for t in self.targets if t.name == send.name)
+        self.touched.add(send.name)
         self.targets[place] = planner.answer(self.op, self.targets[place], send.id, status, detail)
 
     def show(self, name: str, **changes: object) -> None:
@@ -454,6 +469,7 @@
         """What was recorded stays, what was on its way may be lost; what is under way is sent again."""
         self.wires.clear()
         self.run_.targets = [replace(t, sent_ms=self.run_.now_ms) if t.command else t for t in self.run_.targets]
+        self.run_.looked = ()
         for name in self.names:  # the record of the instances is older than that of the targets
             self.run_.show(name, shown=False, generation=4, fence=0, ready=False)
         self.wires += self.run_.step()
