--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import socket
 import statistics
 import subprocess
 import sys
@@ -50,15 +51,16 @@
     return done
 
 
-async def one(folder: Path, peers: list[Peer], discovery: ListedDiscovery, fleet: Fleet | None, seconds: float,
-              beat: str) -> float:
+async def one(folder: Path, peers: list[Peer], discovery: ListedDiscovery, fleet: Fleet | None,
+              seconds: float) -> float:
     """CPU in microseconds a request of one sidecar process."""
     config = folder / "app.json"
     config.write_text(json.dumps({
         "name": "app-0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1",
-        "limits": {"sockets": 512}, "known": listing(*(p.entry(f"s-{i}") for i, p in enumerate(peers))),
+        "limits": {"sockets": 1024}, "known": listing(*(p.entry(f"s-{i}") for i, p in enumerate(peers))),
         "settings": SETTINGS}))
-    port = 20_000 + os.getpid() % 20_000
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        port = found.getsockname()[1]
     environ = {**os.environ, "GW_CONFIG": str(config), "GW_LISTEN": f"127.0.0.1:{port}"}
     if fleet is not None:
         environ |= {"GW_AGENT": f"127.0.0.1:{fleet.control}",
@@ -71,10 +73,17 @@
                 writer.close()
                 break
             except ConnectionError:
+                if process.poll() is not None:
+                    raise RuntimeError("the sidecar did not start") from None
                 await asyncio.sleep(0.02)
         await load(port, 1.0)
         start_s = cpu_s(process.pid)
         done = await load(port, seconds)
+        if fleet is not None:
+            report = fleet.api.call('{ instance(name: "app-0") { report { controlCpuSeconds } } }')
+            control_s = report["instance"]["report"]["controlCpuSeconds"]
+            print(f"  control work by its own account: {control_s / (seconds + 1) * 100:.3f} % of a core, "
+                  f"{control_s / (done * (seconds + 1) / seconds) * 1e6:.1f} us a request", flush=True)
         return (cpu_s(process.pid) - start_s) / done * 1e6
     finally:
         process.terminate()
@@ -84,19 +93,17 @@
 async def run(seconds: float, rounds: int, upstreams: int, beat_s: float) -> None:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        peers = [await Peer().start() for _ in range(8)]
+        peers = [await Peer().start() for _ in range(upstreams)]
         for peer in peers:
             peer.keep_messages = False
         discovery = await ListedDiscovery().start()
-        for i in range(upstreams):
-            discovery.put(peers[i % 8].entry(f"s-{i}", hostPort=f"127.0.{i // 200}.{i % 200 + 1}:{peers[i % 8].port}")
-                          if i >= 8 else peers[i].entry(f"s-{i}"))
+        discovery.put(*(peer.entry(f"s-{i}") for i, peer in enumerate(peers)))
         fleet = Fleet(folder, 10.0, beat_s)
         ratios = []
         try:
             for n in range(rounds):
                 order = (None, fleet) if n % 2 == 0 else (fleet, None)
-                found = {which is not None: await one(folder, peers, discovery, which, seconds, "")
+                found = {which is not None: await one(folder, peers, discovery, which, seconds)
                          for which in order}
                 ratios.append(found[True] / found[False])
                 print(f"round {n + 1}: {found[False]:.0f} us a request without an agent, {found[True]:.0f} with, "
--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -20,7 +20,7 @@
 from ironscale.agent.fleet import Fleet
 from ironscale.agent.model import Send
 from ironscale.agent.restarts import Restarts
-from ironscale.control.processes import is_alive, start_ticks
+from ironscale.control.processes import is_alive, start_ticks, with_variable
 from ironscale.operator_file import OperatorFileError, Service
 
 READY_S = 30.0  # a successor has so long to become ready before the old process is told to end
@@ -145,10 +145,11 @@
     def state_file(self, member: Supervised) -> Path:
         return self.folder / f"{member.name}.state"
 
-    def remember(self, member: Supervised) -> None:
-        """What the next agent needs to take the process over."""
+    def remember(self, member: Supervised, boot: str = "") -> None:
+        """What the next agent needs to take the process over. `boot`: of one that is about to be started, told
+        before: an agent killed right after would leave a process that the next knows nothing of."""
         run = member.run
-        state = {"pid": run.pid, "ticks": run.ticks, "boot": run.boot} if run else {}
+        state = {"pid": run.pid, "ticks": run.ticks, "boot": run.boot} if run else {"boot": boot} if boot else {}
         path = self.state_file(member)
         aside = path.with_suffix(".new")
         aside.write_text(json.dumps({**state, "held": member.held}), encoding="ascii")
@@ -159,7 +160,11 @@
         try:
             state = json.loads(self.state_file(member).read_text(encoding="ascii"))
             member.held = bool(state.get("held", False))
-            pid, ticks, boot = int(state["pid"]), int(state["ticks"]), str(state["boot"])
+            boot = str(state["boot"])
+            pid = int(state["pid"]) if "pid" in state else with_variable("GW_BOOT", boot)
+            if pid is None:
+                return None
+            ticks = int(state["ticks"]) if "ticks" in state else start_ticks(pid) or 0
         except (OSError, ValueError, KeyError, TypeError, AttributeError):
             return None
         return Run(pid, ticks, boot, None) if is_alive(pid, ticks) else None
@@ -219,6 +224,8 @@
                 "GW_ZONE": service.zone, "GW_OPERATOR": str(operator) if service.make_before_break else "",
             }
             environ.pop("GW_LISTEN", None)
+            if not replaces:
+                self.remember(member, boot)
             log_path = self.logs / f"{name}.log"
             if log_path.exists() and log_path.stat().st_size > MOST_LOG:
                 log_path.replace(log_path.with_suffix(".log.1"))
--- a/ironscale/control/processes.py
+++ b/ironscale/control/processes.py
@@ -25,3 +25,17 @@
 
 def is_alive(pid: int, ticks: int) -> bool:
     return start_ticks(pid) == ticks
+
+
+def with_variable(name: str, value: str) -> int | None:
+    """A process of ours that was started with this variable in its environment."""
+    wanted = f"{name}={value}".encode()
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdecimal():
+            try:
+                variables = (entry / "environ").read_bytes().split(b"\0")
+            except OSError:  # another's, or gone by now
+                continue
+            if wanted in variables and start_ticks(int(entry.name)) is not None:
+                return int(entry.name)
+    return None
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import socket
+import time
 from collections import Counter
 from pathlib import Path
 from typing import Any
@@ -19,6 +21,11 @@
 from tests.agent.scene import run, scene, until
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
 def test_a_rollout_reaches_every_instance_once_in_waves(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path) as s:
@@ -435,3 +442,77 @@
             await until(lambda: not any(m.leased for m in members.values()))  # nobody came back
 
     run(test)
+
+
+@pytest.mark.parametrize("step_s", [-86_400, 86_400])
+def test_a_clock_that_is_set_under_a_running_agent_changes_nothing(
+    step_s: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Hazard: leases would end at once, or never."""
+    async def test() -> None:
+        async with scene(tmp_path, lease_s=0.6) as s:
+            await s.start_many(3)
+            real = time.time_ns
+            monkeypatch.setattr(time, "time_ns", lambda: real() + step_s * 10**9)
+            await asyncio.sleep(1.0)
+            assert all(m.leased for m in s.agent.fleet.members.values())
+            s.kill("i0002")
+            await until(lambda: not s.agent.fleet.members["i0002"].leased)
+            states = await s.states(await s.begin(names=list(s.instances)))
+            assert states == {"i0000": State.APPLIED, "i0001": State.APPLIED, "i0002": State.NO_ANSWER}
+
+    run(test)
+
+
+@pytest.mark.parametrize("step_s", [-86_400, 86_400])
+def test_an_operation_goes_on_under_an_agent_whose_clock_was_set_in_between(
+    step_s: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        port = free_port()
+        async with scene(tmp_path, control=("127.0.0.1", port)) as s:
+            await s.start_many(2)
+            for instance in s.instances.values():
+                instance.open = 1
+            ident = await s.begin(Kind.DRAIN, policy=Policy(answer_ms=8_000))
+            await until(lambda: all(i.draining for i in s.instances.values()))
+            real = time.time_ns
+            monkeypatch.setattr(time, "time_ns", lambda: real() + step_s * 10**9)
+            instances, tasks = s.instances, dict(s.tasks)
+            s.tasks.clear()  # they outlive this agent
+        async with scene(tmp_path, control=("127.0.0.1", port)) as s:
+            s.tasks.update(tasks)
+            await until(lambda: sum(m.link is not None for m in s.agent.fleet.members.values()) == 2)
+            await asyncio.sleep(0.3)
+            assert {t.state for t in s.engine.live[ident].targets} == {State.UNDER_WAY}
+            for instance in instances.values():
+                instance.open = 0
+            assert set((await s.states(ident)).values()) == {State.APPLIED}
+            assert all(i.effects == ["drain"] for i in instances.values())
+
+    run(test)
+
+
+def test_a_lease_that_ends_while_the_command_is_on_its_way_is_no_answer_and_the_command_is_done_once(
+    tmp_path: Path
+) -> None:
+    """The command lies in the connection of an instance that has stopped; when it goes on, the operation has ended."""
+    async def test() -> None:
+        async with scene(tmp_path, lease_s=0.5) as s:
+            await s.start_many(2)
+            session = s.clients["i0001"].session
+            assert session is not None and session.transport is not None and session.beat_handle is not None
+            session.transport.pause_reading()
+            session.beat_handle.cancel()
+            session.silence.cancel()
+            ident = await s.begin()
+            states = await s.states(ident)
+            assert states == {"i0000": State.APPLIED, "i0001": State.NO_ANSWER}
+            session.transport.resume_reading()
+            await until(lambda: s.instances["i0001"].generation == 1)
+            await until(lambda: s.agent.fleet.members["i0001"].row.generation == 1)
+            assert s.instances["i0001"].effects == ["generation 1"]
+            found = await s.engine.find(ident)
+            assert found is not None and found[0].phase is Phase.PARTIAL  # what was told is not told otherwise later
+
+    run(test)
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -76,6 +76,11 @@
             await s.agent.supervisor.stop_all()
 
 
+def kill(pid: int) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        os.kill(pid, signal.SIGKILL)
+
+
 def ready(s: AgentScene, name: str) -> bool:
     member = s.agent.fleet.members.get(name)
     return member is not None and member.leased and member.report is not None and member.report.ready
@@ -216,8 +221,37 @@
                         agent.kill()
                 for row in rows:
                     for pid in row.values():
-                        with contextlib.suppress(ProcessLookupError):
-                            os.kill(pid, signal.SIGKILL)
+                        kill(pid)
+
+    run(test)
+
+
+def test_a_process_whose_agent_was_killed_right_after_its_start_is_found(tmp_path: Path) -> None:
+    async def test() -> None:
+        with contextlib.ExitStack() as ends:
+            await found_again(ends)
+
+    async def found_again(ends: contextlib.ExitStack) -> None:
+        async with world(tmp_path) as (_, config):
+            service = Service("app", 1, config, stop_s=4.0)
+            changes: dict[str, Any] = {"services": (service,), "lease_s": 1.0, "heartbeat_s": 0.1,
+                                       "control": ("127.0.0.1", free_port())}
+            async with scene(tmp_path / "data", **changes) as s:
+                await until(lambda: ready(s, "app-0"))
+                row = s.agent.fleet.members["app-0"].row
+                ends.callback(kill, row.pid)
+            state = tmp_path / "data" / "instances" / "app-0.state"
+            state.write_text(json.dumps({"boot": row.boot, "held": False}))  # as it stands before the start
+            async with scene(tmp_path / "data", **changes) as s:
+                await until(lambda: ready(s, "app-0"))
+                assert s.agent.fleet.members["app-0"].row.pid == row.pid
+                await s.agent.supervisor.stop_all()
+            assert not is_alive(row.pid, row.ticks)
+            for damaged in ("", "[]", '{"pid": "x"}', '{"boot": "none"}', "\x00"):
+                state.write_text(damaged)
+                async with scene(tmp_path / "data", **changes) as s:
+                    await until(lambda: ready(s, "app-0"))  # noqa: B023
+                    await s.agent.supervisor.stop_all()
 
     run(test)
 
