A fault met by one operation ends neither the agent nor the others; lost records are borne

Two ways were found: an exception in one operation's round ended the whole agent, and each one after it, as the record brings the operation back; and a supervised instance that should run a generation which this record does not have (its data folder was lost) did the same at its start.

Change: the operation waits with the reason in 'stalled', the log has the trace; the instance starts with its file alone and a line says so, one that runs elsewhere is left as it is, told once. Tests cause all three.

--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+import traceback
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass, field, replace
@@ -181,6 +182,13 @@
                 self.notify()
                 await asyncio.sleep(RETRY_S)
                 continue
+            except Exception:
+                # hazard: a fault met by one operation would end the agent, and the next agent, and the next
+                self.log(f"operation {live.op.id} met a fault of the agent\n{traceback.format_exc()}")
+                live.stalled, live.names = "a fault of the agent; its log says which", None
+                self.notify()
+                await asyncio.sleep(RETRY_S)
+                continue
             live.stalled = ""
             if more:
                 continue
@@ -500,7 +508,9 @@
                 try:
                     await self.overlay(generation)
                     await self.begin(AGENT, Kind.RECONFIGURE, names, Policy(), generation=generation)
-                except (StoreError, Refusal) as error:
+                except Refusal as error:  # of an agent whose record is no more, say: told once, and left as it is
+                    self.log(f"not caught up: {', '.join(names[:5])} should run generation {generation}: {error}")
+                except StoreError as error:
                     self.caught_up.difference_update(
                         (n, self.fleet.members[n].row.boot, generation) for n in names)
                     self.log(f"catching up waits: {error}")
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -161,7 +161,7 @@
         self.api_port = api_socket.getsockname()[1]
         self.supervisor = supervisor = Supervisor(
             section.services, self.data, (section.control[0], self.control_port), self.data / f"{INSTANCE}.token",
-            fleet, lambda generation: engine.overlays[generation], self.log)
+            fleet, engine.overlays.get, self.log)
         engine.restart, engine.stopping = supervisor.restart, supervisor.stopping
         started_ms = self.now_ms()
 
--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -99,7 +99,7 @@
 
 class Supervisor:
     def __init__(self, services: tuple[Service, ...], data: Path, agent: tuple[str, int], token_file: Path,
-                 fleet: Fleet, overlay: Callable[[int], dict[str, Any]], log: Callable[[str], None]) -> None:
+                 fleet: Fleet, overlay: Callable[[int], dict[str, Any] | None], log: Callable[[str], None]) -> None:
         self.folder, self.logs = data / "instances", data / "logs"
         self.agent, self.token_file, self.fleet = agent, token_file, fleet
         self.overlay, self.log = overlay, log
@@ -206,11 +206,15 @@
         service, name = member.service, member.name
         known = self.fleet.members.get(name)
         generation = known.row.desired if known is not None else 0
+        overlay = self.overlay(generation)
+        if overlay is None:  # of an agent whose record is no more
+            self.log(f"{name}: generation {generation} is not in this record; it starts with its file alone")
+            generation, overlay = 0, {}
         boot = secrets.token_hex(8)
         port = service.first_port + member.index if service.first_port else 0
         settings = {**member.base["settings"], "self-index": member.index}
         config = {**member.base, "name": name, "listen": f"{service.host}:{port}", "settings": settings}
-        files = {"config": config, "overlay": {"generation": generation, "overlay": self.overlay(generation)}}
+        files = {"config": config, "overlay": {"generation": generation, "overlay": overlay}}
         try:
             for what, content in files.items():
                 (self.folder / f"{name}.{what}.json").write_text(json.dumps(content), encoding="utf-8")
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -126,6 +126,6 @@
         return parse(base, environ)
     patch = read_object(patch_path)
     generation, overlay = patch.get("generation"), patch.get("overlay")
-    if not isinstance(generation, int) or not isinstance(overlay, dict):
+    if type(generation) is not int or not isinstance(overlay, dict):
         raise ConfigError(f"{patch_path}: expected a whole generation and an object overlay, got {patch!r:.80}")
     return replace(parse(merged(base, overlay), environ), document=base, generation=generation, overlay=overlay)
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from ironscale.agent import planner
 from ironscale.agent.engine import Refusal
 from ironscale.agent.model import Kind, Phase, Policy, State
 from ironscale.agent.sqlite import SqliteStore
@@ -519,3 +520,51 @@
             assert found is not None and found[0].phase is Phase.PARTIAL  # what was told is not told otherwise later
 
     run(test)
+
+
+def test_an_instance_of_an_agent_whose_record_is_gone_is_left_as_it_is(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as s:
+            first = s.start("i0")
+            first.generation = 7  # it ran this before it came here
+            await until(lambda: "i0" in s.agent.fleet.members and s.agent.fleet.members["i0"].report)
+            s.agent.fleet.set_desired([("i0", 7)])
+            s.kill("i0")
+            await until(lambda: s.agent.fleet.members["i0"].link is None)
+            s.agent.fleet.sweep()
+            s.agent.fleet.ended("i0", s.clients["i0"].identity.boot, "signal 9")
+            second = s.start("i0")
+            await until(lambda: second.client is not None and s.agent.fleet.members["i0"].link is not None)
+            await asyncio.sleep(2.5)
+            assert second.effects == [] and await s.engine.store.read(lambda r: r.operations(99, 9)) == []
+
+    run(test)
+    assert capsys.readouterr().err.count("not caught up: i0 should run generation 7") == 1
+
+
+def test_a_fault_met_by_one_operation_ends_neither_the_agent_nor_the_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr("ironscale.agent.engine.RETRY_S", 0.05)
+
+    async def test() -> None:
+        async with scene(tmp_path) as s:
+            await s.start_many(2)
+            advance, broken = planner.advance, [True]
+
+            def sometimes(op: Any, *arguments: Any) -> Any:
+                if op.id == 1 and broken[0]:
+                    raise RuntimeError("a bug")
+                return advance(op, *arguments)
+
+            monkeypatch.setattr(planner, "advance", sometimes)
+            first = await s.begin(Kind.DRAIN, ["i0000"])
+            await until(lambda: "fault" in s.engine.live[first].stalled)
+            assert await s.states(await s.begin(Kind.DRAIN, ["i0001"])) == {"i0001": State.APPLIED}
+            broken[0] = False
+            assert await s.states(first) == {"i0000": State.APPLIED}
+
+    run(test)
+    assert "a bug" in capsys.readouterr().err
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -151,6 +151,23 @@
     run(test)
 
 
+def test_one_that_should_run_what_this_record_does_not_have_starts_with_its_file_alone(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Hazard: the agent ended with a fault, and every agent after it."""
+    async def test() -> None:
+        async with world(tmp_path) as (_, config), supervised(tmp_path, config) as s:
+            await until(lambda: ready(s, "app-0"))
+            row = s.agent.fleet.members["app-0"].row
+            s.agent.fleet.set_desired([("app-0", 9)])
+            os.kill(row.pid, signal.SIGKILL)
+            await until(lambda: s.agent.fleet.members["app-0"].row.boot != row.boot and ready(s, "app-0"))
+            assert s.agent.fleet.members["app-0"].row.generation == 0
+
+    run(test)
+    assert "generation 9 is not in this record" in capsys.readouterr().err
+
+
 def test_a_restart_replaces_and_a_stopped_one_stays_stopped_until_then(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(tmp_path) as (_, config), supervised(tmp_path, config) as s:
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -112,7 +112,7 @@
     found = load(environ)
     assert (found.generation, found.overlay, found.settings.instances) == (5, overlay, 7)
     assert found.document == base
-    for bad in ("{}", '{"generation": "5", "overlay": {}}', "[]", "{"):
+    for bad in ("{}", '{"generation": "5", "overlay": {}}', '{"generation": true, "overlay": {}}', "[]", "{"):
         (tmp_path / "o.json").write_text(bad)
         with pytest.raises(ConfigError, match="o.json"):
             load(environ)
