--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import fcntl
+import gc
 import os
 import signal
 import socket
@@ -207,6 +208,8 @@
 
 
 async def serve(section: AgentSection, stop_instances: bool) -> None:
+    # hazard: answers of many objects make the collector walk the whole fleet again and again
+    gc.set_threshold(100_000, 50, 100)
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
