--- a/ironscale/agent/api.py
+++ b/ironscale/agent/api.py
@@ -102,7 +102,6 @@
         self.context = context
         self.rules = [*specified_rules, *([] if introspection else [NoSchemaIntrospectionCustomRule])]
         self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
-        self.streams: set[asyncio.Task[Any]] = set()
         self.ending = asyncio.Event()
         self.app = Starlette(routes=[Route("/graphql", self.endpoint, methods=["GET", "POST", "HEAD", "OPTIONS", "PUT",
                                                                                "DELETE", "PATCH"])])
--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -7,7 +7,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict, dataclass, field, replace
 from hashlib import sha256
 from typing import Any
@@ -508,9 +508,11 @@
                 try:
                     await self.overlay(generation)
                     await self.begin(AGENT, Kind.RECONFIGURE, names, Policy(), generation=generation)
-                except Refusal as error:  # of an agent whose record is no more, say: told once, and left as it is
-                    self.log(f"not caught up: {', '.join(names[:5])} should run generation {generation}: {error}")
-                except StoreError as error:
+                except (StoreError, Refusal) as error:
+                    if isinstance(error, Refusal) and error.code == "NOT_FOUND":
+                        # of an agent whose record is no more: told once, and left as it is
+                        self.log(f"not caught up: {', '.join(names[:5])} should run generation {generation}: {error}")
+                        continue
                     self.caught_up.difference_update(
                         (n, self.fleet.members[n].row.boot, generation) for n in names)
                     self.log(f"catching up waits: {error}")
@@ -538,6 +540,3 @@
 
     async def events(self, after: int, most: int) -> list[Event]:
         return await self.store.read(lambda records: records.events(after, most))
-
-    def counts(self) -> Mapping[str, int]:
-        return {"registrations": self.fleet.registrations, "beats": self.fleet.beats}
--- a/ironscale/agent/links.py
+++ b/ironscale/agent/links.py
@@ -60,7 +60,6 @@
             while not self.closing and (raw := self.decoder.next()) is not None:
                 self.on_message(read(raw, FROM_INSTANCE))
         except (FrameError, MessageError) as error:
-            self.links.garbled += 1
             self.links.log(f"{self.name or self.peer()}: not understood: {error}")
             self.deny(Denial("NOT_UNDERSTOOD", str(error), 5_000))
 
@@ -148,7 +147,6 @@
         self.on_denied: Callable[[Hello, Denial], None] = lambda hello, denial: None
         self.open: set[InstanceLink] = set()
         self.silent = 0
-        self.garbled = 0
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: tuple[str, int]) -> int:
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 import time
 from collections import Counter
 from pathlib import Path
@@ -20,11 +19,7 @@
 from ironscale.control.frames import encode
 from ironscale.control.messages import PROTOCOL, Hello, Result, write
 from tests.agent.scene import run, scene, until
-
-
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as found:
-        return int(found.getsockname()[1])
+from tests.sockets import free_port
 
 
 def test_a_rollout_reaches_every_instance_once_in_waves(tmp_path: Path) -> None:
@@ -568,3 +563,24 @@
 
     run(test)
     assert "a bug" in capsys.readouterr().err
+
+
+def test_catching_up_that_was_refused_for_now_is_tried_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, lease_s=0.5) as s:
+            await s.start_many(1)
+            await s.end(await s.begin())
+            begin, refusals = s.engine.begin, [2]
+
+            async def refused(*arguments: Any, **more: Any) -> Any:
+                if refusals[0]:
+                    refusals[0] -= 1
+                    raise Refusal("CONFLICT", "another was first")
+                return await begin(*arguments, **more)
+
+            monkeypatch.setattr(s.engine, "begin", refused)
+            new = s.start("i0000")
+            await until(lambda: new.generation == 1)
+            assert refusals == [0]
+
+    run(test)
--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections import Counter
@@ -28,6 +27,7 @@
 from ironscale.standins.upstream import Peer
 from tests.agent.scene import AgentScene, run, scene, until
 from tests.deployed import ROOT
+from tests.sockets import free_port
 
 
 def test_restarts_back_off_give_up_on_a_crash_loop_and_forget_after_a_steady_run() -> None:
@@ -50,11 +50,6 @@
         now_s += 60.0
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as found:
-        return int(found.getsockname()[1])
-
-
 @contextlib.asynccontextmanager
 async def world(folder: Path) -> AsyncIterator[tuple[Peer, Path]]:
     peer, discovery = await Peer().start(), await ListedDiscovery().start()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -31,6 +32,11 @@
         await asyncio.sleep(0.001)
 
 
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
 def config(discovery_port: int, *entries: dict[str, Any], **changes: Any) -> Config:
     return parse({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery_port}", "seed": "1f",
