--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import uvloop
 
 from ironscale.net.config import ConfigError
-from ironscale.net.sidecar import Beside, serve
+from ironscale.net.sidecar import Beside, Sidecar, serve
 
 
 def main(environ: Mapping[str, str] = os.environ) -> int:
@@ -35,14 +36,34 @@
 
     try:
         found = operator_file.from_environment(environ)
-        if found.control is None:
-            return None, found.sidecar.reuse_port
-        from ironscale.control.beside import beside
+        subsystems: list[Beside] = []
+        if found.learned is not None:
+            from ironscale.learned.beside import beside as learned_beside
 
-        return beside(found.control, environ), found.sidecar.reuse_port
+            subsystems.append(learned_beside(found.learned))
+        if found.control is not None:
+            from ironscale.control.beside import beside
+
+            subsystems.append(beside(found.control, environ))
+        return together(subsystems), found.sidecar.reuse_port
     except operator_file.OperatorFileError as error:
         raise ConfigError(str(error)) from error
 
 
+def together(subsystems: list[Beside]) -> Beside | None:
+    """All of them beside one sidecar; the last to start is the first to end."""
+    if len(subsystems) < 2:
+        return subsystems[0] if subsystems else None
+
+    @contextlib.asynccontextmanager
+    async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
+        async with contextlib.AsyncExitStack() as stack:
+            for subsystem in subsystems:
+                await stack.enter_async_context(subsystem(sidecar, end))
+            yield
+
+    return running
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -6,8 +6,10 @@
 
 import heapq
 import random
+from collections.abc import Iterable
 
 from ironscale import interface as api
+from ironscale import trust
 
 RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
 RETRIES_KEPT = 5.0  # and so many saved up at most
@@ -20,6 +22,7 @@
 SUBSET = 3.0  # free slots that a draw chooses among, in upstreams of mean size
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
+SHOWS_NOTHING = (api.Outcome.CANCELLED, api.Outcome.NOT_SENT)  # of the upstream
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # of its slots, by which a round of answers moves an upstream's window
 FULL_LOAD = 0.7  # of the slow time, where an upstream's slots settle: more chokes it, less refuses early
@@ -68,6 +71,8 @@
         self.answered_us = 0  # when what it answered was sent, the latest of it
         self.mute = 1  # so often the patience with its late answers doubles: more while it answers nothing
         self.next_cold_us = 0  # while it is cold, no send before this
+        self.confirmed_us = 0  # when an attempt last showed something of it
+        self.lesson: api.UpstreamLesson | None = None  # recalled, and not yet tested by an attempt of ours
 
 
 class Attempt:
@@ -98,15 +103,28 @@
     """Smoothed time of a class's answers, and the least it has been."""
 
     def __init__(self, first_us: int) -> None:
-        self.mean_us = self.base_us = first_us / 2  # until something is seen: half the aim
+        self.first_us = self.mean_us = self.base_us = first_us / 2  # until something is seen: half the aim
         self.seen = False
+        self.confirmed_us = 0
+        self.doubt = 0.0  # of what was recalled: the weight of the next answer seen here
 
     def add(self, sample_us: float) -> None:
         sample_us = max(1.0, sample_us)  # a clock that ticks slowly may say 0
         if not self.seen:
             self.seen, self.mean_us, self.base_us = True, sample_us, sample_us
-        self.mean_us += (sample_us - self.mean_us) / 8  # as TCP keeps its round trips (RFC 6298)
-        self.base_us = min(self.mean_us, self.base_us + (self.mean_us - self.base_us) / 256)
+        self.mean_us += (sample_us - self.mean_us) * max(1 / 8, self.doubt)  # as TCP keeps its (RFC 6298)
+        base_us = self.base_us + (self.mean_us - self.base_us) * max(1 / 256, self.doubt)
+        self.base_us = min(self.mean_us, base_us)
+        self.doubt = self.doubt / 2 if self.doubt > 1 / 8 else 0.0
+
+    def careful_us(self) -> float:
+        """For the pacing of cold upstreams. Hazard: a mean by hearsay, too short, would push them over."""
+        return max(self.mean_us, self.first_us) if self.doubt else self.mean_us
+
+    def recall(self, lesson: api.ClassLesson, share: float) -> None:
+        self.mean_us = trust.between(self.first_us, min(lesson.mean_us, 2 * self.first_us), share)
+        self.base_us = min(self.mean_us, max(lesson.base_us, self.mean_us / 4))
+        self.seen, self.doubt, self.confirmed_us = True, 1 / 2, lesson.confirmed_us
 
 
 class Balancer:
@@ -135,6 +153,9 @@
         self.list_failures = 0
         self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.draining = False
+        self.confirmed_us = 0  # when an attempt last showed something
+        self.lessons: list[api.Lessons] = []  # recalled; they wait for the list
+        self.has_list = False  # from discovery, not one as last known
         self.ask_list_at(now_us)
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -255,6 +276,10 @@
         """How an attempt's end, or its being late, opens or closes slots: at its upstream, and of this
         sidecar's window, which sees more answers. Both go by the time it took in slow times."""
         server, outcome, latency = attempt.server, attempt.ended, self.latency[class_index]
+        if outcome not in SHOWS_NOTHING:
+            server.confirmed_us = self.confirmed_us = self.now_us
+            if server.lesson is not None:
+                self.test(server, outcome, elapsed_us)
         if outcome in INSTANT_FAULTS:
             # hazard: what fails at once would draw ever more; but one in ten must not close them all, nor
             # those that turn away though they have room the sidecar: how full others are, their slots tell
@@ -356,7 +381,7 @@
         server = self.draw(request) if self.may_send(request) else None
         if server is None:
             return False
-        work_us = max(self.latency[request.event.class_index].mean_us, request.event.cost_us)
+        work_us = max(self.latency[request.event.class_index].careful_us(), request.event.cost_us)
         server.next_cold_us = self.now_us + self.cold_gap_us(server, work_us)
         server.used += 1
         self.out += 1
@@ -417,7 +442,9 @@
             self.judge(attempt, event.elapsed_us, request.event.class_index)
         if attempt.holds and event.outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # time-outs count too: else a slow fleet would go on being judged by its few quick answers
-            self.latency[request.event.class_index].add(event.elapsed_us)
+            latency = self.latency[request.event.class_index]
+            latency.add(event.elapsed_us)
+            latency.confirmed_us = self.now_us
         if event.final or request.done:
             self.close(request)
         elif request.out() == 0:
@@ -443,11 +470,13 @@
             if server is None or server.entry.started_us != entry.started_us:
                 server = Server(entry)  # a new process: nothing the former one earned or lost is kept
                 # all sidecars hear of a start within moments: their first sends must not come as one burst
-                gap_us = self.cold_gap_us(server, min(latency.mean_us for latency in self.latency))
+                gap_us = self.cold_gap_us(server, min(latency.careful_us() for latency in self.latency))
                 server.next_cold_us = self.now_us + int(gap_us * self.random.random())
             server.entry = entry
             self.servers[entry.id] = server
+        self.has_list = self.has_list or event.kind is not api.ListKind.CACHED
         self.rank()
+        self.apply_lessons()
 
     def rank(self) -> None:
         """Subsetting: the ready upstreams by id, each sidecar from a starting point of its own, so that
@@ -488,6 +517,91 @@
                                  self.warmth(s) < 1.0, s.failing, s.mute > 1, s.least_us)
                 for i, s in self.servers.items()]
 
+    def learned(self, idents: Iterable[int] | None = None) -> api.Lessons:
+        """What has been learned, of the upstreams `idents` (None: of all). What was recalled and not tested
+        since is told as it was told here: with its time and whose it was."""
+        upstreams = []
+        for ident in self.servers if idents is None else idents:
+            server = self.servers.get(ident)
+            if server is None or (server.lesson is None and server.confirmed_us == 0):
+                continue
+            upstreams.append(server.lesson or api.UpstreamLesson(
+                ident, server.entry.started_us, server.confirmed_us, server.window.slots, server.least_us,
+                server.failing, server.mute, server.next_cold_us))
+        classes = [api.ClassLesson(kind.name, latency.confirmed_us, latency.mean_us, latency.base_us)
+                   for kind, latency in zip(self.settings.classes, self.latency, strict=True) if latency.seen]
+        seen = sum(self.tenant_seen)
+        tenants = [(tenant.name, count / seen) for tenant, count in
+                   zip(self.settings.tenants, self.tenant_seen, strict=True) if count > 0.0]
+        return api.Lessons(self.now_us, self.settings.zone, self.window.slots if self.confirmed_us else 0.0,
+                           self.confirmed_us, tuple(upstreams), tuple(classes), tuple(tenants))
+
+    def recall(self, now_us: int, lessons: api.Lessons) -> None:
+        """Takes in what was learned before or elsewhere, as far as nothing has been seen here; its times
+        are on our clock. Hazard: it may be stale, wrong or a lie: trust.py and `believe`."""
+        self.now_us = max(self.now_us, now_us)
+        kinds = dict(zip((kind.name for kind in self.settings.classes), self.latency, strict=True))
+        for lesson in lessons.classes:
+            latency = kinds.get(lesson.name)
+            share = trust.share(self.now_us - lesson.confirmed_us, trust.LATENCY_HALVES_US)
+            if latency is not None and share > 0.0 and latency.confirmed_us < lesson.confirmed_us and (
+                    not latency.seen or latency.doubt == 1 / 2):
+                latency.recall(lesson, share)
+        if sum(self.tenant_seen) < trust.TENANT_WEIGHT:
+            told, age_us = dict(lessons.tenants), self.now_us - lessons.confirmed_us
+            share = trust.TENANT_WEIGHT * trust.share(age_us, trust.LATENCY_HALVES_US)
+            self.tenant_seen = [seen + share * min(1.0, told.get(tenant.name, 0.0))
+                                for tenant, seen in zip(self.settings.tenants, self.tenant_seen, strict=True)]
+        self.lessons.append(lessons)
+        self.apply_lessons()
+
+    def apply_lessons(self) -> None:
+        """Once the list has named their upstreams. What discovery's own list does not name is forgotten."""
+        count = len(self.order)
+        for lessons in sorted(self.lessons, key=lambda told: told.confirmed_us) if count else []:
+            if self.confirmed_us == 0 and lessons.slots > 0.0:
+                # hazard: a shut one is self-fulfilling, an open one a burst: half or twice the usual at most
+                share = trust.share(self.now_us - lessons.confirmed_us, trust.SIDECAR_HALVES_US)
+                usual = SLOTS_EACH * count / self.settings.instances
+                slots = trust.between(usual, min(max(lessons.slots, usual / 2), 2 * usual), share)
+                self.window.slots = max(SMALLEST_WINDOW, slots)
+            known = {lesson.id: lesson for lesson in lessons.upstreams}
+            told = {}
+            for server in self.order:
+                found = known.get(server.entry.id)
+                if (found is not None and found.started_us == server.entry.started_us
+                        and found.confirmed_us > server.confirmed_us
+                        and (server.lesson is not None or server.confirmed_us == 0)):
+                    faded = trust.faded(found, self.now_us)
+                    if faded is not None:
+                        told[server] = faded
+            shut = sum(trust.is_shut(told.get(server, server.lesson)) for server in self.order)
+            for server, lesson in told.items():
+                if 2 * shut <= count or not trust.is_shut(lesson):
+                    self.believe(server, lesson)
+        if self.has_list:
+            self.lessons = []
+
+    def believe(self, server: Server, lesson: api.UpstreamLesson) -> None:
+        """Until a try of our own. Hazard: by mere word it gets no more than the one slot of a new one, and is
+        not shut so far that few tries would come: it is drawn rarely, and still before a refusal."""
+        server.lesson, server.confirmed_us = lesson, lesson.confirmed_us
+        server.window.slots = min(1.0, max(trust.LEAST_SLOTS, lesson.slots))
+        server.failing, server.mute = lesson.failing, min(lesson.mute, trust.MOST_MUTE)
+        if lesson.first_hand:  # what we sent before a restart still warms it up
+            gap_us = self.cold_gap_us(server, min(latency.careful_us() for latency in self.latency))
+            server.next_cold_us = max(server.next_cold_us, min(lesson.next_cold_us, self.now_us + gap_us))
+
+    def test(self, server: Server, outcome: api.Outcome | None, elapsed_us: int) -> None:
+        """The first attempt of ours at an upstream that we were told of: its answer opens what was shut, and
+        what was open as far as it was; without one, what we were told is taken for so."""
+        lesson, server.lesson = server.lesson, None
+        if lesson is not None and outcome is api.Outcome.OK:
+            most = max(1.0, STACKED * self.window.slots / max(1, len(self.order)))
+            server.window.slots = 1.0 if self.warmth(server) < 1.0 else min(max(1.0, lesson.slots), most)
+            # hazard: one told too short would keep a far upstream at one slot for good
+            server.least_us = max(lesson.least_us, elapsed_us // 4) if lesson.least_us else 0
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
--- a/ironscale/interface.py
+++ b/ironscale/interface.py
@@ -324,6 +324,42 @@
     least_us: int  # its quickest answer; 0 = none yet
 
 
+@dataclass(slots=True, frozen=True)
+class UpstreamLesson:
+    """What has been learned of one process behind an upstream."""
+
+    id: int
+    started_us: int  # as the list told it: with the id, the process that this was learned of
+    confirmed_us: int  # when an attempt last showed it by its end or by coming due
+    slots: float
+    least_us: int = 0  # quickest answer; 0 = none
+    failing: bool = False
+    mute: int = 1
+    next_cold_us: int = 0  # while it is cold, no send before this
+    first_hand: bool = True  # seen by this sidecar, now or in its former process; else another's word
+
+
+@dataclass(slots=True, frozen=True)
+class ClassLesson:
+    name: str
+    confirmed_us: int
+    mean_us: float
+    base_us: float
+
+
+@dataclass(slots=True, frozen=True)
+class Lessons:
+    """What one sidecar has learned; all times on the clock on which it is `told_us`."""
+
+    told_us: int
+    zone: int  # where it was learned: how far upstreams are holds from there
+    slots: float  # of the sidecar; 0 = not known
+    confirmed_us: int  # that
+    upstreams: tuple[UpstreamLesson, ...] = ()
+    classes: tuple[ClassLesson, ...] = ()
+    tenants: tuple[tuple[str, float], ...] = ()  # name and share of the arrivals
+
+
 def unchangeable(old: Settings, new: Settings) -> str:
     """What of `new` a running instance can't take on, as one phrase; empty if it can take all of it."""
     def kept(c: RequestClass) -> tuple[object, ...]:
--- /dev/null
+++ b/ironscale/learned/beside.py
@@ -0,0 +1,74 @@
+"""Runs file and teaching beside a started sidecar, as the operator file says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import traceback
+from collections.abc import AsyncIterator, Callable
+
+from ironscale.learned.keeper import Collector, Keeper
+from ironscale.learned.store import Store, path_for
+from ironscale.learned.teaching import Address, Pupil, Teacher
+from ironscale.net.sidecar import Beside, Sidecar
+from ironscale.operator_file import Learned
+
+AGAIN_S = (1.0, 4.0)  # none of the donors had anything to teach: they may have just started as well
+
+
+class Running:
+    """What runs beside one sidecar."""
+
+    def __init__(self, sidecar: Sidecar, learned: Learned) -> None:
+        self.sidecar = sidecar
+        self.collector = Collector(sidecar)
+        self.keeper: Keeper | None = None
+        if learned.folder is not None:
+            store = Store(path_for(learned.folder, sidecar.config.name))
+            self.keeper = Keeper(sidecar, store, learned.every_s, self.collector)
+        self.teacher: Teacher | None = None
+        if learned.teach is not None:
+            self.teacher = Teacher(self.collector, learned.teach)
+        self.pupil = Pupil(sidecar, self.collector, random.Random(secrets.randbits(64)))
+        self.donors = learned.ask
+
+    async def learn(self, donors: tuple[Address, ...]) -> None:
+        for wait_s in (0.0, *AGAIN_S):
+            await asyncio.sleep(wait_s)
+            if self.pupil.learned or await self.pupil.learn(donors):
+                return
+
+    async def run(self) -> None:
+        """Hazard: a fault in here must neither end the sidecar nor go unsaid."""
+        try:
+            await self.all()
+        except Exception:
+            self.sidecar.log(f"learned: it has ended, serving goes on\n{traceback.format_exc()}")
+
+    async def all(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            if self.keeper is not None:
+                group.create_task(self.keeper.run())
+            if self.teacher is not None:
+                group.create_task(self.teacher.run())
+            if self.donors:
+                group.create_task(self.learn(self.donors))
+
+
+def beside(learned: Learned) -> Beside:
+    @contextlib.asynccontextmanager
+    async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
+        found = Running(sidecar, learned)
+        task = asyncio.create_task(found.run())
+        try:
+            yield
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            if found.keeper is not None:
+                await found.keeper.last()
+
+    return running
--- /dev/null
+++ b/ironscale/learned/codec.py
@@ -0,0 +1,294 @@
+"""A snapshot as bytes, the same for the file and the wire: versioned, with length and checksum. No I/O.
+
+    8 bytes   b"ISLEARN\n"
+    2 bytes   version, big-endian, as all numbers here
+    4 bytes   length of the body
+    body      lines of JSON, ASCII, without spaces: one header, then one line an upstream, by name
+    16 bytes  BLAKE2b of everything before it
+
+All values are whole numbers and texts: times are microseconds before the snapshot was taken, slots and shares are
+millionths. There is one encoding of a snapshot and no other is read.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Generator, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, NoReturn, TypeVar
+
+from ironscale.interface import ClassLesson, Lessons, UpstreamLesson
+from ironscale.learned.moment import Moment
+
+MAGIC = b"ISLEARN\n"
+VERSION = 2
+HEAD, DIGEST = len(MAGIC) + 2 + 4, 16
+MAX_BYTES = 4 << 20
+MOST_UPSTREAMS, MOST_CLASSES, MOST_TENANTS = 10_000, 256, 1_000
+MAX_NAME = 256
+MAX_TIME_US = 2**53  # whole numbers past this are not the same in every JSON reader
+LONGEST_US = 400 * 86_400_000_000  # no value is older than this
+MOST_MILLIONTHS = 10**12
+SLICE = 100  # upstreams in one step: under a millisecond
+AGES = 65
+T = TypeVar("T")
+
+
+class CodecError(Exception):
+    """Bytes that are no snapshot; the text is one line: where, what was expected, what stood there."""
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLesson:
+    """An upstream's lesson under its `instanceId`, ages in place of times."""
+
+    name: str
+    started_us: int
+    age_us: int
+    slots: float
+    least_us: int
+    failing: bool
+    mute: int
+    cold_for_us: int  # no send to it for so long, while it is cold
+    first_hand: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What one sidecar had learned at one moment."""
+
+    name: str  # of the sidecar
+    taken: Moment
+    up_us: int  # since its start
+    resting: bool
+    cut_off: bool  # from discovery
+    zone: str
+    slots: float
+    age_us: int  # of what it says of the sidecar itself
+    classes: tuple[tuple[str, int, float, float], ...]  # name, age, mean and least time
+    tenants: tuple[tuple[str, float], ...]
+    ages: tuple[float, ...]  # share of kept connections that failed, by bits of their idle time
+    upstreams: tuple[NamedLesson, ...]
+
+
+# Writing
+
+
+def millionths(value: float) -> int:
+    return max(0, min(MOST_MILLIONTHS, round(value * 1e6)))
+
+
+def line(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":"), sort_keys=True, ensure_ascii=True, allow_nan=False).encode()
+
+
+def header_line(snapshot: Snapshot) -> bytes:
+    """The first line: all but the upstreams."""
+    return line({
+        "name": snapshot.name, "boot": snapshot.taken.boot, "running_us": snapshot.taken.running_us,
+        "wall_us": snapshot.taken.wall_us, "up_us": snapshot.up_us, "resting": int(snapshot.resting),
+        "cut_off": int(snapshot.cut_off), "zone": snapshot.zone, "slots": millionths(snapshot.slots),
+        "age_us": snapshot.age_us,
+        "classes": [[name, age_us, round(mean), round(base)] for name, age_us, mean, base in snapshot.classes],
+        "tenants": [[name, millionths(share)] for name, share in snapshot.tenants],
+        "ages": [millionths(share) for share in snapshot.ages], "upstreams": len(snapshot.upstreams),
+    })
+
+
+def upstream_line(one: NamedLesson) -> bytes:
+    return line([one.name, one.started_us, one.age_us, millionths(one.slots), one.least_us, int(one.failing),
+                 one.mute, one.cold_for_us, int(one.first_hand)])
+
+
+def assemble(lines: Sequence[bytes], version: int = VERSION) -> bytes:
+    body = b"\n".join(lines)
+    head = MAGIC + version.to_bytes(2) + len(body).to_bytes(4) + body
+    return head + blake2b(head, digest_size=DIGEST).digest()
+
+
+def encoding(snapshot: Snapshot) -> Generator[None, None, bytes]:
+    """Encodes in steps, one at each `next`: a long list must not hold up a loop. The bytes are its return value."""
+    ordered = sorted(snapshot.upstreams, key=lambda one: one.name)
+    lines = [header_line(snapshot)]
+    for start in range(0, len(ordered), SLICE):
+        lines += map(upstream_line, ordered[start:start + SLICE])
+        yield
+    return assemble(lines)
+
+
+# Reading
+
+
+def _wrong(where: str, expected: str, got: object) -> NoReturn:
+    raise CodecError(f"{where}: expected {expected}, got {str(got)[:60]!r}")
+
+
+def _whole(value: Any, where: str, most: int, least: int = 0) -> int:
+    if type(value) is not int or not least <= value <= most:
+        _wrong(where, f"a whole number from {least} to {most}", value)
+    return int(value)
+
+
+def _flag(value: Any, where: str) -> bool:
+    return _whole(value, where, 1) == 1
+
+
+def _name(value: Any, where: str, least: int = 1) -> str:
+    if type(value) is not str or not least <= len(value) <= MAX_NAME or not (value.isprintable() or not value):
+        _wrong(where, f"{least} to {MAX_NAME} printable characters", value)
+    return str(value)
+
+
+def _rows(value: Any, where: str, most: int, width: int) -> list[list[Any]]:
+    if type(value) is not list or len(value) > most:
+        _wrong(where, f"a list of {most} at most", value)
+    for i, row in enumerate(value):
+        if type(row) is not list or len(row) != width:
+            _wrong(f"{where}[{i}]", f"{width} values", row)
+    return list(value)
+
+
+def _json(raw: bytes, where: str) -> Any:
+    def no_constant(name: str) -> Any:
+        raise ValueError(f"{name} is no number")
+
+    try:
+        value = json.loads(raw, parse_constant=no_constant)
+        if line(value) != raw:
+            raise ValueError("another encoding of the same")
+    except (ValueError, RecursionError) as error:
+        raise CodecError(f"{where}: expected one line of canonical JSON, got {raw[:40]!r}: {error}") from error
+    return value
+
+
+def _upstream(raw: bytes, where: str) -> NamedLesson:
+    row = _json(raw, where)
+    if type(row) is not list or len(row) != 9:
+        _wrong(where, "9 values", row)
+    name, started_us, age_us, slots, least_us, failing, mute, cold_for_us, first_hand = row
+    return NamedLesson(
+        _name(name, f"{where}.name"), _whole(started_us, f"{where}.started_us", MAX_TIME_US),
+        _whole(age_us, f"{where}.age_us", LONGEST_US),
+        _whole(slots, f"{where}.slots", MOST_MILLIONTHS, 1) / 1e6,
+        _whole(least_us, f"{where}.least_us", LONGEST_US), _flag(failing, f"{where}.failing"),
+        _whole(mute, f"{where}.mute", 64, 1), _whole(cold_for_us, f"{where}.cold_for_us", 3_600_000_000),
+        _flag(first_hand, f"{where}.first_hand"))
+
+
+KEYS = {"name", "boot", "running_us", "wall_us", "up_us", "resting", "cut_off", "zone", "slots", "age_us", "classes",
+        "tenants", "ages", "upstreams"}
+
+
+def body_of(data: bytes) -> tuple[int, bytes]:
+    """Version and body of whole bytes; everything about the frame round them is checked here."""
+    if len(data) > MAX_BYTES:
+        raise CodecError(f"expected {MAX_BYTES} bytes at most, got {len(data)}")
+    if data[:len(MAGIC)] != MAGIC[:len(data)] or len(data) < len(MAGIC):
+        raise CodecError(f"expected it to begin with {MAGIC!r}, got {data[:len(MAGIC)]!r}")
+    if len(data) < HEAD + DIGEST:
+        raise CodecError(f"expected {HEAD + DIGEST} bytes or more, got {len(data)}")
+    version = int.from_bytes(data[len(MAGIC):len(MAGIC) + 2])
+    if not 1 <= version <= VERSION:
+        raise CodecError(f"expected version 1 to {VERSION}, got {version}: written by a newer program")
+    size = int.from_bytes(data[HEAD - 4:HEAD])
+    if len(data) != HEAD + size + DIGEST:
+        raise CodecError(f"expected {HEAD + size + DIGEST} bytes, as its length says, got {len(data)}")
+    if blake2b(data[:-DIGEST], digest_size=DIGEST).digest() != data[-DIGEST:]:
+        raise CodecError("expected its checksum to fit, got another: it is damaged")
+    return version, data[HEAD:-DIGEST]
+
+
+def migrated(version: int, header: dict[str, Any], rows: list[bytes]) -> list[bytes]:
+    """A version 1 body as version 2. Version 1 had no `ages`, no `tenants` and no mark of whose word a value was: so
+    it counts as another's."""
+    if version == 1:
+        header.update({"ages": [0] * AGES, "tenants": []})
+        found = []
+        for i, raw in enumerate(rows):
+            row = _json(raw, f"upstream {i}")
+            if type(row) is not list or len(row) != 8:
+                _wrong(f"upstream {i}", "8 values", row)
+            found.append(line([*row, 0]))
+        return found
+    return rows
+
+
+def decoding(data: bytes) -> Generator[None, None, Snapshot]:
+    """Decodes in steps, one at each `next`. Raises CodecError; gives the whole snapshot or nothing."""
+    version, body = body_of(data)
+    first, *rows = body.split(b"\n")
+    header = _json(first, "header")
+    if type(header) is not dict:
+        _wrong("header", "an object", header)
+    rows = migrated(version, header, rows)
+    if header.keys() != KEYS:
+        _wrong("header", f"the keys {', '.join(sorted(KEYS))}", ", ".join(sorted(header)))
+    if _whole(header["upstreams"], "header.upstreams", MOST_UPSTREAMS) != len(rows):
+        _wrong("header.upstreams", f"{len(rows)}, as there are lines", header["upstreams"])
+    upstreams: list[NamedLesson] = []
+    for start in range(0, len(rows), SLICE):
+        upstreams += [_upstream(raw, f"upstream {start + i}") for i, raw in enumerate(rows[start:start + SLICE])]
+        yield
+    names = [one.name for one in upstreams]
+    if any(a >= b for a, b in zip(names, names[1:], strict=False)):
+        raise CodecError("expected upstreams in the order of their names, each once, got another order")
+    if type(header["ages"]) is not list or len(header["ages"]) != AGES:
+        _wrong("header.ages", f"{AGES} shares", header["ages"])
+    taken = Moment(_name(header["boot"], "header.boot", 0),
+                   _whole(header["running_us"], "header.running_us", MAX_TIME_US),
+                   _whole(header["wall_us"], "header.wall_us", MAX_TIME_US))
+    return Snapshot(
+        _name(header["name"], "header.name"), taken, _whole(header["up_us"], "header.up_us", MAX_TIME_US),
+        _flag(header["resting"], "header.resting"), _flag(header["cut_off"], "header.cut_off"),
+        _name(header["zone"], "header.zone", 0), _whole(header["slots"], "header.slots", MOST_MILLIONTHS) / 1e6,
+        _whole(header["age_us"], "header.age_us", LONGEST_US),
+        tuple((_name(name, "header.classes.name"), _whole(age_us, "header.classes.age_us", LONGEST_US),
+               float(_whole(mean, "header.classes.mean", LONGEST_US, 1)),
+               float(_whole(base, "header.classes.base", LONGEST_US, 1)))
+              for name, age_us, mean, base in _rows(header["classes"], "header.classes", MOST_CLASSES, 4)),
+        tuple((_name(name, "header.tenants.name"), _whole(share, "header.tenants.share", 10**6) / 1e6)
+              for name, share in _rows(header["tenants"], "header.tenants", MOST_TENANTS, 2)),
+        tuple(_whole(share, "header.ages", 10**6) / 1e6 for share in header["ages"]), tuple(upstreams))
+
+
+def finish(steps: Generator[None, None, T]) -> T:
+    """All steps at once."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            value: T = stop.value
+            return value
+
+
+def encode(snapshot: Snapshot) -> bytes:
+    return finish(encoding(snapshot))
+
+
+def decode(data: bytes) -> Snapshot:
+    return finish(decoding(data))
+
+
+# From and to the decisions' own types
+
+
+def named(lesson: UpstreamLesson, name: str, told_us: int) -> NamedLesson:
+    def ago(at_us: int) -> int:
+        return max(0, min(LONGEST_US, told_us - at_us))
+
+    return NamedLesson(
+        name, lesson.started_us, ago(lesson.confirmed_us), max(1e-6, lesson.slots), lesson.least_us, lesson.failing,
+        min(64, lesson.mute), max(0, min(3_600_000_000, lesson.next_cold_us - told_us)), lesson.first_hand)
+
+
+def lessons_of(snapshot: Snapshot, taken_us: int, now_us: int, zone: int, ident: Any) -> Lessons:
+    """The snapshot for the decisions: `taken_us` is when it was taken on their clock, `ident` makes an upstream's
+    number of its name."""
+    return Lessons(
+        now_us, zone, snapshot.slots, taken_us - snapshot.age_us,
+        tuple(UpstreamLesson(ident(one.name), one.started_us, taken_us - one.age_us, one.slots, one.least_us,
+                             one.failing, one.mute, taken_us + one.cold_for_us, one.first_hand)
+              for one in snapshot.upstreams),
+        tuple(ClassLesson(name, taken_us - age_us, mean, base) for name, age_us, mean, base in snapshot.classes),
+        snapshot.tenants)
--- /dev/null
+++ b/ironscale/learned/keeper.py
@@ -0,0 +1,229 @@
+"""Beside a sidecar: recalls its file at the start, and writes it every few seconds and at the end.
+
+The loop only collects and encodes, in steps under a millisecond; whatever touches the file system happens in a thread
+that nobody waits for, as a disk may block for seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+import time
+from collections.abc import Callable, Generator
+from dataclasses import replace
+from typing import TypeVar
+
+from ironscale import interface as api
+from ironscale.learned.codec import (
+    MAX_BYTES,
+    MAX_NAME,
+    MOST_UPSTREAMS,
+    SLICE,
+    CodecError,
+    NamedLesson,
+    Snapshot,
+    encoding,
+    lessons_of,
+    named,
+)
+from ironscale.learned.moment import machine_boot, now
+from ironscale.learned.store import Store, choose
+from ironscale.net.discovery import upstream_id, upstream_name
+from ironscale.net.sidecar import Sidecar
+
+T = TypeVar("T")
+LAST_S = 1.0  # the end of the process waits so long for its last snapshot, and no longer
+READ_S = 5.0  # what comes later is older than what the sidecar has seen itself
+LOG_GAP_S = 60.0
+
+
+async def in_slices(steps: Generator[None, None, T], spent: Callable[[float], None] = lambda s: None) -> T:
+    """Runs `steps` with the loop between them; `spent` hears how long each took, in seconds."""
+    while True:
+        start_s = time.perf_counter()
+        try:
+            next(steps)
+        except StopIteration as stop:
+            spent(time.perf_counter() - start_s)
+            value: T = stop.value
+            return value
+        spent(time.perf_counter() - start_s)
+        await asyncio.sleep(0)
+
+
+def in_thread(act: Callable[[], T]) -> asyncio.Future[T]:
+    """Runs `act` in a thread that does not hold up the end of the process, as an executor's would."""
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[T] = loop.create_future()
+
+    def tell(value: T | None, error: Exception | None) -> None:
+        if future.done():
+            return
+        if error is not None:
+            future.set_exception(error)
+        else:
+            future.set_result(value)  # type: ignore[arg-type]
+
+    def run() -> None:
+        value, failed = None, None
+        try:
+            value = act()
+        except Exception as error:
+            failed = error
+        with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile: nobody waits
+            loop.call_soon_threadsafe(tell, value, failed)
+
+    future.add_done_callback(lambda done: done.cancelled() or done.exception())
+    threading.Thread(target=run, name="learned", daemon=True).start()
+    return future
+
+
+class Collector:
+    """Takes snapshots of a running sidecar."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.sidecar = sidecar
+        self.boot = machine_boot()
+        self.started_us = sidecar.clock.now_us()
+        self.zones = {index: name for name, index in sidecar.config.directory.zones.items()}
+        self.longest_s = 0.0  # step on the loop since the start
+
+    def spent(self, took_s: float) -> None:
+        self.longest_s = max(self.longest_s, took_s)
+
+    def collecting(self) -> Generator[None, None, Snapshot]:
+        """In steps: what the sidecar knows now."""
+        balancer, sidecar = self.sidecar.balancer, self.sidecar
+        told_us, taken = sidecar.clock.now_us(), now(self.boot)
+        idents = list(balancer.servers)
+        found: list[NamedLesson] = []
+        for start in range(0, len(idents), SLICE):
+            for lesson in balancer.learned(idents[start:start + SLICE]).upstreams:
+                name = upstream_name(lesson.id)
+                if len(name) <= MAX_NAME and name.isprintable() and name:
+                    found.append(named(lesson, name, told_us))
+            yield
+        if len(found) > MOST_UPSTREAMS:
+            found = sorted(found, key=lambda one: one.age_us)[:MOST_UPSTREAMS]
+        whole = balancer.learned([])
+        return Snapshot(
+            sidecar.config.name, taken, told_us - self.started_us, resting=balancer.window.slots < 1.0,
+            cut_off=sidecar.cut_off, zone=self.zones.get(whole.zone, ""),
+            slots=whole.slots, age_us=max(0, told_us - whole.confirmed_us) if whole.confirmed_us else 0,
+            classes=tuple((c.name, max(0, told_us - c.confirmed_us), max(1.0, c.mean_us), max(1.0, c.base_us))
+                          for c in whole.classes if len(c.name) <= MAX_NAME),
+            tenants=tuple(whole.tenants[:1000]), ages=tuple(sidecar.upstreams.ages.failing), upstreams=tuple(found))
+
+    async def collect(self) -> bytes:
+        snapshot = await in_slices(self.collecting(), self.spent)
+        return await in_slices(encoding(snapshot), self.spent)
+
+    def lessons(self, snapshot: Snapshot, age_us: int) -> api.Lessons:
+        """A snapshot of that age for this sidecar's decisions. Distances hold from its own zone only."""
+        now_us = self.sidecar.clock.now_us()
+        home = self.sidecar.config.settings.zone
+        zone = self.sidecar.config.directory.zones.get(snapshot.zone, -1)
+        lessons = lessons_of(snapshot, now_us - age_us, now_us, zone, upstream_id)
+        if zone != home:
+            lessons = replace(lessons, upstreams=tuple(replace(one, least_us=0) for one in lessons.upstreams))
+        return lessons
+
+
+class Keeper:
+    def __init__(self, sidecar: Sidecar, store: Store, every_s: float, collector: Collector) -> None:
+        self.sidecar = sidecar
+        self.store = store
+        self.every_s = every_s
+        self.collector = collector
+        self.writing: asyncio.Future[None] | None = None
+        self.written_us = 0  # state of the decisions that the last snapshot held
+        self.writes = 0  # that have lasted
+        self.skipped = 0  # moments at which the one before was still being written
+        self.reading = asyncio.Event()  # set once the start has been dealt with
+        self.said: dict[str, float] = {}
+
+    def log(self, text: str) -> None:
+        """The same line once in LOG_GAP_S: a full disk must not fill the log as well."""
+        at_s = time.monotonic()
+        if self.said.get(text, -LOG_GAP_S) + LOG_GAP_S <= at_s:
+            if len(self.said) > 100:
+                self.said.clear()
+            self.said[text] = at_s
+            self.sidecar.log(f"learned: {text}")
+
+    async def recall(self) -> None:
+        """Takes the file in, if it comes in time and can be used."""
+        try:
+            async with asyncio.timeout(READ_S):
+                found = await in_thread(self.store.read)
+            moment = now(self.collector.boot)
+            snapshot, age_us, lines = await in_slices(
+                choose(found, self.sidecar.config.name, moment), self.collector.spent)
+            for text in lines:
+                self.log(text)
+            if snapshot is not None:
+                self.sidecar.upstreams.ages.recall(snapshot.ages, age_us)
+                self.sidecar.balancer.recall(self.sidecar.clock.now_us(), self.collector.lessons(snapshot, age_us))
+                self.log(f"recalled {len(snapshot.upstreams)} upstreams, written {age_us / 1e6:.1f} s ago")
+        except TimeoutError:
+            self.log(f"{self.store.path}: expected it within {READ_S:g} s, got nothing; the start is cold")
+        except Exception as error:  # hazard: nothing that lies in a folder may end the sidecar
+            self.log(f"{self.store.path}: {type(error).__name__}: {error}; the start is cold")
+        finally:
+            self.reading.set()
+
+    def save(self, data: bytes) -> None:
+        """In the thread."""
+        if not self.store.acquire():
+            raise BlockingIOError("another process holds it; this one does not write")
+        self.store.save(data)
+
+    async def write(self) -> None:
+        """Begins to write what is known now, unless the last is not done or nothing has changed."""
+        if self.writing is not None and not self.writing.done():
+            self.skipped += 1
+            self.log(f"{self.store.path}: still being written after {self.every_s:g} s; serving goes on without it")
+            return
+        state_us = self.sidecar.balancer.confirmed_us
+        if state_us == self.written_us:
+            return
+        data = await self.collector.collect()
+        if len(data) > MAX_BYTES:
+            raise CodecError(f"expected {MAX_BYTES} bytes at most, got {len(data)}")
+        self.writing = in_thread(lambda: self.save(data))
+        self.writing.add_done_callback(lambda done: self.on_written(done, state_us))
+
+    def on_written(self, done: asyncio.Future[None], state_us: int) -> None:
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is None:
+            self.written_us = state_us
+            self.writes += 1
+        else:
+            reason = getattr(error, "strerror", None) or error
+            self.log(f"{self.store.path}: can't write: {reason}")
+
+    async def run(self) -> None:
+        await self.recall()
+        while True:
+            await asyncio.sleep(self.every_s)
+            try:
+                await self.write()
+            except Exception as error:
+                self.log(f"{self.store.path}: can't collect: {type(error).__name__}: {error}")
+
+    async def last(self) -> None:
+        """The last snapshot, as far as it comes within LAST_S."""
+        try:
+            async with asyncio.timeout(LAST_S):
+                if self.writing is not None and not self.writing.done():
+                    await asyncio.wait([self.writing])
+                await self.write()
+                if self.writing is not None:
+                    await asyncio.wait([self.writing])
+        except TimeoutError:
+            self.log(f"{self.store.path}: the last snapshot was not written within {LAST_S:g} s")
+        except Exception as error:
+            self.log(f"{self.store.path}: can't collect: {type(error).__name__}: {error}")
--- /dev/null
+++ b/ironscale/learned/teaching.py
@@ -0,0 +1,189 @@
+"""Running instances teach newcomers: one line asked, one snapshot answered, on loopback addresses of their own.
+
+    newcomer   b"ironscale learned 1\n"
+    donor      8 bytes, microseconds since the snapshot was taken, big-endian; 4 bytes, its length; the snapshot
+
+The donor takes connections one after the other, RATE a second at most, and the others wait in the kernel; what it
+answers with is collected once in FRESH_S, however many ask. A newcomer serves meanwhile; after ASK_S it goes on
+without.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Sequence
+
+from ironscale import trust
+from ironscale.learned.codec import MAX_BYTES, CodecError, decoding
+from ironscale.learned.keeper import Collector, in_slices
+from ironscale.net.sidecar import Sidecar
+
+Address = tuple[str, int]
+ASKED = b"ironscale learned 1\n"
+PREFIX = 12
+RATE, MOST_OPEN, BACKLOG = 200, 16, 1024
+FRESH_S = 1.0
+AGAIN_S = 5.0
+PATIENCE_S = 2.0  # a newcomer has this long to ask and to take the answer
+ASK_S, ENOUGH_S = 3.0, 0.5  # all answers are in by the first, or this long after the first of them
+MOST_DONORS = 5
+LONGEST_AGE_US = 60_000_000  # of a donor's snapshot: more is no answer to "now"
+
+
+class Teacher:
+    """Answers newcomers with what this sidecar has learned."""
+
+    def __init__(self, collector: Collector, address: Address) -> None:
+        self.collector = collector
+        self.address = address
+        self.listener: socket.socket | None = None
+        self.data = b""
+        self.taken_s = -FRESH_S
+        self.collecting: asyncio.Lock = asyncio.Lock()
+        self.open = asyncio.Semaphore(MOST_OPEN)
+        self.taught = 0
+        self.collected = 0
+
+    def listen(self) -> None:
+        """Raises OSError."""
+        self.listener = socket.create_server(self.address, backlog=BACKLOG)
+        self.listener.setblocking(False)
+
+    def port(self) -> int:
+        """That it listens on; 0 while it does not."""
+        return int(self.listener.getsockname()[1]) if self.listener is not None else 0
+
+    async def run(self) -> None:
+        """Until cancelled; then it listens no more."""
+        loop = asyncio.get_running_loop()
+        while self.listener is None:
+            try:
+                self.listen()
+            except OSError as error:
+                # the process that this one is to replace may still have the address
+                host, port = self.address
+                self.collector.sidecar.log(f"learned: can't teach at {host}:{port}: {error.strerror}; tries again")
+                await asyncio.sleep(AGAIN_S)
+        assert self.listener is not None
+        try:
+            async with asyncio.TaskGroup() as group:
+                while True:
+                    await self.open.acquire()
+                    try:
+                        sock, _ = await loop.sock_accept(self.listener)
+                    except OSError:  # out of descriptors: those are the data path's
+                        self.open.release()
+                        await asyncio.sleep(0.1)
+                        continue
+                    group.create_task(self.answer(sock))
+                    await asyncio.sleep(1 / RATE)
+        finally:
+            self.listener.close()
+
+    async def fresh(self) -> tuple[int, bytes]:
+        """Age in microseconds, and the snapshot; collected anew where it is older than FRESH_S."""
+        loop = asyncio.get_running_loop()
+        async with self.collecting:
+            if loop.time() - self.taken_s >= FRESH_S:
+                taken_s = loop.time()
+                self.data = await self.collector.collect()
+                self.taken_s = taken_s
+                self.collected += 1
+        return int((loop.time() - self.taken_s) * 1e6), self.data
+
+    async def answer(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            sock.setblocking(False)
+            async with asyncio.timeout(PATIENCE_S):
+                asked = b""
+                while len(asked) < len(ASKED) and ASKED.startswith(asked):
+                    more = await loop.sock_recv(sock, len(ASKED) - len(asked))
+                    if not more:
+                        return
+                    asked += more
+                if asked != ASKED:
+                    return
+                age_us, data = await self.fresh()
+                await loop.sock_sendall(sock, age_us.to_bytes(8) + len(data).to_bytes(4) + data)
+                self.taught += 1
+        except (OSError, TimeoutError):
+            pass  # the newcomer's own affair
+        except Exception as error:  # hazard: one fault in here would end all teaching
+            self.collector.sidecar.log(f"learned: can't teach: {type(error).__name__}: {error}")
+        finally:
+            sock.close()
+            self.open.release()
+
+
+async def ask(address: Address) -> tuple[int, bytes]:
+    """A donor's snapshot and its age in microseconds, the call's own time counted in. Raises OSError, TimeoutError,
+    EOFError or CodecError."""
+    loop = asyncio.get_running_loop()
+    asked_s = loop.time()
+    reader, writer = await asyncio.open_connection(*address, limit=1 << 16)
+    try:
+        writer.write(ASKED)
+        prefix = await reader.readexactly(PREFIX)
+        age_us, size = int.from_bytes(prefix[:8]), int.from_bytes(prefix[8:])
+        if size > MAX_BYTES or age_us > LONGEST_AGE_US:
+            raise CodecError(f"expected {MAX_BYTES} bytes at most, of the last {LONGEST_AGE_US // 1_000_000} s, "
+                             f"got {size} bytes, {age_us / 1e6:g} s old")
+        return age_us + int((loop.time() - asked_s) * 1e6), await reader.readexactly(size)
+    finally:
+        writer.close()
+
+
+class Pupil:
+    """A newcomer: asks several donors at once, and takes in what they agree on."""
+
+    def __init__(self, sidecar: Sidecar, collector: Collector, rng: random.Random) -> None:
+        self.sidecar = sidecar
+        self.collector = collector
+        self.random = rng
+        self.learned = False
+        self.upstreams = 0  # that were told of
+
+    async def donor(self, address: Address) -> trust.Donor:
+        async with asyncio.timeout(ASK_S):
+            age_us, data = await ask(address)
+        received_us = self.sidecar.clock.now_us()
+        snapshot = await in_slices(decoding(data), self.collector.spent)
+        age_us += self.sidecar.clock.now_us() - received_us
+        return trust.Donor(self.collector.lessons(snapshot, age_us), snapshot.up_us, snapshot.resting,
+                           snapshot.cut_off, snapshot.ages)
+
+    async def learn(self, addresses: Sequence[Address]) -> bool:
+        """Whether there was something to learn. One that fails, lies or is late costs only what it knows."""
+        chosen = self.random.sample(list(addresses), min(MOST_DONORS, len(addresses)))
+        tasks = {asyncio.create_task(self.donor(address)): address for address in chosen}
+        donors: list[trust.Donor] = []
+        try:
+            waiting, limit_s = set(tasks), ASK_S
+            while waiting:
+                done, waiting = await asyncio.wait(waiting, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+                if not done:
+                    break
+                for task in done:
+                    host, port = tasks[task]
+                    try:
+                        donors.append(task.result())
+                    except (OSError, TimeoutError, EOFError, CodecError, ValueError) as error:
+                        reason = getattr(error, "strerror", None) or error or "no answer in time"
+                        self.sidecar.log(f"learned: {host}:{port}: {reason}; not taught by it")
+                limit_s = ENOUGH_S if donors else limit_s
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        now_us = self.sidecar.clock.now_us()
+        lessons = trust.agreed(donors, now_us, self.sidecar.config.settings.zone)
+        if lessons is None:
+            return False
+        self.sidecar.upstreams.ages.recall(trust.agreed_ages(donors), 0)
+        self.sidecar.balancer.recall(now_us, lessons)
+        self.learned, self.upstreams = True, len(lessons.upstreams)
+        self.sidecar.log(f"learned: taught of {len(lessons.upstreams)} upstreams by {len(donors)} of {len(chosen)}")
+        return True
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -138,6 +138,7 @@
         self.events: deque[api.Event] = deque()
         self.pumping = False
         self.has_list = False
+        self.cut_off = True  # from discovery: its last word was a failure, or there was none yet
         self.draining = False
         self.port = 0  # that it listens on
         self.generation = config.generation  # of the configuration that runs; 0 = the file alone
@@ -288,6 +289,8 @@
             self.post(api.RequestGone(request.ident))
 
     def on_list(self, kind: api.ListKind, listing: Listing | None) -> None:
+        if kind is not api.ListKind.CACHED:
+            self.cut_off = kind is api.ListKind.FAILED
         if listing is None:
             self.post(api.UpstreamsUpdated(kind))
             return
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, cast
 
@@ -257,6 +257,13 @@
     def is_trusted(self, age_us: int) -> bool:
         return self.failing[min(age_us.bit_length(), 64)] < UNTRUSTED
 
+    def recall(self, shares: Sequence[float], age_us: int) -> None:
+        """Shares that were seen so long ago. Hazard: full ones would keep all from being used, and so from being
+        tried: at most half is taken, and the greater of it and what has been seen here."""
+        left = AGE_FADES ** min(1e4, age_us / 1e6 / SWEEP_S)
+        for i, share in enumerate(shares[:len(self.failing)]):
+            self.failing[i] = max(self.failing[i], min(0.5, share) * left)
+
     def fade(self) -> None:
         self.failing = [share * AGE_FADES for share in self.failing]
 
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -7,13 +7,14 @@
 
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
 Address = tuple[str, int]
 T = TypeVar("T")
 MOST_INSTANCES = 5_000
+MOST_DONORS = 100
 
 
 class OperatorFileError(Exception):
@@ -29,6 +30,16 @@
     zone: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """`[learned]`: what a sidecar has learned outlives it. At least one of the three is named."""
+
+    folder: Path | None = None  # a file for each sidecar in it, by its name
+    every_s: float = 5.0
+    teach: Address | None = None  # newcomers ask here; loopback
+    ask: tuple[Address, ...] = ()  # where others teach
+
+
 @dataclass(frozen=True, slots=True)
 class Sidecar:
     """`[sidecar]`: how the listener is opened."""
@@ -71,6 +82,7 @@
     control: Control | None = None
     sidecar: Sidecar = Sidecar()
     agent: Agent | None = None
+    learned: Learned | None = None
 
 
 class _Table:
@@ -182,6 +194,32 @@
     return service
 
 
+def _loopback(value: Any) -> Address | None:
+    address = read_address(value)
+    return address if address is not None and is_loopback(address) else None
+
+
+def _donors(value: Any) -> tuple[Address, ...] | None:
+    if not isinstance(value, list) or len(value) > MOST_DONORS:
+        return None
+    found = [_loopback(entry) for entry in value]
+    return None if None in found else tuple(address for address in found if address is not None)
+
+
+def _learned(table: _Table) -> Learned:
+    # anyone who reaches the address may ask, and what is told names upstreams: so it stays on the machine
+    teach = table.get("teach", "HOST:PORT on a loopback address", _loopback) if "teach" in table.values else None
+    learned = Learned(
+        folder=table.file_path("folder") if "folder" in table.values else None,
+        every_s=table.seconds("every_s", 0.1, 3600, 5.0), teach=teach,
+        ask=table.get("ask", f"a list of {MOST_DONORS} HOST:PORT at most on loopback addresses", _donors, ()))
+    table.asked |= {"teach", "folder"}
+    table.end()
+    if learned.folder is None and learned.teach is None and not learned.ask:
+        raise OperatorFileError(f"{table.file}: {table.path}: expected folder, teach or ask, got none of them")
+    return learned
+
+
 def _agent(table: _Table) -> Agent:
     agent = Agent(
         data=table.file_path("data", Path(".ironscale")),
@@ -217,11 +255,13 @@
     control = root.table("control")
     sidecar = root.table("sidecar")
     agent = root.table("agent")
+    learned = root.table("learned")
     found = OperatorFile(
         control=Control(control.address("agent"), control.file_path("token_file"),
                         control.get("zone", "a text", _text, "")) if control is not None else None,
         sidecar=Sidecar(sidecar.flag("reuse_port", False)) if sidecar is not None else Sidecar(),
         agent=_agent(agent) if agent is not None else None,
+        learned=_learned(learned) if learned is not None else None,
     )
     for table in (control, sidecar, root):
         if table is not None:
@@ -269,4 +309,4 @@
     if not token_file:
         raise OperatorFileError("GW_AGENT_TOKEN_FILE: expected a path, got nothing")
     zone = environ.get("GW_ZONE") or (found.control.zone if found.control else "")
-    return OperatorFile(Control(address, Path(token_file), zone), found.sidecar, found.agent)
+    return replace(found, control=Control(address, Path(token_file), zone))
--- /dev/null
+++ b/tests/learned/disk.py
@@ -0,0 +1,101 @@
+"""A disk in memory that stops at any point and then forgets any part of what was not synced."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+
+class Stopped(Exception):
+    """The power went."""
+
+
+@dataclass
+class Disk:
+    """`Files` in memory. Each operation, and each byte written, is a step; at step `stop_at` it stops."""
+
+    names: dict[str, int] = field(default_factory=dict)  # as a running process sees them
+    data: dict[int, bytes] = field(default_factory=dict)
+    lasting_names: dict[str, int] = field(default_factory=dict)
+    lasting_data: dict[int, bytes] = field(default_factory=dict)
+    pending: list[tuple[str, int | None]] = field(default_factory=list)  # changes of names since the last sync
+    stop_at: int = -1
+    steps: int = 0
+    fail: dict[str, OSError] = field(default_factory=dict)
+    room: int = 1 << 30
+
+    def step(self) -> None:
+        if self.steps == self.stop_at:
+            raise Stopped
+        self.steps += 1
+
+    def check(self, what: str) -> None:
+        if what in self.fail:
+            raise self.fail[what]
+
+    def read(self, path: str) -> bytes | None:
+        self.check("read")
+        return self.data[self.names[path]] if path in self.names else None
+
+    def write(self, path: str, data: bytes) -> None:
+        self.step()
+        self.check("write")
+        if path not in self.names:
+            self.names[path] = len(self.data) + 1
+            self.pending.append((path, self.names[path]))
+        inode = self.names[path]
+        self.data[inode] = b""
+        for i in range(len(data)):
+            self.step()
+            if i >= self.room:
+                raise OSError(28, "No space left on device")
+            self.data[inode] = data[:i + 1]
+
+    def sync(self, path: str) -> None:
+        self.step()
+        self.check("sync")
+        self.lasting_data[self.names[path]] = self.data[self.names[path]]
+
+    def rename(self, old: str, new: str) -> None:
+        self.step()
+        self.check("rename")
+        if old not in self.names:
+            raise FileNotFoundError(2, "No such file or directory", old)
+        inode = self.names.pop(old)
+        self.names[new] = inode
+        self.pending += [(old, None), (new, inode)]
+
+    def sync_folder(self, path: str) -> None:
+        self.step()
+        self.check("sync_folder")
+        self.lasting_names = dict(self.names)
+        self.pending = []
+
+    def after_power_loss(self, rng: random.Random) -> Disk:
+        """What may be found then: of unsynced data any beginning, or noise; of unsynced names any part, by renames in
+        whole (a rename is one change) and in any order that keeps each name's own."""
+        names = dict(self.lasting_names)
+        changes = self.pending
+        i = 0
+        while i < len(changes):
+            path, inode = changes[i]
+            whole = [changes[i]]
+            if inode is None:  # a rename: both halves or neither
+                whole.append(changes[i + 1])
+            i += len(whole)
+            if rng.random() < 0.5:
+                continue
+            for path, inode in whole:
+                if inode is None:
+                    names.pop(path, None)
+                else:
+                    names[path] = inode
+        data: dict[int, bytes] = {}
+        for inode in names.values():
+            lasting, now = self.lasting_data.get(inode), self.data[inode]
+            if lasting == now:
+                data[inode] = now
+            else:
+                cut = now[:rng.randrange(len(now) + 1)]
+                data[inode] = rng.choice([cut, cut + bytes(len(now) - len(cut)), lasting or b"", now])
+        return Disk(names=dict(names), data=dict(data), lasting_names=dict(names), lasting_data=dict(data))
--- /dev/null
+++ b/tests/learned/test_codec.py
@@ -0,0 +1,136 @@
+"""Bytes in, a whole snapshot or one line out."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironscale.learned import codec
+from ironscale.learned.codec import DIGEST, HEAD, MAGIC, CodecError, assemble, decode, encode, line
+from tests.learned.samples import lesson, snapshot
+
+WHOLE = encode(snapshot())
+
+
+def body() -> list[bytes]:
+    return WHOLE[HEAD:-DIGEST].split(b"\n")
+
+
+def changed(change: Callable[[Any], Any], at: int = 0) -> bytes:
+    """The snapshot with one line changed, and a checksum that fits."""
+    lines = body()
+    value = json.loads(lines[at])
+    lines[at] = line(change(value) or value)
+    return assemble(lines)
+
+
+def put(key: str, value: Any) -> Callable[[Any], Any]:
+    return lambda header: {**header, key: value}
+
+
+def cell(index: int, value: Any) -> Callable[[Any], Any]:
+    return lambda row: [*row[:index], value, *row[index + 1:]]
+
+
+def refusal(data: bytes) -> str:
+    with pytest.raises(CodecError) as found:
+        decode(data)
+    text = str(found.value)
+    assert "\n" not in text and "expected" in text and len(text) < 300
+    return text
+
+
+def test_what_is_written_is_read() -> None:
+    for count in (0, 1, 3, 250):
+        assert decode(encode(snapshot(count))) == snapshot(count)
+
+
+def test_the_encoding_does_not_hang_on_the_order() -> None:
+    one = snapshot(5)
+    other = snapshot(5, upstreams=tuple(reversed(one.upstreams)))
+    assert encode(one) == encode(other)
+
+
+def test_every_flipped_bit_is_refused() -> None:
+    for at in range(len(WHOLE)):
+        for bit in range(8):
+            damaged = bytearray(WHOLE)
+            damaged[at] ^= 1 << bit
+            refusal(bytes(damaged))
+
+
+def test_every_other_length_is_refused() -> None:
+    for size in range(len(WHOLE)):
+        refusal(WHOLE[:size])
+    refusal(WHOLE + b"\0")
+
+
+@given(st.binary(max_size=400))
+def test_noise_is_refused(data: bytes) -> None:
+    refusal(data)
+    refusal(MAGIC + data)
+
+
+@given(st.lists(st.binary(max_size=80), max_size=6), st.integers(1, codec.VERSION))
+def test_noise_with_a_checksum_that_fits_is_refused(lines: list[bytes], version: int) -> None:
+    refusal(assemble(lines, version))
+
+
+@pytest.mark.parametrize(("data", "words"), [
+    (b"NOTMINE\n" + WHOLE[8:], "expected it to begin with"),
+    (assemble(body(), codec.VERSION + 1), f"got {codec.VERSION + 1}: written by a newer program"),
+    (assemble(body(), 0), "expected version 1"),
+    (WHOLE[:-1] + bytes([WHOLE[-1] ^ 1]), "damaged"),
+    (assemble([body()[0].replace(b'"slots":12000000', b'"slots":NaN'), *body()[1:]]), "NaN is no number"),
+    (assemble([body()[0].replace(b'"slots":12000000', b'"slots":1e999'), *body()[1:]]), "canonical"),
+    (assemble([body()[0].replace(b'"slots":', b'"slots": '), *body()[1:]]), "another encoding of the same"),
+    (changed(put("slots", -1)), "header.slots: expected a whole number from 0"),
+    (changed(put("slots", True)), "header.slots"),
+    (changed(put("slots", 1.5)), "header.slots"),
+    (changed(put("age_us", codec.LONGEST_US + 1)), "header.age_us"),
+    (changed(put("name", "")), "header.name"),
+    (changed(put("name", "a\x1bb")), "header.name"),
+    (changed(put("more", 1)), "the keys"),
+    (changed(put("upstreams", 4)), "header.upstreams: expected 3"),
+    (changed(put("upstreams", 10**9)), "header.upstreams"),
+    (changed(put("ages", [0] * 64)), "65 shares"),
+    (changed(put("ages", [2_000_000] + [0] * 64)), "header.ages"),
+    (changed(put("classes", [["view", 1, 0, 1]])), "header.classes.mean"),
+    (changed(put("classes", [["view", 1, 1]])), "header.classes[0]: expected 4 values"),
+    (changed(put("tenants", [["t", 1]] * 1001)), "a list of 1000 at most"),
+    (changed(cell(2, -1), 1), "upstream 0.age_us"),
+    (changed(cell(3, 0), 1), "upstream 0.slots"),
+    (changed(cell(6, 65), 2), "upstream 1.mute"),
+    (changed(cell(7, 10**13), 1), "upstream 0.cold_for_us"),
+    (changed(cell(8, 2), 1), "upstream 0.first_hand"),
+    (changed(cell(0, "up-0001"), 1), "order of their names"),
+    (changed(lambda row: row[:8], 1), "upstream 0: expected 9 values"),
+    (assemble([*body(), b"[" * 5000]), "upstream"),
+    (bytes(codec.MAX_BYTES + 1), f"expected {codec.MAX_BYTES} bytes at most"),
+])
+def test_refused_with_one_line_that_says_what_and_why(data: bytes, words: str) -> None:
+    assert words in refusal(data)
+
+
+def test_version_1_is_read_as_another_s_word() -> None:
+    """It had no ages, no tenants, and did not say whose word a value was."""
+    header = json.loads(body()[0])
+    del header["ages"], header["tenants"]
+    old = assemble([line(header), *(line(json.loads(raw)[:8]) for raw in body()[1:])], 1)
+    found = decode(old)
+    assert [one.first_hand for one in found.upstreams] == [False] * 3
+    assert found.ages == (0.0,) * codec.AGES and found.tenants == ()
+    assert [one.slots for one in found.upstreams] == [2.5] * 3
+    assert "upstream 0: expected 8 values" in refusal(assemble(body(), 1))
+
+
+def test_its_size_is_bounded_at_the_most_that_it_may_hold() -> None:
+    long = tuple(lesson(f"{i:05}" + "x" * 40, started_us=codec.MAX_TIME_US, age_us=codec.LONGEST_US, slots=1e6)
+                 for i in range(codec.MOST_UPSTREAMS))
+    data = encode(snapshot(0, upstreams=long))
+    assert len(data) < codec.MAX_BYTES and len(decode(data).upstreams) == codec.MOST_UPSTREAMS
--- /dev/null
+++ b/tests/learned/test_store.py
@@ -0,0 +1,233 @@
+"""The file under power loss, full and read-only folders, clocks that step, and two processes."""
+
+from __future__ import annotations
+
+import os
+import random
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from ironscale.learned.codec import MAX_BYTES, encode
+from ironscale.learned.moment import Moment, MomentError, between
+from ironscale.learned.store import Store, load, path_for
+from tests.deployed import ROOT
+from tests.learned.disk import Disk, Stopped
+from tests.learned.samples import NOW, snapshot
+
+LATER = replace(NOW, running_us=NOW.running_us + 2_000_000, wall_us=NOW.wall_us + 2_000_000)
+PATH = Path("/x/n0.learned")
+
+
+def serial(disk: Disk) -> int | None:
+    """Of the snapshot that is found, after its age; None: none, refused cleanly."""
+    found, _, _ = load(Store(PATH, disk), "n0", LATER)
+    return None if found is None else found.age_us
+
+
+def test_stopped_after_every_step_each_load_is_the_last_or_the_one_before() -> None:
+    """Every byte, write, sync and rename of the third write is the last; then unsynced parts are lost in many ways."""
+    saved = [encode(snapshot(1, serial=i)) for i in range(3)]
+    whole = Disk()
+    for data in saved:
+        Store(PATH, whole).save(data)
+    before = Disk()
+    for data in saved[:2]:
+        Store(PATH, before).save(data)
+    outcomes = set()
+    for stop in range(before.steps, whole.steps + 1):
+        disk = Disk(stop_at=stop)
+        try:
+            for data in saved:
+                Store(PATH, disk).save(data)
+            done = True
+        except Stopped:
+            done = False
+        assert serial(disk) in (1, 2), f"killed at step {stop}"  # a process killed: nothing that was written is lost
+        for seed in range(8):
+            found = serial(disk.after_power_loss(random.Random(stop * 100 + seed)))
+            assert found == 2 if done else found in (1, 2), f"power lost at step {stop}, seed {seed}: {found}"
+            outcomes.add(found)
+    assert outcomes == {1, 2}
+
+
+def test_the_first_write_cut_off_leaves_nothing_or_all_of_it() -> None:
+    data = encode(snapshot(1, serial=7))
+    whole = Disk()
+    Store(PATH, whole).save(data)
+    for stop in range(whole.steps):
+        disk = Disk(stop_at=stop)
+        with pytest.raises(Stopped):
+            Store(PATH, disk).save(data)
+        for seed in range(8):
+            assert serial(disk.after_power_loss(random.Random(stop * 100 + seed))) in (None, 7)
+
+
+def test_a_write_goes_on_from_whatever_the_last_one_left() -> None:
+    """Cut off at any step, started again, cut off again."""
+    saved = [encode(snapshot(1, serial=i)) for i in range(4)]
+    rng = random.Random(5)
+    for case in range(300):
+        disk, last = Disk(), -1
+        for i, data in enumerate(saved):
+            disk.stop_at = disk.steps + rng.randrange(2 * len(data))
+            try:
+                Store(PATH, disk).save(data)
+                last = i
+            except Stopped:
+                disk = disk.after_power_loss(rng)
+            found = serial(disk)
+            assert (found is None and last < 0) or (found is not None and last <= found <= i), f"case {case}"
+            last = max(last, -1 if found is None else found)
+
+
+@pytest.mark.parametrize("what", ["write", "sync", "rename", "sync_folder"])
+def test_a_failing_disk_leaves_what_was_there(what: str) -> None:
+    disk = Disk()
+    Store(PATH, disk).save(encode(snapshot(1, serial=1)))
+    disk.fail[what] = OSError(5, "Input/output error")
+    with pytest.raises(OSError, match="Input/output"):
+        Store(PATH, disk).save(encode(snapshot(1, serial=2)))
+    assert serial(disk) in ((1,) if what != "sync_folder" else (1, 2))
+    for seed in range(8):
+        assert serial(disk.after_power_loss(random.Random(seed))) in (1, 2)
+
+
+def test_a_full_disk_leaves_what_was_there_at_every_byte() -> None:
+    disk = Disk()
+    Store(PATH, disk).save(encode(snapshot(1, serial=1)))
+    data = encode(snapshot(1, serial=2))
+    for room in range(len(data)):
+        disk.room = room
+        with pytest.raises(OSError, match="No space"):
+            Store(PATH, disk).save(data)
+        assert serial(disk) == 1
+    disk.room = 1 << 20
+    Store(PATH, disk).save(data)
+    assert serial(disk) == 2
+
+
+def test_a_real_folder_gives_back_what_was_written(tmp_path: Path) -> None:
+    path = path_for(tmp_path / "deep" / "er", "a/../b c")
+    assert path.parent == tmp_path / "deep" / "er"
+    store = Store(path)
+    assert store.acquire()
+    for i in range(3):
+        store.save(encode(snapshot(2, serial=i)))
+    found, age_us, lines = load(store, "n0", LATER)
+    assert found == snapshot(2, serial=2) and age_us == 2_000_000 and lines == []
+    assert (path.stat().st_mode & 0o777, path.parent.stat().st_mode & 0o777) == (0o600, 0o700)
+    assert sorted(store.forget()) == [str(path), f"{path}.1"]
+    assert load(store, "n0", LATER) == (None, 0, [])
+
+
+@pytest.mark.parametrize(("name", "moment", "words"), [
+    ("n1", LATER, "expected what 'n1' learned, got another sidecar's, 'n0'"),
+    ("n0", replace(NOW, running_us=NOW.running_us - 1_500_000), "a time in the future, by 1.5 s of the machine's"),
+    ("n0", Moment("boot-b", 5, NOW.wall_us - 60_000_000), "a time in the future, by 60.0 s; the clock stepped back"),
+])
+def test_both_generations_are_refused_with_a_line_each(tmp_path: Path, name: str, moment: Moment, words: str) -> None:
+    store = Store(tmp_path / "n0.learned")
+    for i in range(2):
+        store.save(encode(snapshot(1, serial=i)))
+    found, _, lines = load(store, name, moment)
+    assert found is None and len(lines) == 2
+    assert all(words in text and text.endswith("not used") and "\n" not in text for text in lines)
+
+
+def test_a_damaged_file_falls_back_on_the_one_before(tmp_path: Path) -> None:
+    store = Store(tmp_path / "n0.learned")
+    for i in range(2):
+        store.save(encode(snapshot(1, serial=i)))
+    Path(store.current).write_bytes(b"rubbish")
+    found, _, lines = load(store, "n0", LATER)
+    assert found is not None and found.age_us == 0 and "expected it to begin with" in lines[0]
+
+
+def test_whatever_lies_under_its_name_is_one_line(tmp_path: Path) -> None:
+    store = Store(tmp_path / "n0.learned")
+    os.mkfifo(store.current)
+    os.mkdir(store.previous)
+    found, _, lines = load(store, "n0", LATER)
+    assert found is None and len(lines) == 2 and "Is a directory" in lines[1]
+    os.unlink(store.current)
+    with open(store.current, "wb") as file:
+        file.truncate(MAX_BYTES * 100)
+    assert f"expected {MAX_BYTES} bytes at most" in load(store, "n0", LATER)[2][0]
+
+
+def test_a_link_under_the_name_of_the_write_leads_nowhere(tmp_path: Path) -> None:
+    victim = tmp_path / "victim"
+    victim.write_text("mine")
+    store = Store(tmp_path / "n0.learned")
+    os.symlink(victim, store.aside)
+    with pytest.raises(OSError):
+        store.save(encode(snapshot(1)))
+    assert victim.read_text() == "mine"
+
+
+def test_within_one_boot_the_running_time_counts_and_a_step_is_told() -> None:
+    back = replace(LATER, wall_us=LATER.wall_us - 3_600_000_000)
+    assert between(NOW, back) == (2_000_000, "the clock stepped by -3600.0 s since")
+    ahead = replace(LATER, wall_us=LATER.wall_us + 86_400_000_000)
+    assert between(NOW, ahead) == (2_000_000, "the clock stepped by +86400.0 s since")
+    assert between(NOW, LATER) == (2_000_000, "")
+
+
+def test_across_boots_the_wall_clock_counts() -> None:
+    assert between(NOW, Moment("boot-b", 1, NOW.wall_us + 5)) == (5, "")
+    assert between(replace(NOW, boot=""), replace(NOW, boot="", wall_us=NOW.wall_us + 7)) == (7, "")
+    with pytest.raises(MomentError, match="future"):
+        between(NOW, Moment("boot-b", 9 * 10**12, NOW.wall_us - 1))
+
+
+def test_one_process_has_the_file_and_the_kernel_frees_it(tmp_path: Path) -> None:
+    first, second = Store(tmp_path / "n0.learned"), Store(tmp_path / "n0.learned")
+    assert first.acquire() and first.acquire() and not second.acquire()
+    first.release()
+    assert second.acquire()
+
+
+KILLED = """
+import sys
+from pathlib import Path
+from ironscale.learned.codec import encode
+from ironscale.learned.store import Store
+from tests.learned.samples import snapshot
+
+store = Store(Path(sys.argv[1]))
+assert store.acquire()
+serial = int(sys.argv[2])
+data = [encode(snapshot(40, serial=s)) for s in range(serial + 1, serial + 400)]
+print("ready", flush=True)
+for s, one in enumerate(data):
+    store.save(one)
+    print(serial + 1 + s, flush=True)
+"""
+
+
+def test_killed_at_random_instants_while_it_writes(tmp_path: Path) -> None:
+    """KILLS processes, each killed within its writes; thousands: `python -m bench.learned kills`."""
+    seed = int(os.environ.get("KILLS_SEED", "1"))
+    print("seed", seed)
+    rng, path, last = random.Random(seed), tmp_path / "n0.learned", 0
+    for _ in range(int(os.environ.get("KILLS", "12"))):
+        child = subprocess.Popen([sys.executable, "-c", KILLED, str(path), str(last)], cwd=ROOT, text=True,
+                                 stdout=subprocess.PIPE)
+        assert child.stdout is not None and child.stdout.readline() == "ready\n"
+        time.sleep(rng.random() * 0.03)
+        child.kill()
+        told = [int(text) for text in child.stdout.read().splitlines() if text]
+        child.stdout.close()
+        child.wait()
+        found, _, lines = load(Store(path), "n0", LATER)
+        acknowledged = max([last, *told])
+        # a save that was acknowledged is found, or the one that had begun after it
+        assert lines == []
+        assert (found.age_us if found is not None else 0) in (acknowledged, acknowledged + 1)
+        last = found.age_us if found is not None else 0
+    assert last > 0
