--- a/ironscale/learned/teaching.py
+++ b/ironscale/learned/teaching.py
@@ -171,9 +171,12 @@
                     try:
                         donors.append(task.result())
                     except (OSError, TimeoutError, EOFError, CodecError, ValueError) as error:
-                        reason = getattr(error, "strerror", None) or error or "no answer in time"
+                        reason = getattr(error, "strerror", None) or str(error) or "no answer in time"
                         self.sidecar.log(f"learned: {host}:{port}: {reason}; not taught by it")
                 limit_s = ENOUGH_S if donors else limit_s
+            for task in waiting:
+                host, port = tasks[task]
+                self.sidecar.log(f"learned: {host}:{port}: no answer in time; not taught by it")
         finally:
             for task in tasks:
                 task.cancel()
--- a/ironscale/trust.py
+++ b/ironscale/trust.py
@@ -43,13 +43,18 @@
         return None
     silent = lesson.mute > 1 and age_us <= MUTE_LASTS_US
     halves_us = WIDE_HALVES_US if lesson.slots >= 1.0 else SHUT_HALVES_US
-    slots = lesson.slots if silent else between(1.0, lesson.slots, share(age_us, halves_us))
+    slots = shown(lesson) if silent else between(1.0, lesson.slots, share(age_us, halves_us))
     return replace(lesson, slots=slots, mute=lesson.mute if silent else 1,
                    failing=lesson.failing and share(age_us, SHUT_HALVES_US) >= 0.5)
 
 
+def shown(lesson: api.UpstreamLesson) -> float:
+    """Its slots. What answers nothing is tried so seldom that its window hardly closes: as good as shut."""
+    return min(lesson.slots, LEAST_SLOTS) if lesson.mute > 1 else lesson.slots
+
+
 def is_shut(lesson: api.UpstreamLesson | None) -> bool:
-    return lesson is not None and lesson.slots < SHUT
+    return lesson is not None and shown(lesson) < SHUT
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,9 +130,9 @@
 def _agreed_upstream(found: Iterable[tuple[api.UpstreamLesson, float, bool]]) -> api.UpstreamLesson:
     found = list(found)
     least = [(float(lesson.least_us), worth) for lesson, worth, near in found if near and lesson.least_us > 0]
-    slots = median([(lesson.slots, worth) for lesson, worth, _ in found])
+    slots = median([(shown(lesson), worth) for lesson, worth, _ in found])
     # the median of lessons, not a mixture: silent with open slots would be nobody's observation
-    lesson = next(lesson for lesson, _, _ in found if lesson.slots == slots)
+    lesson = next(lesson for lesson, _, _ in found if shown(lesson) == slots)
     return replace(lesson, least_us=int(median(least)) if least else 0, next_cold_us=0, first_hand=False)
 
 
--- /dev/null
+++ b/tests/learned/test_beside.py
@@ -0,0 +1,467 @@
+"""File and teaching beside a real sidecar: slow, full and missing folders, donors that lie, hang or are many."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import random
+import socket
+import threading
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from ironscale.learned import keeper as keeping
+from ironscale.learned import teaching
+from ironscale.learned.beside import Running, beside
+from ironscale.learned.codec import MAX_BYTES, decode, encode
+from ironscale.learned.keeper import Collector, Keeper, in_thread
+from ironscale.learned.moment import machine_boot, now
+from ironscale.learned.store import OsFiles, Store, load, path_for
+from ironscale.learned.teaching import ASKED, Pupil, Teacher, ask
+from ironscale.net.discovery import upstream_id, upstream_name
+from ironscale.operator_file import Learned
+from ironscale.standins.upstream import Peer, reset
+from tests.learned.samples import lesson, snapshot
+from tests.sockets import Scene, run, until
+
+
+async def scene_with(peers: list[Peer]) -> Scene:
+    return await Scene().start(*(peer.entry(f"up-{i}") for i, peer in enumerate(peers)))
+
+
+async def peers_of(count: int) -> list[Peer]:
+    return [await Peer().start() for _ in range(count)]
+
+
+def keeper_of(scene: Scene, store: Store, every_s: float = 0.05) -> Keeper:
+    return Keeper(scene.sidecar, store, every_s, Collector(scene.sidecar))
+
+
+@contextlib.asynccontextmanager
+async def running(*tasks: asyncio.Task[None]) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def free_address() -> tuple[str, int]:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return "127.0.0.1", int(found.getsockname()[1])
+
+
+@pytest.mark.parametrize("name", ["a", "node-7.devwar", "ü" * 20, "x" * 256])
+def test_a_name_comes_back_from_its_number(name: str) -> None:
+    assert upstream_name(upstream_id(name)) == name
+    with pytest.raises(ValueError):
+        upstream_name(upstream_id(name) + 1)
+
+
+def test_what_was_learned_is_written_while_it_serves_and_recalled_by_the_next(tmp_path: Path) -> None:
+    async def test() -> None:
+        peers = await peers_of(3)
+        scene = await scene_with(peers)
+        keeper = keeper_of(scene, Store(path_for(tmp_path, "n0")))
+        async with running(asyncio.create_task(keeper.run())):
+            for _ in range(30):
+                assert (await scene.call()).status == 200
+            await until(lambda: keeper.written_us == scene.sidecar.balancer.confirmed_us)
+        keeper.store.release()
+        writes = keeper.writes
+        assert writes >= 1
+        told = {view.id: view for view in scene.sidecar.balancer.view()}
+        other = await scene_with(peers)
+        again = keeper_of(other, Store(path_for(tmp_path, "n0")))
+        async with running(asyncio.create_task(again.run())):
+            await again.reading.wait()
+            for ident, server in other.sidecar.balancer.servers.items():
+                assert server.lesson is not None and server.lesson.least_us == told[ident].least_us
+            assert other.sidecar.balancer.latency[0].seen
+
+    run(test)
+
+
+def test_nothing_changed_is_not_written_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        keeper = keeper_of(scene, Store(path_for(tmp_path, "n0")))
+        await keeper.write()
+        assert keeper.writing is None
+        await scene.call()
+        for _ in range(3):
+            await keeper.write()
+            assert keeper.writing is not None
+            await keeper.writing
+        assert keeper.writes == 1
+
+    run(test)
+
+
+class Blocked(OsFiles):
+    """Its sync blocks until it is let go, as on a disk that hangs."""
+
+    def __init__(self) -> None:
+        self.let_go = threading.Event()
+        self.waits = 0
+
+    def sync(self, path: str) -> None:
+        self.waits += 1
+        assert self.let_go.wait(60)
+        super().sync(path)
+
+    def read(self, path: str) -> bytes | None:
+        return super().read(path)
+
+
+def test_a_sync_that_blocks_holds_up_neither_serving_nor_the_end(tmp_path: Path, capfd: pytest.CaptureFixture[str],
+                                                                 monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(keeping, "LAST_S", 0.2)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(2))
+        files = Blocked()
+        keeper = keeper_of(scene, Store(path_for(tmp_path, "n0"), files))
+        try:
+            async with running(asyncio.create_task(keeper.run())):
+                await scene.call()
+                await until(lambda: files.waits == 1)
+                for _ in range(50):
+                    assert (await scene.call()).status == 200
+                await until(lambda: keeper.skipped > 0)
+                assert keeper.writes == 0 and files.waits == 1  # one at a time
+            started_s = asyncio.get_running_loop().time()
+            await keeper.last()
+            assert asyncio.get_running_loop().time() - started_s < 5
+            files.let_go.set()
+            await until(lambda: keeper.writes == 1)
+        finally:
+            files.let_go.set()
+
+    run(test)
+    text = capfd.readouterr().err
+    assert text.count("still being written") == 1 and "was not written within 0.2 s" in text
+
+
+class SlowRead(OsFiles):
+    def __init__(self, event: threading.Event) -> None:
+        self.event = event
+
+    def read(self, path: str) -> bytes | None:
+        assert self.event.wait(60)
+        return super().read(path)
+
+
+def test_a_read_that_blocks_does_not_hold_up_the_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                       capfd: pytest.CaptureFixture[str]) -> None:
+    monkeypatch.setattr(keeping, "READ_S", 0.2)
+
+    async def test() -> None:
+        event = threading.Event()
+        scene = await scene_with(await peers_of(2))
+        keeper = keeper_of(scene, Store(path_for(tmp_path, "n0"), SlowRead(event)))
+        try:
+            async with running(asyncio.create_task(keeper.run())):
+                assert (await scene.call()).status == 200
+                await keeper.reading.wait()
+        finally:
+            event.set()
+
+    run(test)
+    assert "got nothing; the start is cold" in capfd.readouterr().err
+
+
+class Failing(OsFiles):
+    def __init__(self, code: int) -> None:
+        self.code = code
+        self.tries = 0
+
+    def write(self, path: str, data: bytes) -> None:
+        self.tries += 1
+        raise OSError(self.code, errno.errorcode[self.code])
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EROFS, errno.EIO])
+def test_a_folder_that_can_not_be_written_is_said_once_and_tried_again(
+        code: int, tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        files = Failing(code)
+        keeper = keeper_of(scene, Store(path_for(tmp_path, "n0"), files))
+        async with running(asyncio.create_task(keeper.run())):
+            while files.tries < 3:
+                assert (await scene.call()).status == 200
+        assert keeper.writes == 0
+
+    run(test)
+    assert capfd.readouterr().err.count(f"can't write: {errno.errorcode[code]}") == 1
+
+
+def test_a_folder_that_can_not_be_made_is_said(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "file").write_text("")
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        keeper = keeper_of(scene, Store(path_for(tmp_path / "file", "n0")))
+        await keeper.recall()
+        assert (await scene.call()).status == 200
+        await keeper.last()
+        assert (await scene.call()).status == 200
+
+    run(test)
+    text = capfd.readouterr().err
+    assert "Not a directory" in text and "can't write: File exists" in text
+
+
+def test_the_second_process_with_one_file_says_so_and_writes_nothing(tmp_path: Path,
+                                                                     capfd: pytest.CaptureFixture[str]) -> None:
+    async def test() -> None:
+        peers = await peers_of(1)
+        first, second = await scene_with(peers), await scene_with(peers)
+        keepers = [keeper_of(scene, Store(path_for(tmp_path, "n0"))) for scene in (first, second)]
+        await first.call()
+        await keepers[0].last()
+        before = Path(keepers[0].store.current).read_bytes()
+        await second.call()
+        await keepers[1].last()
+        assert keepers[1].writes == 0 and Path(keepers[0].store.current).read_bytes() == before
+        keepers[0].store.release()  # as when its process ends
+        await keepers[1].last()
+        assert keepers[1].writes == 1
+
+    run(test)
+    assert "another process holds it; this one does not write" in capfd.readouterr().err
+
+
+def test_rubbish_in_the_folder_is_a_line_and_a_cold_start(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
+    path = path_for(tmp_path, "n0")
+    path.write_bytes(b"rubbish")
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        keeper = keeper_of(scene, Store(path))
+        await keeper.recall()
+        assert (await scene.call()).status == 200
+        assert not scene.sidecar.balancer.lessons
+
+    run(test)
+    assert "expected it to begin with b'ISLEARN\\n', got b'rubbish'; not used" in capfd.readouterr().err
+
+
+def test_a_thread_outlived_by_nobody_is_harmless() -> None:
+    """The process may end while the write is still out: no word of it comes to a loop that is closed."""
+    event, done = threading.Event(), threading.Event()
+
+    def slow() -> None:
+        event.wait(30)
+        done.set()
+
+    async def test() -> None:
+        in_thread(slow)
+
+    run(test)
+    event.set()
+    assert done.wait(30)
+
+
+# Teaching
+
+
+def test_a_newcomer_is_taught_by_a_running_one() -> None:
+    async def test() -> None:
+        peers = await peers_of(4)
+        peers[0].behave = reset
+        old, new = await scene_with(peers), await scene_with(peers)
+        teacher = Teacher(Collector(old.sidecar), ("127.0.0.1", 0))
+        teacher.collector.started_us -= 60_000_000  # it has run for a minute
+        async with running(asyncio.create_task(teacher.run())):
+            while (old.sidecar.balancer.servers[upstream_id("up-0")].window.slots > 0.2
+                   or len(old.sidecar.balancer.learned().upstreams) < 4):
+                await old.call()
+            await until(teacher.port)
+            pupil = Pupil(new.sidecar, Collector(new.sidecar), random.Random(1))
+            assert await pupil.learn([("127.0.0.1", teacher.port())])
+        bad = new.sidecar.balancer.servers[upstream_id("up-0")]
+        assert bad.lesson is not None and not bad.lesson.first_hand and bad.window.slots < 0.5
+        assert pupil.upstreams == 4 and teacher.taught == 1
+
+    run(test)
+
+
+async def liar(answer: bytes, hold: bool = False) -> tuple[str, int]:
+    async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readexactly(len(ASKED))
+        writer.write(answer)
+        if hold:
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(on_connection, "127.0.0.1", 0)
+    return "127.0.0.1", int(server.sockets[0].getsockname()[1])
+
+
+def told(data: bytes, age_us: int = 0) -> bytes:
+    return age_us.to_bytes(8) + len(data).to_bytes(4) + data
+
+
+def test_donors_that_lie_hang_or_are_not_there_cost_a_bounded_time(monkeypatch: pytest.MonkeyPatch,
+                                                                   capfd: pytest.CaptureFixture[str]) -> None:
+    monkeypatch.setattr(teaching, "ASK_S", 0.5)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(2))
+        data = encode(snapshot(2, taken=now(machine_boot())))
+        donors = [
+            await liar(b"", hold=True), await liar(b"\xff" * 12), await liar(told(data)[:-3]),
+            await liar(told(data, 10**9)), await liar(told(b"x" + data[1:])),
+            await liar((0).to_bytes(8) + (MAX_BYTES + 1).to_bytes(4)), free_address(),
+        ]
+        monkeypatch.setattr(teaching, "MOST_DONORS", 10)
+        pupil = Pupil(scene.sidecar, Collector(scene.sidecar), random.Random(1))
+        started_s = asyncio.get_running_loop().time()
+        assert not await pupil.learn(donors)
+        assert asyncio.get_running_loop().time() - started_s < 10
+        assert (await scene.call()).status == 200
+        assert await pupil.learn([*donors, await liar(told(data))])  # one that is right is enough
+
+    run(test)
+    text = capfd.readouterr().err
+    for words in ("expected 4194304 bytes at most, of the last 60 s", "expected it to begin with", "refused",
+                  "no answer in time", "bytes read on a total of"):
+        assert words in text, words
+
+
+def test_nobody_is_waited_for_once_most_have_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(teaching, "ASK_S", 20.0)
+    monkeypatch.setattr(teaching, "ENOUGH_S", 0.1)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        pupil = Pupil(scene.sidecar, Collector(scene.sidecar), random.Random(1))
+        data = encode(snapshot(2, taken=now(machine_boot())))
+        assert await pupil.learn([await liar(b"", hold=True), await liar(told(data))])
+
+    run(test, 10)
+
+
+@pytest.mark.parametrize("asked", [b"", b"GET / HTTP/1.1\r\n\r\n", ASKED[:5], b"\0" * 5000])
+def test_who_asks_for_something_else_gets_nothing(asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(teaching, "PATIENCE_S", 0.2)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        teacher = Teacher(Collector(scene.sidecar), ("127.0.0.1", 0))
+        async with running(asyncio.create_task(teacher.run())):
+            await until(teacher.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", teacher.port())
+            writer.write(asked)
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+            writer.close()
+            assert (await ask(("127.0.0.1", teacher.port())))[1]  # and the next is taught
+
+    run(test)
+
+
+def test_five_hundred_newcomers_at_once_are_taught_from_few_collections() -> None:
+    async def test() -> None:
+        scene = await scene_with(await peers_of(3))
+        for _ in range(20):
+            await scene.call()
+        teacher = Teacher(Collector(scene.sidecar), ("127.0.0.1", 0))
+        most_open = 0
+
+        async def newcomer() -> bytes:
+            async with asyncio.timeout(30):
+                return (await ask(("127.0.0.1", teacher.port())))[1]
+
+        async with running(asyncio.create_task(teacher.run())):
+            await until(teacher.port)
+            started_s = asyncio.get_running_loop().time()
+            waiting = [asyncio.create_task(newcomer()) for _ in range(500)]
+            while not all(task.done() for task in waiting):
+                most_open = max(most_open, teaching.MOST_OPEN - teacher.open._value)
+                assert (await scene.call()).status == 200
+                await asyncio.sleep(0.01)
+            taught = [task.result() for task in waiting]
+            took_s = asyncio.get_running_loop().time() - started_s
+        assert len(decode(taught[0]).upstreams) == 3
+        assert took_s >= 500 / teaching.RATE * 0.9  # paced
+        assert teacher.collected <= took_s / teaching.FRESH_S + 2 and most_open <= teaching.MOST_OPEN
+
+    run(test)
+
+
+def test_a_teaching_address_that_is_taken_is_tried_again(monkeypatch: pytest.MonkeyPatch,
+                                                        capfd: pytest.CaptureFixture[str]) -> None:
+    monkeypatch.setattr(teaching, "AGAIN_S", 0.05)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        taken = socket.create_server(("127.0.0.1", 0))
+        teacher = Teacher(Collector(scene.sidecar), taken.getsockname())
+        async with running(asyncio.create_task(teacher.run())):
+            await asyncio.sleep(0.1)
+            assert teacher.port() == 0 and (await scene.call()).status == 200
+            taken.close()
+            await until(teacher.port)
+
+    run(test)
+    assert "can't teach at 127.0.0.1" in capfd.readouterr().err
+
+
+def test_all_of_it_runs_beside_a_sidecar_and_writes_at_its_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        peers = await peers_of(2)
+        donor = await liar(told(encode(snapshot(0, taken=now(machine_boot()),
+                                                upstreams=(lesson("up-0", started_us=0),)))))
+        scene = await scene_with(peers)
+        learned = Learned(tmp_path, 3600.0, ("127.0.0.1", 0), (donor,))
+        async with beside(learned)(scene.sidecar, lambda: None):
+            await until(lambda: scene.sidecar.balancer.servers[upstream_id("up-0")].lesson)
+            await scene.call()
+            await scene.call()
+        found, _, lines = load(Store(path_for(tmp_path, "n0")), "n0", now(machine_boot()))
+        assert found is not None and lines == [] and any(one.first_hand for one in found.upstreams)
+
+    run(test)
+
+
+def test_a_fault_in_it_ends_neither_the_sidecar_nor_in_silence(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                               capfd: pytest.CaptureFixture[str]) -> None:
+    async def broken(self: object) -> None:
+        raise RuntimeError("broken on purpose")
+
+    monkeypatch.setattr(Running, "all", broken)
+
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        async with beside(Learned(tmp_path))(scene.sidecar, lambda: None):
+            await asyncio.sleep(0)
+            assert (await scene.call()).status == 200
+
+    run(test)
+    text = capfd.readouterr().err
+    assert "learned: it has ended, serving goes on" in text and "broken on purpose" in text
+
+
+def test_ages_of_kept_connections_fade_by_their_age_and_shut_nothing_for_long() -> None:
+    async def test() -> None:
+        scene = await scene_with(await peers_of(1))
+        ages = scene.sidecar.upstreams.ages
+        ages.recall([1.0] * 65, 0)
+        assert not ages.is_trusted(1 << 20)
+        for _ in range(11):  # seconds
+            ages.fade()
+        assert ages.is_trusted(1 << 20)
+        ages.failing = [0.0] * 65
+        ages.recall([1.0] * 65, 12_000_000)
+        assert ages.is_trusted(1 << 20)
+        ages.recall([1.0] * 65, 7 * 86_400_000_000)
+        assert max(ages.failing) < 0.3
+
+    run(test)
