--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -37,14 +37,17 @@
     try:
         found = operator_file.from_environment(environ)
         subsystems: list[Beside] = []
+        channel = None
         if found.learned is not None:
+            from ironscale.learned.beside import Channel
             from ironscale.learned.beside import beside as learned_beside
 
-            subsystems.append(learned_beside(found.learned))
+            channel = Channel()
+            subsystems.append(learned_beside(found.learned, channel))
         if found.control is not None:
             from ironscale.control.beside import beside
 
-            subsystems.append(beside(found.control, environ))
+            subsystems.append(beside(found.control, environ, channel))
         return together(subsystems), found.sidecar.reuse_port
     except operator_file.OperatorFileError as error:
         raise ConfigError(str(error)) from error
--- a/ironscale/agent/fleet.py
+++ b/ironscale/agent/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -14,6 +15,7 @@
 # So many instances a second come back after they have lost their agent.
 RETURNS_PER_S = 200.0
 LEAST_SPREAD_MS = 1_000
+DRAWN, OFFERED, SETTLED_MS = 20, 5, 10_000  # newcomers are told of so many donors, that have run so long
 # So many heartbeats a second an agent asks for; in a larger fleet each beats less often, and leases last longer.
 BEATS_PER_S = 1_000.0
 BEATS_A_LEASE = 3
@@ -73,6 +75,9 @@
         self.dirty: set[str] = set()  # to be written to the record
         self.here = machine()
         self.registrations = self.beats = 0
+        self.teaching: dict[str, str] = {}  # name -> HOST:PORT where it teaches newcomers
+        self.teachers: list[str] = []  # those names, to draw from
+        self.random = random.Random()
 
     def load(self, rows: Iterable[InstanceRow], alive_ms: int) -> None:
         """What was known before this agent's start. Who was connected then has time to come back."""
@@ -129,11 +134,31 @@
         same = member is not None and member.row.boot == hello.boot
         report = member.report if member is not None and same else None
         self.members[hello.name] = member = Member(row, now_ms + lease_ms, True, lease_ms, report, link)
+        if hello.teaches:
+            if hello.name not in self.teaching:
+                self.teachers.append(hello.name)
+            self.teaching[hello.name] = hello.teaches
+        elif self.teaching.pop(hello.name, None) is not None:
+            self.teachers.remove(hello.name)
         self.registrations += 1
         self.touch(hello.name)
         self.connected(hello.name)
         return member
 
+    def donors(self, hello: Hello, wall_ms: int) -> list[str]:
+        """Where a newcomer may be taught: some that serve, on its machine, those of its zone first. A few are drawn and
+        looked at, however many there are."""
+        found = []
+        for name in self.random.sample(self.teachers, min(DRAWN, len(self.teachers))):
+            member = self.members.get(name)
+            if (member is None or name == hello.name or member.link is None or member.report is None
+                    or member.row.host != hello.host):
+                continue
+            settled = wall_ms - member.row.started_ms >= SETTLED_MS
+            if settled and member.report.ready and not member.report.draining:
+                found.append((member.row.zone != hello.zone, self.teaching[name]))
+        return [address for _, address in sorted(found, key=lambda one: one[0])[:OFFERED]]
+
     def beat(self, name: str, link: Link, report: Report) -> bool:
         """A heartbeat; False from a process that no longer has the name."""
         member = self.members.get(name)
--- a/ironscale/agent/links.py
+++ b/ironscale/agent/links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -96,7 +97,8 @@
             fleet = self.links.fleet
             fleet.check(hello)
             lease_ms, beat_ms = fleet.times()
-            self.send(Welcome(lease_ms, beat_ms, fleet.spread_ms()))
+            donors = fleet.donors(hello, int(time.time() * 1000))
+            self.send(Welcome(lease_ms, beat_ms, fleet.spread_ms(), donors))
             fleet.register(hello, self, lease_ms)
             self.name = name
             self.patience.cancel()
--- a/ironscale/control/beside.py
+++ b/ironscale/control/beside.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
 from importlib import metadata
+from typing import Protocol
 
 from ironscale.control.client import Client, Identity
 from ironscale.control.instance import SidecarInstance
@@ -43,13 +44,25 @@
     return client
 
 
-def beside(control: Control, environ: Mapping[str, str]) -> Beside:
+class Teaching(Protocol):
+    """What passes on what a sidecar has learned: an agent tells newcomers where others teach."""
+
+    def teaches(self) -> str:
+        """HOST:PORT where newcomers ask this instance; empty if nowhere."""
+
+    def offer(self, donors: list[str]) -> None:
+        """HOST:PORT of instances that teach."""
+
+
+def beside(control: Control, environ: Mapping[str, str], teaching: Teaching | None = None) -> Beside:
     """Raises OperatorFileError where the token can't be read; later failures are the client's to outlive."""
     token = read_secret(control.token_file)
 
     @contextlib.asynccontextmanager
     async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
         client = client_for(sidecar, control, token, environ, end)
+        if teaching is not None:
+            client.teaches, client.on_donors = teaching.teaches, teaching.offer
         task = asyncio.create_task(client.run())
         try:
             yield
--- a/ironscale/control/client.py
+++ b/ironscale/control/client.py
@@ -77,6 +77,8 @@
         self.next_log_s = 0.0
         self.session: Session | None = None
         self.report_fence: Callable[[int], None] = lambda fence: None
+        self.teaches: Callable[[], str] = lambda: ""
+        self.on_donors: Callable[[list[str]], None] = lambda donors: None
 
     def log(self, text: str) -> None:
         """A line in LOG_GAP_S at most: an agent that talks nonsense must not fill the log."""
@@ -177,7 +179,7 @@
         who, report = self.client.identity, self.client.report()
         self.send(Hello(
             PROTOCOL, who.name, who.boot, who.pid, who.version, who.started_ms, who.zone, who.listen, who.token,
-            report.generation, self.client.commands.fence, who.replaces, who.host, who.ticks))
+            report.generation, self.client.commands.fence, who.replaces, who.host, who.ticks, self.client.teaches()))
 
     def data_received(self, data: bytes) -> None:
         if self.ended.is_set():
@@ -248,6 +250,7 @@
         self.client.redial.failures = 0
         self.client.redial.spread_s = min(600.0, welcome.spread_ms / 1000)
         self.heard()
+        self.client.on_donors(welcome.donors)
         # the first at a random moment: thousands that came together must not beat together
         self.beat_handle = self.loop.call_later(
             self.client.redial.random.random() * welcome.beat_ms / 1000, self.beat)
--- a/ironscale/control/messages.py
+++ b/ironscale/control/messages.py
@@ -42,6 +42,7 @@
     replaces: str = ""  # boot of the process that this one was started to replace
     host: str = ""  # the machine's boot id; with pid and start ticks it names one process
     ticks: int = 0
+    teaches: str = ""  # HOST:PORT where newcomers are taught what it has learned
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +109,7 @@
     lease_ms: int
     beat_ms: int
     spread_ms: int  # should the connection be lost, come back at a random moment within this
+    donors: list[str] = field(default_factory=list)  # HOST:PORT of some that teach newcomers
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironscale/learned/beside.py
+++ b/ironscale/learned/beside.py
@@ -13,8 +13,9 @@
 from ironscale.learned.store import Store, path_for
 from ironscale.learned.teaching import Address, Pupil, Teacher
 from ironscale.net.sidecar import Beside, Sidecar
-from ironscale.operator_file import Learned
+from ironscale.operator_file import Learned, is_loopback, read_address
 
+MOST_OFFERED = 20
 AGAIN_S = (1.0, 4.0)  # none of the donors had anything to teach: they may have just started as well
 
 
@@ -33,6 +34,8 @@
             self.teacher = Teacher(self.collector, learned.teach)
         self.pupil = Pupil(sidecar, self.collector, random.Random(secrets.randbits(64)))
         self.donors = learned.ask
+        self.offered: asyncio.Queue[tuple[Address, ...]] = asyncio.Queue(1)
+        self.from_agent = learned.from_agent
 
     async def learn(self, donors: tuple[Address, ...]) -> None:
         for wait_s in (0.0, *AGAIN_S):
@@ -40,6 +43,11 @@
             if self.pupil.learned or await self.pupil.learn(donors):
                 return
 
+    async def learn_from_offers(self) -> None:
+        """An agent names its donors each time that it is dialled."""
+        while not self.pupil.learned:
+            await self.learn(await self.offered.get())
+
     async def run(self) -> None:
         """Hazard: a fault in here must neither end the sidecar nor go unsaid."""
         try:
@@ -55,12 +63,34 @@
                 group.create_task(self.teacher.run())
             if self.donors:
                 group.create_task(self.learn(self.donors))
+            if self.from_agent:
+                group.create_task(self.learn_from_offers())
+
+
+class Channel:
+    """What an agent's client needs of the subsystem (ironscale.control.beside.Teaching)."""
+
+    def __init__(self) -> None:
+        self.running: Running | None = None
+
+    def teaches(self) -> str:
+        teacher = self.running.teacher if self.running is not None else None
+        return f"{teacher.address[0]}:{teacher.port()}" if teacher is not None and teacher.port() else ""
+
+    def offer(self, donors: list[str]) -> None:
+        found = [address for text in donors[:MOST_OFFERED] if (address := read_address(text)) is not None]
+        # hazard: an agent that is wrong must not make sidecars dial other machines
+        near = tuple(address for address in found if is_loopback(address))
+        if self.running is not None and near and not self.running.offered.full():
+            self.running.offered.put_nowait(near)
 
 
-def beside(learned: Learned) -> Beside:
+def beside(learned: Learned, channel: Channel | None = None) -> Beside:
     @contextlib.asynccontextmanager
     async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
         found = Running(sidecar, learned)
+        if channel is not None:
+            channel.running = found
         task = asyncio.create_task(found.run())
         try:
             yield
--- a/ironscale/learned/teaching.py
+++ b/ironscale/learned/teaching.py
@@ -18,6 +18,7 @@
 from ironscale import trust
 from ironscale.learned.codec import MAX_BYTES, CodecError, decoding
 from ironscale.learned.keeper import Collector, in_slices
+from ironscale.net.discovery import upstream_id
 from ironscale.net.sidecar import Sidecar
 
 Address = tuple[str, int]
@@ -152,6 +153,9 @@
         received_us = self.sidecar.clock.now_us()
         snapshot = await in_slices(decoding(data), self.collector.spent)
         age_us += self.sidecar.clock.now_us() - received_us
+        known = self.sidecar.balancer.servers
+        if known and not any(upstream_id(one.name) in known for one in snapshot.upstreams):
+            raise CodecError(f"expected lessons on upstreams of ours, got {len(snapshot.upstreams)} of others")
         return trust.Donor(self.collector.lessons(snapshot, age_us), snapshot.up_us, snapshot.resting,
                            snapshot.cut_off, snapshot.ages)
 
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -32,12 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Learned:
-    """`[learned]`: what a sidecar has learned outlives it. At least one of the three is named."""
+    """`[learned]`: what a sidecar has learned outlives it. At least one of its ways is named."""
 
     folder: Path | None = None  # a file for each sidecar in it, by its name
     every_s: float = 5.0
     teach: Address | None = None  # newcomers ask here; loopback
     ask: tuple[Address, ...] = ()  # where others teach
+    from_agent: bool = False  # the agent names some that teach
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,11 +213,13 @@
     learned = Learned(
         folder=table.file_path("folder") if "folder" in table.values else None,
         every_s=table.seconds("every_s", 0.1, 3600, 5.0), teach=teach,
-        ask=table.get("ask", f"a list of {MOST_DONORS} HOST:PORT at most on loopback addresses", _donors, ()))
+        ask=table.get("ask", f"a list of {MOST_DONORS} HOST:PORT at most on loopback addresses", _donors, ()),
+        from_agent=table.flag("from_agent", False))
     table.asked |= {"teach", "folder"}
     table.end()
-    if learned.folder is None and learned.teach is None and not learned.ask:
-        raise OperatorFileError(f"{table.file}: {table.path}: expected folder, teach or ask, got none of them")
+    if learned == Learned(every_s=learned.every_s):
+        raise OperatorFileError(f"{table.file}: {table.path}: expected folder, teach, ask or from_agent = true, "
+                                "got none of them")
     return learned
 
 
--- a/tests/agent/test_fleet.py
+++ b/tests/agent/test_fleet.py
@@ -167,3 +167,34 @@
     assert s.fleet.names() == ["a", "b", "c"]
     s.come("0")
     assert s.fleet.names() == ["0", "a", "b", "c"]
+
+
+def test_newcomers_are_told_of_some_that_teach_their_zone_first() -> None:
+    scene = Scene(100)
+
+    def teach(name: str, port: int, zone: str = "z", **changes: Any) -> FakeLink:
+        hello = Hello(PROTOCOL, name, "b1", 1, "0", 5, zone, "h:1", "t", 0, 0, host="m", teaches=f"127.0.0.1:{port}",
+                      **changes)
+        link = FakeLink("b1")
+        scene.fleet.register(hello, link, 6_000)
+        scene.fleet.beat(name, link, REPORT)
+        return link
+
+    newcomer = Hello(PROTOCOL, "new", "b", 1, "0", 5, "z", "h:1", "t", 0, 0, host="m")
+    assert scene.fleet.donors(newcomer, 50_000) == []
+    for i in range(4):
+        teach(f"far{i}", 7000 + i, "y")
+    for i in range(2):
+        teach(f"near{i}", 8000 + i)
+    found = scene.fleet.donors(newcomer, 50_000)
+    assert len(found) == 5 and {text.split(":")[1] for text in found[:2]} == {"8000", "8001"}
+    assert scene.fleet.donors(newcomer, 5_000) == []  # they had just started
+    assert scene.fleet.donors(replace(newcomer, host="other"), 50_000) == []  # their loopback is not its own
+    assert "127.0.0.1:8000" not in scene.fleet.donors(replace(newcomer, name="near0"), 50_000)
+    gone = teach("near1", 8001)
+    scene.fleet.unlink("near1", gone, "")
+    drained = teach("near0", 8000)
+    scene.fleet.beat("near0", drained, replace(REPORT, draining=True))
+    assert not {"127.0.0.1:8000", "127.0.0.1:8001"} & set(scene.fleet.donors(newcomer, 50_000))
+    scene.come("far0", "b1")  # it teaches no more
+    assert "127.0.0.1:7000" not in scene.fleet.donors(newcomer, 50_000) and len(scene.fleet.teachers) == 5
