--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -122,7 +122,8 @@
         return max(self.mean_us, self.first_us) if self.doubt else self.mean_us
 
     def recall(self, lesson: api.ClassLesson, share: float) -> None:
-        self.mean_us = trust.between(self.first_us, min(lesson.mean_us, 2 * self.first_us), share)
+        # hazard: longer than without it, cold upstreams would warm up more slowly and requests be late sooner
+        self.mean_us = trust.between(self.first_us, min(lesson.mean_us, self.first_us), share)
         self.base_us = min(self.mean_us, max(lesson.base_us, self.mean_us / 4))
         self.seen, self.doubt, self.confirmed_us = True, 1 / 2, lesson.confirmed_us
 
@@ -540,13 +541,6 @@
         """Takes in what was learned before or elsewhere, as far as nothing has been seen here; its times
         are on our clock. Hazard: it may be stale, wrong or a lie: trust.py and `believe`."""
         self.now_us = max(self.now_us, now_us)
-        kinds = dict(zip((kind.name for kind in self.settings.classes), self.latency, strict=True))
-        for lesson in lessons.classes:
-            latency = kinds.get(lesson.name)
-            share = trust.share(self.now_us - lesson.confirmed_us, trust.LATENCY_HALVES_US)
-            if latency is not None and share > 0.0 and latency.confirmed_us < lesson.confirmed_us and (
-                    not latency.seen or latency.doubt == 1 / 2):
-                latency.recall(lesson, share)
         if sum(self.tenant_seen) < trust.TENANT_WEIGHT:
             told, age_us = dict(lessons.tenants), self.now_us - lessons.confirmed_us
             share = trust.TENANT_WEIGHT * trust.share(age_us, trust.LATENCY_HALVES_US)
@@ -559,12 +553,6 @@
         """Once the list has named their upstreams. What discovery's own list does not name is forgotten."""
         count = len(self.order)
         for lessons in sorted(self.lessons, key=lambda told: told.confirmed_us) if count else []:
-            if self.confirmed_us == 0 and lessons.slots > 0.0:
-                # hazard: a shut one is self-fulfilling, an open one a burst: half or twice the usual at most
-                share = trust.share(self.now_us - lessons.confirmed_us, trust.SIDECAR_HALVES_US)
-                usual = SLOTS_EACH * count / self.settings.instances
-                slots = trust.between(usual, min(max(lessons.slots, usual / 2), 2 * usual), share)
-                self.window.slots = max(SMALLEST_WINDOW, slots)
             known = {lesson.id: lesson for lesson in lessons.upstreams}
             told = {}
             for server in self.order:
@@ -575,6 +563,10 @@
                     faded = trust.faded(found, self.now_us)
                     if faded is not None:
                         told[server] = faded
+            here = sum(ident in known and known[ident].started_us == server.entry.started_us
+                       for ident, server in self.servers.items())
+            if self.has_list and 2 * here >= len(lessons.upstreams):
+                self.recall_times(lessons, count)
             shut = sum(trust.is_shut(told.get(server, server.lesson)) for server in self.order)
             for server, lesson in told.items():
                 if 2 * shut <= count or not trust.is_shut(lesson):
@@ -582,6 +574,21 @@
         if self.has_list:
             self.lessons = []
 
+    def recall_times(self, lessons: api.Lessons, count: int) -> None:
+        """What was learned of all upstreams together. Hazard: of a fleet that was replaced it is wrong."""
+        for kind, latency in zip(self.settings.classes, self.latency, strict=True):
+            told = next((lesson for lesson in lessons.classes if lesson.name == kind.name), None)
+            if told is not None and latency.confirmed_us < told.confirmed_us and (
+                    not latency.seen or latency.doubt == 1 / 2):
+                share = trust.share(self.now_us - told.confirmed_us, trust.LATENCY_HALVES_US)
+                if share > 0.0:
+                    latency.recall(told, share)
+        if self.confirmed_us == 0 and lessons.slots > 0.0:
+            # hazard: a shut one is self-fulfilling, an open one a burst: the usual to twice that
+            share = trust.share(self.now_us - lessons.confirmed_us, trust.SIDECAR_HALVES_US)
+            usual = max(SMALLEST_WINDOW, SLOTS_EACH * count / self.settings.instances)
+            self.window.slots = trust.between(usual, min(max(lessons.slots, usual), 2 * usual), share)
+
     def believe(self, server: Server, lesson: api.UpstreamLesson) -> None:
         """Until a try of our own. Hazard: by mere word it gets no more than the one slot of a new one, and is
         not shut so far that few tries would come: it is drawn rarely, and still before a refusal."""
--- a/ironscale/cli/processes.py
+++ b/ironscale/cli/processes.py
@@ -11,7 +11,7 @@
 
 from ironscale.cli.common import api_for, api_options, output_option
 from ironscale.cli.output import Exit, fail, out, print_json, table, word
-from ironscale.operator_file import Agent, OperatorFileError, load
+from ironscale.operator_file import Agent, Learned, OperatorFileError, load
 
 
 @click.command()
@@ -74,6 +74,7 @@
         "agent": (f"control {found.agent.control[0]}:{found.agent.control[1]}, api {found.agent.api[0]}:"
                   f"{found.agent.api[1]}, {sum(s.count for s in found.agent.services)} supervised instances")
         if found.agent else "off",
+        "learned": learned_text(found.learned) if found.learned else "off",
         "sidecar.reuse_port": "on" if found.sidecar.reuse_port else "off",
     }
     if output == "json":
@@ -82,6 +83,15 @@
         out.print(table(("PART", "IS"), parts.items()))
 
 
+def learned_text(learned: Learned) -> str:
+    """What [learned] switches on."""
+    ways = [f"files in {learned.folder}, every {learned.every_s:g} s" if learned.folder else "",
+            f"teaches at {learned.teach[0]}:{learned.teach[1]}" if learned.teach else "",
+            f"asks {len(learned.ask)} donors" if learned.ask else "",
+            "asks whom the agent names" if learned.from_agent else ""]
+    return "; ".join(way for way in ways if way)
+
+
 @click.group()
 def token() -> None:
     """Bearer tokens of the agent's API and of instances."""
--- a/ironscale/learned/codec.py
+++ b/ironscale/learned/codec.py
@@ -30,7 +30,7 @@
 MAX_TIME_US = 2**53  # whole numbers past this are not the same in every JSON reader
 LONGEST_US = 400 * 86_400_000_000  # no value is older than this
 MOST_MILLIONTHS = 10**12
-SLICE = 100  # upstreams in one step: under a millisecond
+SLICE = 10  # upstreams in one step: some 0.1 ms
 AGES = 65
 T = TypeVar("T")
 
--- a/ironscale/learned/keeper.py
+++ b/ironscale/learned/keeper.py
@@ -29,26 +29,28 @@
 )
 from ironscale.learned.moment import machine_boot, now
 from ironscale.learned.store import Store, choose
-from ironscale.net.discovery import upstream_id, upstream_name
+from ironscale.net.discovery import upstream_id
 from ironscale.net.sidecar import Sidecar
 
 T = TypeVar("T")
+SLICE_S = 0.0005
 LAST_S = 1.0  # the end of the process waits so long for its last snapshot, and no longer
 READ_S = 5.0  # what comes later is older than what the sidecar has seen itself
 LOG_GAP_S = 60.0
 
 
 async def in_slices(steps: Generator[None, None, T], spent: Callable[[float], None] = lambda s: None) -> T:
-    """Runs `steps` with the loop between them; `spent` hears how long each took, in seconds."""
+    """Runs `steps` for SLICE_S at a time with the loop between; `spent` hears how long each time was, in seconds."""
     while True:
         start_s = time.perf_counter()
         try:
-            next(steps)
+            while time.perf_counter() - start_s < SLICE_S:
+                next(steps)
         except StopIteration as stop:
-            spent(time.perf_counter() - start_s)
             value: T = stop.value
             return value
-        spent(time.perf_counter() - start_s)
+        finally:
+            spent(time.perf_counter() - start_s)
         await asyncio.sleep(0)
 
 
@@ -100,9 +102,9 @@
         found: list[NamedLesson] = []
         for start in range(0, len(idents), SLICE):
             for lesson in balancer.learned(idents[start:start + SLICE]).upstreams:
-                name = upstream_name(lesson.id)
-                if len(name) <= MAX_NAME and name.isprintable() and name:
-                    found.append(named(lesson, name, told_us))
+                pool = sidecar.upstreams.pools.get(lesson.id)  # it knows the name that the number was made of
+                if pool is not None and 0 < len(pool.member.name) <= MAX_NAME and pool.member.name.isprintable():
+                    found.append(named(lesson, pool.member.name, told_us))
             yield
         if len(found) > MOST_UPSTREAMS:
             found = sorted(found, key=lambda one: one.age_us)[:MOST_UPSTREAMS]
--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -56,15 +56,6 @@
     return int.from_bytes(b"\1" + hashlib.blake2b(raw, digest_size=8).digest() + raw)
 
 
-def upstream_name(ident: int) -> str:
-    """The `instanceId` that `upstream_id` made the number of. Raises ValueError for any other number."""
-    raw = ident.to_bytes((ident.bit_length() + 7) // 8)
-    name = raw[9:].decode()
-    if upstream_id(name) != ident:
-        raise ValueError(f"expected a number made from an instanceId, got {ident}")
-    return name
-
-
 class Directory:
     """Reads discovery's JSON; zones and machine types become indexes into the settings' lists."""
 
