--- a/tests/learned/test_restart.py
+++ b/tests/learned/test_restart.py
@@ -8,12 +8,12 @@
 import signal
 import sys
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from bench.learned import lie
 from bench.stage import START_US, Fault, S, Stage
 from ironscale import interface as api
 from ironscale import trust
@@ -167,29 +167,11 @@
 # Paired on the same seeds, in virtual time
 
 
-Variant = Callable[[Stage], api.Lessons | None]
-
-
-def lesson_of(stage: Stage, ident: int, slots: float, mute: int = 1) -> api.UpstreamLesson:
-    return api.UpstreamLesson(ident, stage.nodes[ident].entry.started_us, stage.now_us, slots, 1, mute > 1, mute,
-                              0, False)
-
-
-def lie(stage: Stage, slots: Callable[[int], float]) -> api.Lessons:
-    """One donor's word, all fresh: what it says of each upstream, of times and of the sidecar as well."""
-    found = [lesson_of(stage, ident, slots(i), 9 if slots(i) < 1 else 1)
-             for i, (ident, node) in enumerate(stage.nodes.items()) if not node.gone]
-    wide = slots(0) >= 1
-    kinds = tuple(api.ClassLesson(name, stage.now_us, 1.0 if wide else 1e9, 1.0) for name in ("view", "pay"))
-    return api.Lessons(stage.now_us, 0, 1e6 if wide else 1e-6, stage.now_us, tuple(found), kinds, ())
-
-
 def donors(stage: Stage) -> list[trust.Donor]:
     return [trust.Donor(side.balancer.learned(), stage.now_us - START_US, side.balancer.window.slots < 1.0, False)
             for side in stage.sides[1:]]
 
 
-ALL = ("all shut", "half shut", "all open", "stale donor", "mixed donors")
 FAULTS: dict[str, tuple[Fault, ...]] = {
     "a zone silent": (Fault("silent", 4 * S, 90 * S, zone=1),),
     "a zone reset": (Fault("reset", 4 * S, 90 * S, zone=1),),
