--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -7,6 +7,7 @@
 import heapq
 import random
 from collections.abc import Iterable
+from dataclasses import replace
 
 from ironscale import interface as api
 from ironscale import trust
@@ -562,15 +563,18 @@
                         and (server.lesson is not None or server.confirmed_us == 0)):
                     faded = trust.faded(found, self.now_us)
                     if faded is not None:
-                        told[server] = faded
+                        if lessons.zone != self.settings.zone:  # how far it is holds from there only
+                            found = replace(found, least_us=0)
+                        told[server] = found, faded
             here = sum(ident in known and known[ident].started_us == server.entry.started_us
                        for ident, server in self.servers.items())
             if self.has_list and 2 * here >= len(lessons.upstreams):
                 self.recall_times(lessons, count)
-            shut = sum(trust.is_shut(told.get(server, server.lesson)) for server in self.order)
-            for server, lesson in told.items():
-                if 2 * shut <= count or not trust.is_shut(lesson):
-                    self.believe(server, lesson)
+            shut = sum(trust.is_shut(told[server][1] if server in told else server.lesson)
+                       for server in self.order)
+            for server, (lesson, faded) in told.items():
+                if 2 * shut <= count or not trust.is_shut(faded):
+                    self.believe(server, lesson, faded)
         if self.has_list:
             self.lessons = []
 
@@ -589,10 +593,10 @@
             usual = max(SMALLEST_WINDOW, SLOTS_EACH * count / self.settings.instances)
             self.window.slots = trust.between(usual, min(max(lessons.slots, usual), 2 * usual), share)
 
-    def believe(self, server: Server, lesson: api.UpstreamLesson) -> None:
+    def believe(self, server: Server, whole: api.UpstreamLesson, lesson: api.UpstreamLesson) -> None:
         """Until a try of our own. Hazard: by mere word it gets no more than the one slot of a new one, and is
         not shut so far that few tries would come: it is drawn rarely, and still before a refusal."""
-        server.lesson, server.confirmed_us = lesson, lesson.confirmed_us
+        server.lesson, server.confirmed_us = whole, whole.confirmed_us  # told on, it fades once and not twice
         server.window.slots = min(1.0, max(trust.LEAST_SLOTS, lesson.slots))
         server.failing, server.mute = lesson.failing, min(lesson.mute, trust.MOST_MUTE)
         if lesson.first_hand:  # what we sent before a restart still warms it up
@@ -602,8 +606,11 @@
     def test(self, server: Server, outcome: api.Outcome | None, elapsed_us: int) -> None:
         """The first attempt of ours at an upstream that we were told of: its answer opens what was shut, and
         what was open as far as it was; without one, what we were told is taken for so."""
-        lesson, server.lesson = server.lesson, None
-        if lesson is not None and outcome is api.Outcome.OK:
+        told, server.lesson = server.lesson, None
+        lesson = trust.faded(told, self.now_us) if told is not None else None
+        if outcome is api.Outcome.OK and lesson is None:
+            server.window.slots = max(1.0, server.window.slots)
+        elif outcome is api.Outcome.OK and lesson is not None:
             most = max(1.0, STACKED * self.window.slots / max(1, len(self.order)))
             server.window.slots = 1.0 if self.warmth(server) < 1.0 else min(max(1.0, lesson.slots), most)
             # hazard: one told too short would keep a far upstream at one slot for good
--- a/ironscale/learned/codec.py
+++ b/ironscale/learned/codec.py
@@ -134,8 +134,12 @@
     return _whole(value, where, 1) == 1
 
 
+def is_name(value: Any, least: int = 1) -> bool:
+    return type(value) is str and least <= len(value) <= MAX_NAME and value.isprintable()
+
+
 def _name(value: Any, where: str, least: int = 1) -> str:
-    if type(value) is not str or not least <= len(value) <= MAX_NAME or not (value.isprintable() or not value):
+    if not is_name(value, least):
         _wrong(where, f"{least} to {MAX_NAME} printable characters", value)
     return str(value)
 
--- a/ironscale/learned/keeper.py
+++ b/ironscale/learned/keeper.py
@@ -11,19 +11,21 @@
 import threading
 import time
 from collections.abc import Callable, Generator
-from dataclasses import replace
 from typing import TypeVar
 
 from ironscale import interface as api
 from ironscale.learned.codec import (
     MAX_BYTES,
-    MAX_NAME,
+    MAX_TIME_US,
+    MOST_CLASSES,
+    MOST_TENANTS,
     MOST_UPSTREAMS,
     SLICE,
     CodecError,
     NamedLesson,
     Snapshot,
     encoding,
+    is_name,
     lessons_of,
     named,
 )
@@ -103,7 +105,8 @@
         for start in range(0, len(idents), SLICE):
             for lesson in balancer.learned(idents[start:start + SLICE]).upstreams:
                 pool = sidecar.upstreams.pools.get(lesson.id)  # it knows the name that the number was made of
-                if pool is not None and 0 < len(pool.member.name) <= MAX_NAME and pool.member.name.isprintable():
+                # hazard: one entry of discovery's that no reader takes would cost the whole snapshot
+                if pool is not None and is_name(pool.member.name) and 0 <= lesson.started_us <= MAX_TIME_US:
                     found.append(named(lesson, pool.member.name, told_us))
             yield
         if len(found) > MOST_UPSTREAMS:
@@ -114,22 +117,19 @@
             cut_off=sidecar.cut_off, zone=self.zones.get(whole.zone, ""),
             slots=whole.slots, age_us=max(0, told_us - whole.confirmed_us) if whole.confirmed_us else 0,
             classes=tuple((c.name, max(0, told_us - c.confirmed_us), max(1.0, c.mean_us), max(1.0, c.base_us))
-                          for c in whole.classes if len(c.name) <= MAX_NAME),
-            tenants=tuple(whole.tenants[:1000]), ages=tuple(sidecar.upstreams.ages.failing), upstreams=tuple(found))
+                          for c in whole.classes[:MOST_CLASSES] if is_name(c.name)),
+            tenants=tuple(t for t in whole.tenants[:MOST_TENANTS] if is_name(t[0])),
+            ages=tuple(sidecar.upstreams.ages.failing), upstreams=tuple(found))
 
     async def collect(self) -> bytes:
         snapshot = await in_slices(self.collecting(), self.spent)
         return await in_slices(encoding(snapshot), self.spent)
 
     def lessons(self, snapshot: Snapshot, age_us: int) -> api.Lessons:
-        """A snapshot of that age for this sidecar's decisions. Distances hold from its own zone only."""
+        """A snapshot of that age for this sidecar's decisions."""
         now_us = self.sidecar.clock.now_us()
-        home = self.sidecar.config.settings.zone
         zone = self.sidecar.config.directory.zones.get(snapshot.zone, -1)
-        lessons = lessons_of(snapshot, now_us - age_us, now_us, zone, upstream_id)
-        if zone != home:
-            lessons = replace(lessons, upstreams=tuple(replace(one, least_us=0) for one in lessons.upstreams))
-        return lessons
+        return lessons_of(snapshot, now_us - age_us, now_us, zone, upstream_id)
 
 
 class Keeper:
--- a/ironscale/learned/store.py
+++ b/ironscale/learned/store.py
@@ -23,10 +23,7 @@
         """At most MAX_BYTES + 1 of it; None if there is no such file."""
 
     def write(self, path: str, data: bytes) -> None:
-        """Makes or replaces the file; nothing is sure to last."""
-
-    def sync(self, path: str) -> None:
-        """What the file holds lasts."""
+        """Makes or replaces the file; when it returns, what it holds lasts, though maybe not its name."""
 
     def rename(self, old: str, new: str) -> None:
         """In one step, in place of `new`; nothing is sure to last."""
@@ -52,26 +49,23 @@
             view = memoryview(data)
             while view:
                 view = view[os.write(handle, view):]
+            self.fsync(handle)  # hazard: on another handle the error of an earlier write may not be told
         finally:
             os.close(handle)
 
-    def sync(self, path: str) -> None:
-        self._sync(path, os.O_RDONLY)
-
     def rename(self, old: str, new: str) -> None:
         os.replace(old, new)
 
     def sync_folder(self, path: str) -> None:
-        self._sync(path, os.O_RDONLY | os.O_DIRECTORY)
-
-    @staticmethod
-    def _sync(path: str, flags: int) -> None:
-        handle = os.open(path, flags | os.O_CLOEXEC)
+        handle = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
-            os.fsync(handle)
+            self.fsync(handle)
         finally:
             os.close(handle)
 
+    def fsync(self, handle: int) -> None:
+        os.fsync(handle)
+
 
 def path_for(folder: Path, name: str) -> Path:
     """The file of the sidecar `name`."""
@@ -112,7 +106,6 @@
         """When it returns, `data` lasts; when it fails or is cut off, what was there before does."""
         files = self.files
         files.write(self.aside, data)
-        files.sync(self.aside)
         with contextlib.suppress(FileNotFoundError):  # the first write, or one cut off between the renames
             files.rename(self.current, self.previous)
         files.rename(self.aside, self.current)
