--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -38,6 +38,10 @@
         found = operator_file.from_environment(environ)
         subsystems: list[Beside] = []
         channel = None
+        if found.store is not None:  # the first: not one request may pass by it
+            from ironscale.record.beside import beside as store_beside
+
+            subsystems.append(store_beside(found.store))
         if found.learned is not None:
             from ironscale.learned.beside import Channel
             from ironscale.learned.beside import beside as learned_beside
--- a/ironscale/agent/sqlite.py
+++ b/ironscale/agent/sqlite.py
@@ -1,25 +1,26 @@
-"""The record in SQLite: WAL, full sync, one writer thread with group commit, migrations with versions."""
+"""The record in SQLite, on the driver of `ironscale.record.database`; migrations with versions."""
 
 from __future__ import annotations
 
-import asyncio
 import json
-import os
-import queue
-import sqlite3
-import threading
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, fields
 from operator import attrgetter
 from pathlib import Path
 from typing import Any, TypeVar
 
+import apsw
+
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Policy, State, Target
 from ironscale.agent.store import Configuration, Event, InstanceRow, Records, StoreError, TokenRow
+from ironscale.record import database
+from ironscale.record.database import Opener, Writer, trouble
+from ironscale.record.errors import Step
+from ironscale.record.model import Trouble
 
 T = TypeVar("T")
 BUSY_MS = 2_000
-GROUP = 256  # pieces of work in one commit at most
+CLOSE_S = 10.0
 MIGRATIONS = (
     """
     CREATE TABLE counters (name TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
@@ -65,31 +66,31 @@
 _token_values = attrgetter(*(f.name for f in fields(TokenRow)))
 
 
-def told(error: sqlite3.Error, path: Path) -> StoreError:
-    """What SQLite says, as one line and a stable code."""
-    text = str(error)
-    for words, code, hint in (
-        ("full", "FULL", "free space, then repeat"), ("locked", "LOCKED", "another process writes it"),
-        ("readonly", "READ_ONLY", "the file or its folder can't be written"),
-        ("unable to open", "READ_ONLY", "the folder can't be written"),
-        ("malformed", "DAMAGED", "restore a copy"), ("not a database", "DAMAGED", "restore a copy"),
-    ):
-        if words in text:
-            return StoreError(code, f"{path}: {text}; {hint}")
-    return StoreError("FAILED", f"{path}: {text}")
+CODES = {"SQLITE_FULL": "FULL", "SQLITE_BUSY": "LOCKED", "SQLITE_LOCKED": "LOCKED", "SQLITE_READONLY": "READ_ONLY",
+         "SQLITE_CANTOPEN": "READ_ONLY", "SQLITE_PERM": "READ_ONLY", "SQLITE_CORRUPT": "DAMAGED",
+         "SQLITE_NOTADB": "DAMAGED", "NEWER": "NEWER"}
+
+
+def told(found: Trouble) -> StoreError:
+    """What the store says, under a stable code."""
+    return StoreError(CODES.get(found.code, "FAILED"), str(found))
 
 
 class SqliteRecords:
     """`Records` on one connection."""
 
-    def __init__(self, connection: sqlite3.Connection) -> None:
+    def __init__(self, connection: apsw.Connection) -> None:
         self.sql = connection.execute
         self.many = connection.executemany
 
     def _counter(self, name: str) -> int:
-        row = self.sql("INSERT INTO counters VALUES (?, 1) ON CONFLICT (name) DO UPDATE SET value = value + 1"
-                       " RETURNING value", (name,)).fetchone()
-        return int(row[0])
+        return self._number("INSERT INTO counters VALUES (?, 1) ON CONFLICT (name) DO UPDATE SET value = value + 1"
+                            " RETURNING value", (name,))
+
+    def _number(self, sql: str, values: tuple[Any, ...] = ()) -> int:
+        (value,), = self.sql(sql, values).fetchall()
+        assert isinstance(value, int)
+        return value
 
     def instances(self) -> list[InstanceRow]:
         rows = self.sql("SELECT * FROM instances ORDER BY name")
@@ -171,7 +172,7 @@
                   " VALUES (?,?,?,?,?,?,?,?,?,?,?,?,?,?)", ((operation, *_target_values(t)) for t in targets))
 
     def current_generation(self) -> int:
-        return int(self.sql("SELECT coalesce(max(generation), 0) FROM configurations").fetchone()[0])
+        return self._number("SELECT coalesce(max(generation), 0) FROM configurations")
 
     def configuration(self, generation: int) -> Configuration | None:
         row = self.sql("SELECT * FROM configurations WHERE generation = ?", (generation,)).fetchone()
@@ -199,7 +200,7 @@
         return [Event(*(json.loads(v) if i == 6 else v for i, v in enumerate(row))) for row in rows]
 
     def last_event(self) -> int:
-        return int(self.sql("SELECT coalesce(max(id), 0) FROM audit").fetchone()[0])
+        return self._number("SELECT coalesce(max(id), 0) FROM audit")
 
     def tokens(self) -> list[TokenRow]:
         return [TokenRow(*row) for row in self.sql("SELECT * FROM tokens ORDER BY name")]
@@ -208,81 +209,32 @@
         self.sql("INSERT OR REPLACE INTO tokens VALUES (?,?,?,?,?)", _token_values(token))
 
 
-def connect(path: Path) -> sqlite3.Connection:
+def connect(path: Path) -> apsw.Connection:
     """Opens the file and brings its schema up to this program's. Raises StoreError."""
+    opener = Opener(path, migrate, busy_ms=BUSY_MS)
     try:
-        # 0600 from its first byte: SQLite gives its side files the mode of the database
-        os.close(os.open(path, os.O_RDWR | os.O_CREAT, 0o600))
-        connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
-    except OSError as error:
-        raise StoreError("READ_ONLY", f"{path}: {error.strerror}") from error
-    except sqlite3.Error as error:
-        raise told(error, path) from error
-    try:
-        connection.execute(f"PRAGMA busy_timeout = {BUSY_MS}")
-        connection.execute("PRAGMA journal_mode = WAL")
-        connection.execute("PRAGMA synchronous = FULL")
-        connection.execute("PRAGMA foreign_keys = ON")
-        migrate(connection, path)
-    except sqlite3.Error as error:
-        connection.close()
-        raise told(error, path) from error
-    except StoreError:
-        connection.close()
-        raise
-    return connection
-
-
-def migrate(connection: sqlite3.Connection, path: Path) -> None:
-    connection.execute("BEGIN IMMEDIATE")  # two agents that start at once: the second finds it done
-    version = int(connection.execute("PRAGMA user_version").fetchone()[0])
-    if version > SCHEMA:
-        connection.execute("ROLLBACK")
-        raise StoreError("NEWER", f"{path}: expected schema {SCHEMA} or older, got {version}; "
-                                  "start the newer program, or name another data folder")
-    for script in MIGRATIONS[version:]:
-        statement = ""
-        for line in script.splitlines():
-            statement += line + "\n"
-            if statement.strip() and sqlite3.complete_statement(statement):
-                connection.execute(statement)
-                statement = ""
-    connection.execute(f"PRAGMA user_version = {SCHEMA}")
-    connection.execute("COMMIT")
-
-
-class _Job:
-    __slots__ = ("future", "loop", "work", "writes")
-
-    def __init__(self, work: Callable[[Records], Any], writes: bool) -> None:
-        self.work = work
-        self.writes = writes
-        self.loop = asyncio.get_running_loop()
-        self.future: asyncio.Future[Any] = self.loop.create_future()
-
-    def settle(self, result: Any, error: BaseException | None) -> None:
-        def now() -> None:
-            if self.future.done():
-                return
-            if error is not None:
-                self.future.set_exception(error)
-            else:
-                self.future.set_result(result)
-
-        self.loop.call_soon_threadsafe(now)
+        return opener.open()
+    except Trouble as found:
+        raise told(found) from found
+    except apsw.Error as error:
+        raise told(trouble(error, Step.WORK, path)) from error
+
+
+def migrate(connection: apsw.Connection) -> None:
+    database.migrate(connection, SCHEMA, lambda version: MIGRATIONS[version:], "name another data folder")
 
 
 class SqliteStore:
-    """One connection on one thread. What is asked for while a commit is under way shares the next."""
+    """The record on the driver that stores of record have: one writer with group commit."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        self.connection = connect(path)
-        self.records = SqliteRecords(self.connection)
-        self.jobs: queue.SimpleQueue[_Job | None] = queue.SimpleQueue()
-        self.thread = threading.Thread(target=self._run, name="store", daemon=True)
-        self.thread.start()
-        self.commits = 0
+        self.writer = Writer(Opener(path, migrate, busy_ms=BUSY_MS), connection=connect(path))
+
+    @property
+    def connection(self) -> apsw.Connection:
+        assert self.writer.connection is not None
+        return self.writer.connection
 
     async def write(self, work: Callable[[Records], T]) -> T:
         return await self._ask(work, True)
@@ -291,60 +243,11 @@
         return await self._ask(work, False)
 
     async def _ask(self, work: Callable[[Records], T], writes: bool) -> T:
-        job = _Job(work, writes)
-        self.jobs.put(job)
-        # hazard: a caller that is cancelled must not make it look as if the work had not been done
-        result: T = await asyncio.shield(job.future)
-        return result
-
-    def _run(self) -> None:
-        while True:
-            job = self.jobs.get()
-            if job is None:
-                return
-            group = [job]
-            while len(group) < GROUP:
-                try:
-                    more = self.jobs.get_nowait()
-                except queue.Empty:
-                    break
-                if more is None:
-                    self.jobs.put(None)
-                    break
-                group.append(more)
-            self._commit(group)
-
-    def _commit(self, group: list[_Job]) -> None:
-        done: list[tuple[_Job, Any, BaseException | None]] = []
         try:
-            writes = any(job.writes for job in group)
-            self.connection.execute("BEGIN IMMEDIATE" if writes else "BEGIN")
-            for job in group:
-                self.connection.execute("SAVEPOINT job")
-                try:
-                    done.append((job, job.work(self.records), None))
-                except sqlite3.Error as error:
-                    if not self.connection.in_transaction:
-                        raise  # it ended the whole transaction (a full disk does)
-                    self.connection.execute("ROLLBACK TO job")
-                    done.append((job, None, told(error, self.path)))
-                except Exception as error:
-                    self.connection.execute("ROLLBACK TO job")
-                    done.append((job, None, error))
-                self.connection.execute("RELEASE job")
-            self.connection.execute("COMMIT")
-            self.commits += writes
-        except sqlite3.Error as error:
-            if self.connection.in_transaction:
-                self.connection.execute("ROLLBACK")
-            # nothing of the group was kept, so all are told so, those that went well among them
-            failure = told(error, self.path)
-            done = [(job, None, StoreError(failure.code, str(failure))) for job in group]
-        for job, result, problem in done:
-            job.settle(result, problem)
+            return await self.writer.run(lambda transaction: work(SqliteRecords(transaction.connection)), writes=writes)
+        except Trouble as found:
+            raise told(found) from found
 
     def close(self) -> None:
         """After all that was asked for."""
-        self.jobs.put(None)
-        self.thread.join()
-        self.connection.close()
+        self.writer.stop(CLOSE_S)
--- a/ironscale/cli/main.py
+++ b/ironscale/cli/main.py
@@ -11,6 +11,7 @@
 from ironscale.cli.learned import learned
 from ironscale.cli.load import load
 from ironscale.cli.output import CliError, Exit, err
+from ironscale.cli.record import record
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -35,7 +36,7 @@
 
 for command in (instances.ls, instances.show, instances.drain, instances.undrain, instances.stop, instances.restart,
                 rollout.apply, rollout.rollout, rollout.ops, rollout.events, processes.agent, processes.sidecar,
-                processes.token, processes.config, learned, load, demo, completion):
+                processes.token, processes.config, learned, load, record, demo, completion):
     main.add_command(command)
 
 
--- a/ironscale/cli/processes.py
+++ b/ironscale/cli/processes.py
@@ -67,6 +67,10 @@
     """Read FILE as agent and sidecars would, and say what it switches on."""
     try:
         found = load(file)
+        if found.store is not None:
+            from ironscale.record.opening import check as check_stores
+
+            check_stores(found.store)
     except OperatorFileError as error:
         fail(Exit.USAGE, str(error))
     parts: dict[str, Any] = {
@@ -76,6 +80,9 @@
         if found.agent else "off",
         "learned": learned_text(found.learned) if found.learned else "off",
         "record": f"arrivals in {found.record.file}, {found.record.most_mb:g} MB at most" if found.record else "off",
+        "store": (f"classes {', '.join(found.store.classes)} to " + ", ".join(
+            f"{target.name} ({'SQLite ' + str(target.sqlite) if target.sqlite else 'PostgreSQL'})"
+            for target in found.store.to)) if found.store else "off",
         "sidecar.reuse_port": "on" if found.sidecar.reuse_port else "off",
     }
     if output == "json":
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -48,6 +48,31 @@
     most_mb: float = 64.0  # of both together
 
 
+@dataclass(frozen=True, slots=True)
+class StoreTarget:
+    """`[[store.to]]`: one store of record, either of both kinds."""
+
+    name: str
+    sqlite: Path | None = None
+    postgresql: str = ""  # a connection string of libpq's, several hosts and TLS among its settings; no password
+    password_file: Path | None = None
+    connections: int = 8  # PostgreSQL: open at most
+    synchronous_commit: str = "on"  # PostgreSQL: what a confirmed record has survived
+    queue: int = 4_096  # SQLite: writes that wait at most
+
+
+@dataclass(frozen=True, slots=True)
+class Stores:
+    """`[store]`: requests of these classes are written to a store of record in place of being sent to an upstream."""
+
+    file: str  # for errors that show only with the configuration at hand
+    classes: tuple[str, ...]
+    to: tuple[StoreTarget, ...]
+    by: str = "tenant"  # what chooses among several
+    upstreams: str = "none"  # whether they are also sent to one, and when: none, first, last
+    journal: Path | None = None  # folder: outcomes that were left open, a file a process
+
+
 @dataclass(frozen=True, slots=True)
 class Sidecar:
     """`[sidecar]`: how the listener is opened."""
@@ -92,6 +117,7 @@
     agent: Agent | None = None
     learned: Learned | None = None
     record: Record | None = None
+    store: Stores | None = None
 
 
 def is_loopback(address: Address) -> bool:
@@ -147,6 +173,50 @@
     return learned
 
 
+SYNCHRONOUS = ("on", "off", "local", "remote_write", "remote_apply")
+MOST_STORES = 64
+
+
+def _names(value: Any) -> tuple[str, ...] | None:
+    if not isinstance(value, list) or not 0 < len(value) <= 100 or len({*map(str, value)}) < len(value):
+        return None
+    found = [text_or_none(entry) for entry in value]
+    return None if None in found else tuple(name for name in found if name is not None)
+
+
+def _target(table: Table) -> StoreTarget:
+    target = StoreTarget(
+        name=table.text("name"),
+        sqlite=table.file_path("sqlite") if "sqlite" in table.values else None,
+        postgresql=table.text("postgresql", ""),
+        password_file=table.file_path("password_file") if "password_file" in table.values else None,
+        connections=table.whole("connections", 1, 1_000, 8),
+        synchronous_commit=table.one_of("synchronous_commit", SYNCHRONOUS, "on"),
+        queue=table.whole("queue", 1, 1_000_000, 4_096))
+    table.asked |= {"sqlite", "password_file"}
+    table.end()
+    if (target.sqlite is None) == (not target.postgresql):
+        raise OperatorFileError(f"{table.file}: {table.path}: expected sqlite or postgresql, got "
+                                f"{'neither' if target.sqlite is None else 'both'}")
+    return target
+
+
+def _stores(table: Table) -> Stores:
+    targets = [_target(entry) for entry in table.tables("to")]
+    if not 0 < len(targets) <= MOST_STORES:
+        raise OperatorFileError(f"{table.file}: {table.at('to')}: expected 1 to {MOST_STORES} tables [[store.to]], "
+                                f"got {len(targets)}")
+    names = [target.name for target in targets]
+    for name in names:
+        if names.count(name) > 1:
+            raise OperatorFileError(f"{table.file}: {table.at('to')}: expected names that differ, got {name!r} twice")
+    stores = Stores(table.file, table.get("classes", "a list of names that differ", _names), tuple(targets),
+                    table.one_of("by", ("tenant", "key"), "tenant"),
+                    table.one_of("upstreams", ("none", "first", "last"), "none"), table.file_path("journal"))
+    table.end()
+    return stores
+
+
 def _agent(table: Table) -> Agent:
     agent = Agent(
         data=table.file_path("data", Path(".ironscale")),
@@ -181,6 +251,7 @@
     agent = root.table("agent")
     learned = root.table("learned")
     record = root.table("record")
+    store = root.table("store")
     found = OperatorFile(
         control=Control(control.address("agent"), control.file_path("token_file"),
                         control.get("zone", "a text", text_or_none, "")) if control is not None else None,
@@ -189,6 +260,7 @@
         learned=_learned(learned) if learned is not None else None,
         record=Record(record.file_path("file"), record.number("most_mb", 0.01, 1_000_000, 64.0, "megabytes"))
         if record is not None else None,
+        store=_stores(store) if store is not None else None,
     )
     for table in (control, sidecar, record, root):
         if table is not None:
--- /dev/null
+++ b/ironscale/record/beside.py
@@ -0,0 +1,75 @@
+"""Puts stores of record into a started sidecar, as `[store]` of the operator file says."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+from ironscale.interface import Settings
+from ironscale.net.config import ConfigError
+from ironscale.net.sidecar import Beside, Sidecar
+from ironscale.operator_file import OperatorFileError, Stores
+from ironscale.record.journal import Journal, JournalError
+from ironscale.record.lane import Stores as Front
+from ironscale.record.opening import make
+from ironscale.record.recorder import Recorder
+from ironscale.tasks import alongside
+
+CLOSE_S = 2.0  # what is open at the end has so long to be found out; the rest the next start finds out
+TAKE_OVER_S = 5.0  # how often is looked for what a process of the same name has left
+
+
+def check_classes(stores: Stores, settings: Settings) -> dict[int, str]:
+    """The classes by their index. Raises OperatorFileError where one is not known, or is of requests that write
+    nothing."""
+    known = {kind.name: (index, kind) for index, kind in enumerate(settings.classes)}
+    found = {}
+    for name in stores.classes:
+        if name not in known:
+            raise OperatorFileError(f"{stores.file}: store.classes: expected classes of the configuration "
+                                    f"({', '.join(known)}), got {name!r}")
+        index, kind = known[name]
+        if kind.effect == "idempotent":
+            raise OperatorFileError(f"{stores.file}: store.classes: expected classes whose requests write, got "
+                                    f"{name!r}, which is safe to repeat")
+        found[index] = name
+    return found
+
+
+def beside(stores: Stores) -> Beside:
+    """Raises OperatorFileError."""
+    makers = [(target.name, make(target, stores.file)) for target in stores.to]
+
+    @contextlib.asynccontextmanager
+    async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
+        # nothing here waits: not one request may pass by the stores
+        journal = Journal(stores.journal, sidecar.config.name, sidecar.log)
+        try:
+            indexes = check_classes(stores, sidecar.config.settings)
+            left = journal.begin()
+        except (OperatorFileError, JournalError) as error:
+            raise ConfigError(str(error)) from error
+        recorders = [Recorder(name, make(), journal, sidecar.log) for name, make in makers]
+        front = Front(sidecar, stores.by, recorders, stores.upstreams)
+        sidecar.fronts.update(dict.fromkeys(indexes, front))
+        for recorder in recorders:
+            recorder.resume(left)
+
+        async def take_over() -> None:
+            while True:
+                await asyncio.sleep(TAKE_OVER_S)
+                found = await journal.take_over()
+                for recorder in recorders:
+                    recorder.resume(found)
+
+        try:
+            async with alongside(take_over()):
+                yield
+        finally:
+            for index in indexes:
+                sidecar.fronts.pop(index, None)
+            await front.close(CLOSE_S)
+            await journal.settle(CLOSE_S)
+
+    return running
--- /dev/null
+++ b/ironscale/record/database.py
@@ -0,0 +1,386 @@
+"""SQLite off the event loop: one writer with group commit, a reader and a checkpointer beside it. What is asked for
+while a commit is under way shares the next one. Knows nothing of what is written: work is handed in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, Generic, TypeVar
+
+import apsw
+
+from ironscale.record.errors import Step, sqlite_cause, sqlite_knowledge
+from ironscale.record.model import Cause, Knowledge, Trouble
+
+T = TypeVar("T")
+BUSY_MS = 250  # another process writes: so long at a time, then it is told; who asked may ask again
+GROUP = 256  # pieces of work in one commit at most
+MOST_QUEUED = 4_096
+CHECKPOINT_PAGES = 1_000  # of the log, from where they are copied into the file beside the writer
+LONGEST_LOG_PAGES = 32_000  # past this the writer itself waits for the copying: else the log would grow for ever
+NO_TIME = float("inf")
+
+
+# An error that a file system in Python raised has no code of its own, but its class.
+_NAMES: dict[type[Exception], str] = {apsw.IOError: "SQLITE_IOERR", apsw.SQLError: "SQLITE_ERROR"}
+
+
+def name_of(error: apsw.Error) -> str:
+    """The primary result code's name."""
+    code = getattr(error, "result", None)
+    found = apsw.mapping_result_codes.get(code) if isinstance(code, int) else None
+    if found is not None:
+        return str(found)
+    return _NAMES.get(type(error)) or f"SQLITE_{type(error).__name__.removesuffix('Error').upper()}"
+
+
+def trouble(error: apsw.Error, step: Step, path: Path | str) -> Trouble:
+    name = name_of(error)
+    hint = {"SQLITE_FULL": "; free space", "SQLITE_BUSY": "; another process writes it",
+            "SQLITE_READONLY": "; the file or its folder can't be written", "SQLITE_CORRUPT": "; restore a backup",
+            "SQLITE_NOTADB": "; restore a backup",
+            "SQLITE_CANTOPEN": "; the folder must be there and writable"}.get(name, "")
+    return Trouble(sqlite_knowledge(step, name), sqlite_cause(name), f"{path}: {name}: {error}{hint}", name)
+
+
+def migrate(connection: apsw.Connection, schema: int, statements: Callable[[int], Sequence[str]], instead: str,
+            owner: int = 0) -> None:
+    """Brings the file up to `schema`, whole or not at all; `statements` gives what is missing from a version on.
+
+    `owner`, if it is not 0, marks the file as one program's. Raises Trouble where a newer program, or another one, has
+    written it; `instead` says what else can be named. Raises apsw.Error.
+    """
+    path = connection.filename
+    connection.execute("BEGIN IMMEDIATE")  # two that start at once: the second finds it done
+    try:
+        version = int(connection.pragma("user_version"))
+        found = int(connection.pragma("application_id"))
+        tables = connection.execute("SELECT count(*) FROM sqlite_schema").fetchall()[0][0]
+        if owner and found != owner and (found or version or tables):
+            raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE,
+                          f"{path}: expected a store of record, got another program's database; {instead}", "FOREIGN")
+        if version > schema:
+            raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{path}: expected schema {schema} or older, got "
+                          f"{version}; start the newer program, or {instead}", "NEWER")
+        if version < schema:
+            for statement in statements(version):
+                connection.execute(statement)
+            connection.execute(f"PRAGMA user_version = {schema}")
+            if owner:
+                connection.execute(f"PRAGMA application_id = {owner}")
+        connection.execute("COMMIT")
+    except BaseException:
+        if connection.in_transaction:
+            connection.execute("ROLLBACK")
+        raise
+
+
+class Transaction:
+    """What a piece of work may do within its transaction."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: apsw.Connection) -> None:
+        self.connection = connection
+
+    def execute(self, sql: str, values: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
+        return self.connection.execute(sql, values).fetchall()
+
+    def many(self, sql: str, rows: Sequence[Sequence[Any]]) -> None:
+        self.connection.executemany(sql, rows)
+
+
+Work = Callable[[Transaction], T]
+
+
+class _Job(Generic[T]):
+    """Waits in the queue until it is taken, or withdrawn by who asked for it."""
+
+    __slots__ = ("begun", "future", "loop", "until", "work", "writes")
+
+    def __init__(self, work: Work[T], until: float, writes: bool, loop: asyncio.AbstractEventLoop) -> None:
+        self.work, self.until, self.writes, self.loop = work, until, writes, loop
+        self.begun = False
+        self.future: asyncio.Future[T] = loop.create_future()
+        self.future.add_done_callback(lambda done: done.cancelled() or done.exception())  # it may be told to nobody
+
+    def settle(self, result: Any, error: BaseException | None) -> None:
+        def now() -> None:
+            if self.future.done():
+                return
+            if error is not None:
+                self.future.set_exception(error)
+            else:
+                self.future.set_result(result)
+
+        with contextlib.suppress(RuntimeError):  # the loop has ended: nobody waits
+            self.loop.call_soon_threadsafe(now)
+
+
+class Opener:
+    """Opens connections to one file, all alike. `vfs` names one that is registered with apsw; tests break it."""
+
+    def __init__(self, path: Path, prepare: Callable[[apsw.Connection], None] | None = None, vfs: str | None = None,
+                 busy_ms: int = BUSY_MS, exclusive: bool = False) -> None:
+        self.path, self.prepare, self.vfs, self.busy_ms = path, prepare, vfs, busy_ms
+        self.exclusive = exclusive  # nobody else opens the file; needs no memory shared between processes
+
+    def open(self, create: bool = True) -> apsw.Connection:
+        """Raises apsw.Error or Trouble."""
+        flags = apsw.SQLITE_OPEN_READWRITE | (apsw.SQLITE_OPEN_CREATE if create else 0)
+        try:
+            if create and self.vfs is None:
+                # 0600 from its first byte: SQLite gives its side files the mode of the database
+                os.close(os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600))
+        except OSError as error:
+            raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{self.path}: expected a file that can be written, got "
+                          f"{error.strerror}", "SQLITE_CANTOPEN") from error
+        deadline = time.monotonic() + self.busy_ms / 1000
+        while True:
+            try:
+                return self._opened(flags)
+            except apsw.BusyError:
+                # hazard: while another one changes the journal's mode, SQLite does not wait by itself
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(0.005)
+
+    def _opened(self, flags: int) -> apsw.Connection:
+        connection = apsw.Connection(str(self.path), flags=flags, vfs=self.vfs)
+        try:
+            connection.set_busy_timeout(self.busy_ms)
+            if self.exclusive:
+                connection.execute("PRAGMA locking_mode = EXCLUSIVE").fetchall()
+            connection.execute("PRAGMA journal_mode = WAL").fetchall()
+            connection.execute("PRAGMA synchronous = FULL").fetchall()
+            connection.execute("PRAGMA foreign_keys = ON").fetchall()
+            connection.execute("PRAGMA wal_autocheckpoint = 0").fetchall()
+            if self.prepare is not None:
+                self.prepare(connection)
+        except BaseException:
+            connection.close(True)
+            raise
+        return connection
+
+
+class Writer:
+    """One connection on one thread."""
+
+    def __init__(self, opener: Opener, most_queued: int = MOST_QUEUED, checkpoint_pages: int = CHECKPOINT_PAGES,
+                 longest_log_pages: int = LONGEST_LOG_PAGES, connection: apsw.Connection | None = None) -> None:
+        """`connection`: one that the opener has opened already, and nobody else uses."""
+        self.opener = opener
+        self.most_queued = most_queued
+        self.checkpoint_pages = checkpoint_pages
+        self.longest_log_pages = checkpoint_pages if opener.exclusive else longest_log_pages
+        self.jobs: deque[_Job[Any]] = deque()
+        self.wake = threading.Condition()
+        self.ending = False
+        self.connection = connection
+        if connection is not None:
+            connection.set_wal_hook(self._on_log)
+        self.log_pages = 0
+        self.commits = self.written = 0
+        self.longest_s = 0.0  # a commit, from BEGIN on
+        self.checkpoint_s = 0.0  # the longest that the writer itself waited for copying
+        self.to_copy = threading.Event()
+        self.thread = threading.Thread(target=self._run, name="record-writer", daemon=True)
+        self.copier = threading.Thread(target=self._copy, name="record-checkpoints", daemon=True)
+        self.thread.start()
+        self.copier.start()
+
+    async def run(self, work: Work[T], until: float = NO_TIME, writes: bool = True) -> T:
+        """The work's result, once it is durable. Raises Trouble, or what the work raised; then nothing of it was kept,
+        unless a Trouble says that this is not known. A caller who is cancelled has not taken it back."""
+        loop = asyncio.get_running_loop()
+        job = _Job(work, until, writes, loop)
+        with self.wake:
+            if self.ending:
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY, f"{self.opener.path}: it is being closed",
+                              "CLOSED")
+            if len(self.jobs) >= self.most_queued:
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY,
+                              f"{self.opener.path}: {self.most_queued} writes wait already", "QUEUE")
+            self.jobs.append(job)
+            self.wake.notify()
+        left = until - loop.time()
+        done, _ = await asyncio.wait([job.future], timeout=None if until == NO_TIME else max(0.0, left))
+        if done:
+            return job.future.result()
+        with self.wake:
+            if not job.begun:
+                # withdrawn before it was taken: it never runs
+                with contextlib.suppress(ValueError):
+                    self.jobs.remove(job)
+                job.begun = True
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TIMEOUT, f"{self.opener.path}: its turn did not come in time",
+                              "TIMEOUT")
+        raise Trouble(Knowledge.NOT_KNOWN, Cause.TIMEOUT, f"{self.opener.path}: its commit was not answered in time",
+                      "TIMEOUT")
+
+    def _run(self) -> None:
+        while True:
+            with self.wake:
+                while not self.jobs and not self.ending:
+                    self.wake.wait()
+                if not self.jobs:
+                    return
+                group: list[_Job[Any]] = []
+                while self.jobs and len(group) < GROUP:
+                    job = self.jobs.popleft()
+                    job.begun = True
+                    group.append(job)
+            began = time.monotonic()
+            done = self._commit(group)
+            self.longest_s = max(self.longest_s, time.monotonic() - began)
+            for job, result, problem in done:
+                job.settle(result, problem)
+            self._mind_log()
+
+    def _commit(self, group: list[_Job[Any]]) -> list[tuple[_Job[Any], Any, BaseException | None]]:
+        done: list[tuple[_Job[Any], Any, BaseException | None]] = []
+        step, opened = Step.CONNECT, self.connection
+        try:
+            if opened is None:
+                opened = self.connection = self.opener.open()
+                opened.set_wal_hook(self._on_log)
+            step = Step.WORK
+            transaction = Transaction(opened)
+            writes = any(job.writes for job in group)
+            opened.execute("BEGIN IMMEDIATE" if writes else "BEGIN")
+            for job in group:
+                opened.execute("SAVEPOINT job")
+                try:
+                    done.append((job, job.work(transaction), None))
+                except apsw.Error as error:
+                    if not opened.in_transaction:
+                        raise  # it ended the whole transaction (a full disk does)
+                    opened.execute("ROLLBACK TO job")
+                    done.append((job, None, trouble(error, step, self.opener.path)))
+                except Exception as error:
+                    opened.execute("ROLLBACK TO job")
+                    done.append((job, None, error))
+                opened.execute("RELEASE job")
+            step = Step.COMMIT
+            opened.execute("COMMIT")
+            self.commits += writes
+            self.written += len(group) if writes else 0
+            return done
+        except (apsw.Error, Trouble) as error:
+            found = error if isinstance(error, Trouble) else trouble(error, step, self.opener.path)
+            if opened is not None:
+                self._after_error(opened, found)
+            # all of the group share its fate, but for those that had failed by themselves
+            failed = {id(job) for job, _, problem in done if problem is not None}
+            return [entry for entry in done if entry[2] is not None] + [
+                (job, None, Trouble(found.knowledge, found.cause, str(found), found.code))
+                for job in group if id(job) not in failed]
+        except Exception as error:  # hazard: a thread that died would leave all that wait for it without a word
+            if opened is not None:
+                self._after_error(opened, None)
+            problem = Trouble(Knowledge.NOT_KNOWN if step is Step.COMMIT else Knowledge.NEVER_RAN, Cause.BROKEN,
+                              f"{self.opener.path}: {type(error).__name__}: {error}")
+            return [(job, None, problem) for job in group]
+
+    def _after_error(self, opened: apsw.Connection, found: Trouble | None) -> None:
+        try:
+            if opened.in_transaction:
+                opened.execute("ROLLBACK")
+            keep = found is not None and found.cause is Cause.TURNED_AWAY and found.knowledge is Knowledge.NEVER_RAN
+        except apsw.Error:
+            keep = False
+        if not keep:
+            # hazard: after an error of a sync this connection's view of the log may differ from what a recovery finds
+            self.connection = None
+            with contextlib.suppress(apsw.Error):
+                opened.close(True)
+
+    def _on_log(self, connection: apsw.Connection, database: str, pages: int) -> int:
+        self.log_pages = pages
+        return 0
+
+    def _mind_log(self) -> None:
+        if self.log_pages >= self.checkpoint_pages and not self.opener.exclusive:
+            self.to_copy.set()
+        if self.log_pages >= self.longest_log_pages and self.connection is not None:
+            began = time.monotonic()
+            with contextlib.suppress(apsw.Error):  # a reader holds it up: tried again after the next commit
+                self.connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_RESTART)
+            self.log_pages = 0
+            self.checkpoint_s = max(self.checkpoint_s, time.monotonic() - began)
+
+    def _copy(self) -> None:
+        """Copies the log into the file on a connection of its own: a passive checkpoint keeps no writer waiting."""
+        connection: apsw.Connection | None = None
+        while True:
+            self.to_copy.wait()
+            self.to_copy.clear()
+            if self.ending:
+                break
+            try:
+                if connection is None:
+                    connection = Opener(self.opener.path, None, self.opener.vfs).open(create=False)
+                connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
+            except (apsw.Error, Trouble):
+                # the log stays as it is; the writer's own turn comes once it is long
+                if connection is not None:
+                    with contextlib.suppress(apsw.Error):
+                        connection.close(True)
+                connection = None
+        if connection is not None:
+            with contextlib.suppress(apsw.Error):
+                connection.close(True)
+
+    def stop(self, wait_s: float) -> None:
+        """After all that was asked for. Blocks; hazard: a disk that hangs must not keep the process for ever."""
+        with self.wake:
+            self.ending = True
+            self.wake.notify()
+        self.to_copy.set()
+        self.copier.join(wait_s)
+        self.thread.join(wait_s)
+        if not self.thread.is_alive() and self.connection is not None:
+            connection, self.connection = self.connection, None
+            with contextlib.suppress(apsw.Error):
+                connection.close(True)
+
+
+class Reader:
+    """One connection for reading: a long listing keeps no write waiting."""
+
+    def __init__(self, opener: Opener) -> None:
+        self.opener = opener
+        self.lock = threading.Lock()
+        self.connection: apsw.Connection | None = None
+
+    def now(self, work: Work[T]) -> T:
+        """On the caller's own thread. Raises Trouble."""
+        with self.lock:
+            try:
+                if self.connection is None:
+                    self.connection = self.opener.open(create=False)
+                self.connection.execute("BEGIN")
+                try:
+                    return work(Transaction(self.connection))
+                finally:
+                    if self.connection.in_transaction:
+                        self.connection.execute("ROLLBACK")
+            except apsw.Error as error:
+                connection, self.connection = self.connection, None
+                if connection is not None:
+                    with contextlib.suppress(apsw.Error):
+                        connection.close(True)
+                raise trouble(error, Step.WORK, self.opener.path) from error
+
+    def close(self) -> None:
+        with self.lock:
+            if self.connection is not None:
+                self.connection.close(True)
+                self.connection = None
--- /dev/null
+++ b/ironscale/record/journal.py
@@ -0,0 +1,234 @@
+"""Outcomes that were left open, on the sidecar's own disk: what an operator can list, and the next start goes on with.
+
+Each process writes a file of its own in one folder, NAME.TOKEN.open, and holds its lock. A process of the same name
+takes over the files of those that have ended, while it runs too: with make before break the former one ends after its
+successor has started. One JSON object a line; a line counts once its line break stands. Off the event loop but for the
+start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import json
+import os
+import secrets
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from urllib.parse import quote
+
+from ironscale.threads import in_thread
+
+VERSION = 1
+SUFFIX = ".open"
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """An attempt whose outcome is not known; its client was told that the request failed."""
+
+    attempt: str
+    store: str
+    request: str
+    kind: str
+    tenant: str
+    key: str
+    since_ms: int
+    why: str = ""
+
+
+class JournalError(Exception):
+    """A journal that can't be used; the text is one line."""
+
+
+def read(path: Path) -> tuple[dict[str, Open], int]:
+    """What is open, oldest first, and how many lines could not be read (a torn last one among them)."""
+    found: dict[str, Open] = {}
+    damaged = 0
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return found, 0
+    except OSError as error:
+        raise JournalError(f"{path}: expected a journal that can be read, got {error.strerror}") from error
+    *lines, rest = data.split(b"\n")
+    damaged += bool(rest)
+    for line in lines:
+        try:
+            one = json.loads(line)
+            if one.get("version", VERSION) > VERSION:
+                raise JournalError(f"{path}: expected version {VERSION}, got {one['version']}; start the newer program")
+            if "open" in one:
+                entry = Open(**one["open"])
+                found[entry.attempt] = entry
+            elif "closed" in one:
+                found.pop(one["closed"], None)
+        except (ValueError, TypeError, AttributeError, KeyError):
+            damaged += 1
+    return found, damaged
+
+
+def read_all(folder: Path) -> tuple[list[Open], int]:
+    """What all sidecars have left open, and how many damaged lines there are. Raises JournalError."""
+    if not folder.is_dir():
+        raise JournalError(f"{folder}: expected the folder of the journals, got nothing; has a sidecar run with it?")
+    found: dict[str, Open] = {}
+    damaged = 0
+    for path in sorted(folder.glob(f"*{SUFFIX}")):
+        entries, bad = read(path)
+        found.update(entries)
+        damaged += bad
+    return sorted(found.values(), key=lambda entry: entry.since_ms), damaged
+
+
+def line_of(entry: Open) -> str:
+    return json.dumps({"open": asdict(entry)}, separators=(",", ":")) + "\n"
+
+
+class Journal:
+    """This process's file. What can't be written is said, and stays known in memory."""
+
+    def __init__(self, folder: Path | None, name: str, log: Callable[[str], None]) -> None:
+        self.folder, self.log = folder, log
+        self.quoted = quote(name, safe="")
+        self.path = folder / f"{self.quoted}.{secrets.token_hex(4)}{SUFFIX}" if folder is not None else None
+        self.fd = -1  # open, locked; closed with the process
+        self.open: dict[str, Open] = {}
+        self.lines: list[str] = []
+        self.taken_over: list[Path] = []  # to be removed once their lines stand in this file
+        self.writing: asyncio.Task[None] | None = None
+        self.lines_in_file = 0
+        self.spoilt = False  # a write failed: the whole file is written anew at the next occasion
+
+    def begin(self) -> list[Open]:
+        """Opens this process's file and takes over what others left. Raises JournalError."""
+        if self.folder is None:
+            return []
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+            left, paths = self.left_by_others()
+            self.open = {entry.attempt: entry for entry in left}
+            self.rewrite(left)
+            for path in paths:
+                path.unlink(missing_ok=True)
+        except OSError as error:
+            raise JournalError(f"{self.folder}: expected a folder that can be written, got {error.strerror}") from error
+        return left
+
+    def left_by_others(self) -> tuple[list[Open], list[Path]]:
+        """Of processes of this name that have ended."""
+        assert self.folder is not None
+        found: dict[str, Open] = {}
+        paths = []
+        for path in sorted(self.folder.iterdir()):
+            token = path.name.removeprefix(f"{self.quoted}.").removesuffix(SUFFIX)
+            if path == self.path or path.name != f"{self.quoted}.{token}{SUFFIX}" or not token.isalnum():
+                continue
+            try:
+                with path.open("rb") as file:
+                    fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    entries, damaged = read(path)
+            except (BlockingIOError, FileNotFoundError):
+                continue  # it runs, or another one was quicker
+            if damaged:
+                self.log(f"{path}: {damaged} damaged lines were left out")
+            found.update(entries)
+            paths.append(path)
+        return list(found.values()), paths
+
+    async def take_over(self) -> list[Open]:
+        """What others have left since; it stands in this file before it goes from theirs."""
+        if self.folder is None:
+            return []
+        if self.spoilt:
+            self.put("")
+        try:
+            left, paths = await in_thread(self.left_by_others)
+        except (OSError, JournalError) as error:
+            self.log(f"{self.folder}: can't look for what others left open: {error}")
+            return []
+        new = [entry for entry in left if entry.attempt not in self.open]
+        for entry in new:
+            self.opened(entry)
+        if paths:
+            self.taken_over += paths
+            self.put("")
+        return new
+
+    def rewrite(self, entries: list[Open]) -> None:
+        assert self.path is not None
+        half = self.path.with_name(f"{self.path.name}.new")
+        fd = os.open(half, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX)
+            os.write(fd, (json.dumps({"version": VERSION}) + "\n" + "".join(map(line_of, entries))).encode())
+            os.fsync(fd)
+            os.replace(half, self.path)
+        except OSError:
+            os.close(fd)
+            raise
+        before, self.fd = self.fd, fd
+        if before >= 0:
+            os.close(before)
+        self.lines_in_file = len(entries) + 1
+
+    def opened(self, entry: Open) -> None:
+        self.open[entry.attempt] = entry
+        self.put(line_of(entry))
+
+    def closed(self, attempt: str, told: str) -> None:
+        if self.open.pop(attempt, None) is not None:
+            self.put(json.dumps({"closed": attempt, "told": told}, separators=(",", ":")) + "\n")
+
+    def put(self, line: str) -> None:
+        if self.folder is None:
+            return
+        self.lines.append(line)
+        if self.writing is None:
+            self.writing = asyncio.get_running_loop().create_task(self.write())
+
+    async def write(self) -> None:
+        """Everything that waits, in one piece; a disk that hangs holds up nothing else."""
+        try:
+            while self.lines:
+                lines, self.lines = self.lines, []
+                gone, self.taken_over = self.taken_over, []
+                # hazard: closed lines of a long life would fill the disk
+                long = self.lines_in_file > 1_000 + 4 * len(self.open)
+                anew = list(self.open.values()) if long or self.spoilt else None
+                try:
+                    await in_thread(lambda lines=lines, anew=anew, gone=gone: self.to_disk(  # type: ignore[misc]
+                        lines, anew, gone))
+                    self.spoilt = False
+                except OSError as error:
+                    self.spoilt = True
+                    self.taken_over += gone
+                    self.log(f"{self.path}: {len(lines)} lines of open outcomes could not be written: {error.strerror}")
+        finally:
+            self.writing = None
+
+    def to_disk(self, lines: list[str], anew: list[Open] | None, gone: list[Path]) -> None:
+        if anew is not None:
+            self.rewrite(anew)
+        else:
+            size = os.fstat(self.fd).st_size
+            torn = b"\n" if size and os.pread(self.fd, 1, size - 1) != b"\n" else b""  # a full disk left half a line
+            os.write(self.fd, torn + "".join(lines).encode())
+            os.fsync(self.fd)
+            self.lines_in_file += len(lines)
+        for path in gone:
+            path.unlink(missing_ok=True)
+
+    async def settle(self, limit_s: float) -> None:
+        """At the end: what waits is written, and a file that lists nothing is removed."""
+        if self.writing is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await asyncio.shield(self.writing)
+        if self.fd >= 0 and self.writing is None:
+            if not self.open and self.path is not None:
+                self.path.unlink(missing_ok=True)
+            os.close(self.fd)
+            self.fd = -1
--- /dev/null
+++ b/ironscale/record/lane.py
@@ -0,0 +1,215 @@
+"""Requests of some classes are written to stores of record in place of being sent to upstreams.
+
+Each store has a balancer of its own: its slots, its buffer, its refusals. A store that stalls shuts its own slots; what
+goes elsewhere shares nothing with it but the process. The balancer sees a store as a few equal ways to it (`doors`), so
+that an attempt that never ran can be tried again through another slot.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import secrets
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from functools import partial
+
+from ironscale import interface as api
+from ironscale.balance import Balancer
+from ironscale.net.lane import Lane
+from ironscale.net.sidecar import Request, Sidecar, Timer
+from ironscale.net.upstream import Answer
+from ironscale.record import model, routes
+from ironscale.record.model import Cause
+from ironscale.record.plan import Attempt, Told
+from ironscale.record.recorder import Handle, Recorder
+
+LEAST_DOORS = 2
+DOOR = re.compile(r"\bupstream (\d+)")
+JSON = [(b"content-type", b"application/json")]
+CONFLICT = b'{"error":"CONFLICT","message":"this %s was used before for another request; nothing was written"}\n'
+# What the decisions hear of an attempt that is known not to have run
+OUTCOMES = {Cause.UNREACHABLE: api.Outcome.CONNECT_FAILED, Cause.BROKEN: api.Outcome.CONNECT_FAILED,
+            Cause.TURNED_AWAY: api.Outcome.FULL, Cause.RETRY: api.Outcome.FULL, Cause.TIMEOUT: api.Outcome.FULL,
+            Cause.UNUSABLE: api.Outcome.FULL, None: api.Outcome.FULL}
+
+
+def settings_for(settings: api.Settings) -> api.Settings:
+    """What holds towards a store. Its doors are one cell: what may have run through one is dropped through another. A
+    keyed request that may have run is not refused, though its repeats are: a refusal says that nothing is there."""
+    return replace(
+        settings, list_on_request=False, ask_within_us=0, probes=False, weighted=False, report_names=[],
+        second_copies=False, cold_share=1.0, warm_up_us=0, cross_zone_fee=0.0,
+        classes=[replace(c, group="cell") if c.effect == "deduplicated" else c for c in settings.classes])
+
+
+@dataclass(slots=True)
+class Out:
+    """An attempt that is out."""
+
+    number: int
+    door: int
+    sent_us: int
+    handle: Handle | None = None
+    timer: Timer | None = None
+    outcome: api.Outcome | None = None  # if it was given up on
+
+
+class StoreLane(Lane):
+    def __init__(self, host: Sidecar, name: str, recorder: Recorder) -> None:
+        settings = settings_for(host.config.settings)
+        super().__init__(Balancer(settings, secrets.randbits(32), host.clock.now_us()), host.clock.now_us)
+        self.host, self.name, self.recorder = host, name, recorder
+        self.out: dict[tuple[int, int], Out] = {}  # by request and number
+        self.numbers: dict[int, int] = {}  # attempts so far of requests that are open
+        doors = max(LEAST_DOORS, settings.max_attempts)
+        self.post(api.UpstreamsUpdated(api.ListKind.FULL, [api.Upstream(i, zone=settings.zone)
+                                                           for i in range(1, doors + 1)]))
+
+    def is_open(self, ident: int) -> bool:
+        request = self.host.requests.get(ident)
+        return request is not None and request.is_open() and request.lane is self
+
+    def fail(self, ident: int) -> None:
+        self.host.fail(ident)
+
+    def log(self, text: str) -> None:
+        self.host.log(DOOR.sub(rf"store {self.name} way \1", text))
+
+    def carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self.send(action)
+            case api.Refuse() | api.Fail():
+                self.numbers.pop(action.request, None)
+                self.host.carry_out(action)
+            case api.Cancel():
+                out = self.out.get((action.request, action.attempt))
+                if out is not None:
+                    self.give_up(out, api.Outcome.CANCELLED)
+            case api.SetTimer():
+                self.host.at(action.at_us, partial(self.post, api.TimerFired(action.token)))
+            case api.Log():
+                self.log(action.text)
+            case _:
+                pass  # a store has no list, no probes and no peers
+
+    def send(self, action: api.Send) -> None:
+        now_us = self.now_us()
+        number = self.numbers.get(action.request, 0)
+        request = self.host.requests.get(action.request)
+        if request is None or not self.is_open(action.request):
+            self.post(api.AttemptEnded(action.request, number, action.upstream, api.Outcome.NOT_SENT))
+            return
+        self.numbers[action.request] = number + 1
+        left_us = request.due_us - now_us
+        timeout_us = min(action.timeout_us or left_us, left_us)
+        out = self.out[action.request, number] = Out(number, action.upstream, now_us)
+        request.out += 1
+        due = self.recorder.loop.time() + timeout_us / 1e6
+        out.timer = self.host.at(now_us + max(0, timeout_us), partial(self.give_up, out, api.Outcome.TIMEOUT))
+        out.handle = self.recorder.write(self.entry(request), due, partial(self.on_told, request, out))
+
+    def entry(self, request: Request) -> model.Entry:
+        exchange, kind = request.exchange, self.host.config.settings.classes[request.index]
+        tenant, key = exchange.header(b"x-org"), exchange.header(b"idempotency-key")
+        target = exchange.target.decode("latin-1")
+        attempt = model.attempt_name(time.time_ns() // 1_000_000, secrets.token_bytes(10))
+        keyed = kind.effect == "deduplicated"
+        slot = model.slot_of(kind.effect, kind.name, tenant, key, request.txn)
+        return model.Entry(
+            attempt, slot, request.txn, kind.name, tenant, key, kind.effect, target, exchange.body,
+            model.fingerprint(target, exchange.body),
+            model.answer_of(request.txn, kind.name), max(1, kind.memory_us // 1000) if keyed else 0)
+
+    def give_up(self, out: Out, outcome: api.Outcome) -> None:
+        if out.handle is not None and out.handle.on_told is not None:
+            out.outcome = outcome
+            out.handle.give_up()
+
+    def on_told(self, request: Request, out: Out, plan: Attempt) -> None:
+        """The one way in which an attempt ends."""
+        if out.timer is not None:
+            out.timer.cancel()
+        del self.out[request.ident, out.number]
+        request.out -= 1
+        onward = None
+        if plan.told in (Told.RAN, Told.CONFLICT):
+            outcome = api.Outcome.OK
+            if self.is_open(request.ident):
+                if plan.told is Told.RAN and request.onward is not None:
+                    onward, request.onward, request.lane, request.ran = request.onward, None, None, True
+                elif plan.told is Told.RAN and request.given is not None:
+                    self.host.serve(request, request.given)
+                elif plan.told is Told.RAN:
+                    request.exchange.answer(200, JSON, plan.answer)
+                elif request.ran:  # an upstream has run what the store can't have
+                    request.exchange.answer(502)
+                else:  # the store has answered, and nothing that could be sent again would be answered otherwise
+                    keyed = b"key" if request.exchange.header(b"idempotency-key") else b"id"
+                    request.exchange.answer(422, JSON, CONFLICT % keyed)
+                if onward is None and request.given is None:
+                    self.host.answers[request.index, "served"] += 1
+                if onward is None:
+                    self.host.close(request)
+        elif plan.told is Told.NEVER_RAN:
+            outcome = OUTCOMES[plan.cause]
+        else:
+            outcome = out.outcome or api.Outcome.TIMEOUT
+        self.host.forget(request)
+        if not self.is_open(request.ident):
+            self.numbers.pop(request.ident, None)
+        self.post(api.AttemptEnded(request.ident, out.number, out.door, outcome, self.now_us() - out.sent_us))
+        if onward is not None:
+            onward(None)
+
+
+class Stores:
+    """The front: which store has a request, and all of them together."""
+
+    def __init__(self, host: Sidecar, by: str, recorders: Sequence[Recorder], upstreams: str = "none") -> None:
+        self.host, self.by, self.upstreams = host, by, upstreams
+        self.names = [recorder.name for recorder in recorders]
+        self.lanes = [StoreLane(host, recorder.name, recorder) for recorder in recorders]
+
+    def arrived(self, event: api.RequestArrived) -> None:
+        request = self.host.requests[event.request]
+        exchange = request.exchange
+        tenant, key = exchange.header(b"x-org"), exchange.header(b"idempotency-key")
+        if len(key) > model.MOST_KEY or "\0" in tenant + key + request.txn or b"\0" in exchange.target:
+            self.host.answer(event.request, 400, [])
+            return
+        about = routes.subject(self.by, tenant, key, request.txn)
+        lane = self.lanes[routes.choose(self.names, about)]
+
+        def to_upstream(answer: Answer | None) -> None:
+            request.lane = self.host
+            self.host.post(replace(event))
+
+        def to_store(answer: Answer | None) -> None:
+            request.lane, request.given = lane, answer
+            lane.post(replace(event))
+
+        if self.upstreams == "first":
+            request.onward = to_store
+            to_upstream(None)
+        else:
+            request.onward = to_upstream if self.upstreams == "last" else None
+            to_store(None)
+
+    def gone(self, ident: int) -> None:
+        for lane in self.lanes:  # those that don't know it take no notice
+            lane.numbers.pop(ident, None)
+            lane.post(api.RequestGone(ident))
+
+    def told(self, event: api.DrainChanged | api.SettingsChanged) -> None:
+        if isinstance(event, api.SettingsChanged):
+            event = api.SettingsChanged(settings_for(event.settings))
+        for lane in self.lanes:
+            lane.post(event)
+
+    async def close(self, wait_s: float) -> None:
+        async with asyncio.TaskGroup() as group:
+            for lane in self.lanes:
+                group.create_task(lane.recorder.close(wait_s))
--- /dev/null
+++ b/ironscale/record/looking.py
@@ -0,0 +1,95 @@
+"""What operators ask of a store, whichever of the two it is. Raises Trouble."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, TypeVar
+
+from ironscale.operator_file import StoreTarget
+from ironscale.record.journal import Open
+from ironscale.record.model import Row, Store, Trouble
+from ironscale.record.opening import make
+from ironscale.record.sql import Dialect, row
+
+T = TypeVar("T")
+LIMIT_S = 10.0
+
+
+def in_store(target: StoreTarget, act: Callable[[Store], Awaitable[T]]) -> T:
+    """Opens the store for one piece of work."""
+    opened = make(target, "the operator file", busy_ms=int(LIMIT_S * 1000))
+
+    async def whole() -> T:
+        store = opened()
+        try:
+            return await act(store)
+        finally:
+            await store.close()
+
+    return asyncio.run(whole())
+
+
+def select(target: StoreTarget, statement: str, values: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
+    """One of the statements of `Dialect`, by its name."""
+    if target.sqlite is not None:
+        from ironscale.record.sqlite import reader
+
+        found = reader(target.sqlite)
+        try:
+            return found.now(lambda transaction: transaction.execute(getattr(Dialect("sqlite"), statement), values))
+        finally:
+            found.close()
+
+    async def ask(store: Any) -> list[tuple[Any, ...]]:
+        async def work(turn: Any) -> list[tuple[Any, ...]]:
+            rows: list[tuple[Any, ...]] = await turn.execute(getattr(Dialect("postgresql"), statement), tuple(values))
+            await turn.execute("ROLLBACK")
+            return rows
+
+        found: list[tuple[Any, ...]] = await store.run(work, asyncio.get_running_loop().time() + LIMIT_S)
+        return found
+
+    return in_store(target, ask)
+
+
+def records(target: StoreTarget, request: str) -> list[Row]:
+    return [row(values) for values in select(target, "by_request", (request,))]
+
+
+def counts(target: StoreTarget) -> list[tuple[str, str, int]]:
+    """(state, class, how many)."""
+    return [(str(state), str(kind), int(count)) for state, kind, count in select(target, "counts")]
+
+
+def find_out(target: StoreTarget, entries: Sequence[Open]) -> dict[str, str]:
+    """Asks of each attempt, behind the fence: "ran", "never ran", or why that is still not known."""
+    async def ask(store: Store) -> dict[str, str]:
+        found = {}
+        for entry in entries:
+            try:
+                answer = await store.ask(entry.attempt, asyncio.get_running_loop().time() + LIMIT_S)
+                found[entry.attempt] = "never ran" if answer is None else "ran"
+            except Trouble as trouble:
+                found[entry.attempt] = f"not known: {trouble}"
+        return found
+
+    return in_store(target, ask)
+
+
+def prune(target: StoreTarget, older_ms: int) -> int:
+    """Deletes marks that are older by the store's clock; gives how many there were."""
+    async def work(store: Any) -> int:
+        if target.sqlite is not None:
+            return len(await store.writer.run(lambda transaction: transaction.execute(
+                Dialect("sqlite").prune, (older_ms,))))
+
+        async def delete(turn: Any) -> int:
+            gone = await turn.execute(Dialect("postgresql").prune, (older_ms,))
+            await turn.commit()
+            return len(gone)
+
+        found: int = await store.run(delete, asyncio.get_running_loop().time() + LIMIT_S)
+        return found
+
+    return in_store(target, work)
--- /dev/null
+++ b/ironscale/record/opening.py
@@ -0,0 +1,47 @@
+"""From a table of the operator file to a store. The libraries are loaded only for the kind that is named."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+from ironscale.operator_file import OperatorFileError, Stores, StoreTarget, read_secret
+from ironscale.record.model import Store
+
+
+def check(stores: Stores) -> None:
+    """All that can be told without a sidecar or a store. Raises OperatorFileError."""
+    for target in stores.to:
+        make(target, stores.file)
+
+
+@contextlib.contextmanager
+def installed(file: str, place: str) -> Iterator[None]:
+    try:
+        yield
+    except ImportError as error:
+        raise OperatorFileError(f"{file}: {place}: expected the packages of ironscale[record], got {error}; "
+                                "pip install 'ironscale[record]'") from None
+
+
+def make(target: StoreTarget, file: str, busy_ms: int | None = None) -> Callable[[], Store]:
+    """What makes the store within a running loop. It connects to nothing yet: a store that is away keeps no sidecar
+    from starting. `busy_ms`: how long SQLite waits for another process. Raises OperatorFileError."""
+    place = f"store.to.{target.name}"
+    if target.sqlite is not None:
+        with installed(file, f"{place}.sqlite"):
+            from ironscale.record.database import BUSY_MS
+            from ironscale.record.sqlite import SqliteStore
+
+        path, wait_ms = target.sqlite, BUSY_MS if busy_ms is None else busy_ms
+        return lambda: SqliteStore(path, target.queue, busy_ms=wait_ms)
+    with installed(file, f"{place}.postgresql"):
+        from ironscale.record.postgres import Access, PostgresStore, SettingError, check_dsn
+
+    try:
+        check_dsn(target.postgresql)
+    except SettingError as error:
+        raise OperatorFileError(f"{file}: {place}.postgresql: expected {error}") from None
+    password = read_secret(target.password_file) if target.password_file is not None else ""
+    access = Access(target.postgresql, password, target.connections, target.synchronous_commit)
+    return lambda: PostgresStore(access)
--- /dev/null
+++ b/ironscale/record/plan.py
@@ -0,0 +1,112 @@
+"""One attempt to write a record, from its begin to where nothing of it is open: what to do next. Pure.
+
+An attempt is written once. If it ends without it being known whether it ran, the store is asked, behind the fence,
+again and again until it says. The decision module hears of it once: `ran`, `never ran`, or, when its time is up, that
+it is late. Whatever is told, asking goes on until the outcome is known.
+
+Times are seconds on one clock that only moves forward.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from ironscale.record.model import Cause, Knowledge, Trouble, Verdict, Written
+
+RESERVE = 1 / 3  # of an attempt's time kept for asking, if the write is not answered in the rest
+MOST_RESERVE_S = 0.5
+ASK_S = 0.25  # the first question may take so long at least
+LONGEST_ASK_S = 5.0
+AGAIN_S, LONGEST_AGAIN_S = 0.05, 5.0  # between two questions: doubles, with a spread
+
+
+class Told(enum.Enum):
+    """What becomes of an attempt, as far as is known."""
+
+    OPEN = "open"  # not known
+    RAN = "ran"
+    NEVER_RAN = "never ran"
+    CONFLICT = "conflict"  # never ran, and never can: its slot is taken by something else
+
+
+@dataclass(slots=True)
+class Write:
+    until: float
+
+
+@dataclass(slots=True)
+class Ask:
+    at: float  # no sooner
+    until: float
+
+
+@dataclass(slots=True)
+class Done:
+    pass
+
+
+Next = Write | Ask | Done
+
+
+@dataclass(slots=True)
+class Attempt:
+    """What is known of one attempt."""
+
+    due: float  # who waits for it waits until then
+    told: Told = Told.OPEN
+    answer: bytes = b""
+    cause: Cause | None = None  # why it never ran
+    detail: str = ""
+    asked: int = 0
+    trouble: list[str] = field(default_factory=list)  # the last few, for who looks at what is open
+
+    def begin(self, now: float) -> Next:
+        left = max(0.0, self.due - now)
+        return Write(self.due - min(left * RESERVE, MOST_RESERVE_S))
+
+    def written(self, result: Written) -> Next:
+        """The store has answered the write."""
+        if result.verdict in (Verdict.WRITTEN, Verdict.REPEAT):
+            self.told, self.answer = Told.RAN, result.answer
+        elif result.verdict is Verdict.CONFLICT:
+            self.told = Told.CONFLICT
+        else:
+            self.told, self.cause, self.detail = Told.NEVER_RAN, Cause.TIMEOUT, "a mark lay under it"
+        return Done()
+
+    def failed(self, now: float, trouble: Trouble) -> Next:
+        """The write ended in an error."""
+        self.note(trouble)
+        if trouble.knowledge is Knowledge.NEVER_RAN:
+            self.told, self.cause, self.detail = Told.NEVER_RAN, trouble.cause, str(trouble)
+            return Done()
+        self.cause = trouble.cause
+        return self.ask(now, now)
+
+    def found(self, answer: bytes | None) -> Next:
+        """The store has said, behind the fence."""
+        if answer is None:
+            self.told = Told.NEVER_RAN
+            self.detail = self.trouble[-1] if self.trouble else ""
+        else:
+            self.told, self.answer = Told.RAN, answer
+        return Done()
+
+    def not_found(self, now: float, trouble: Trouble, spread: float) -> Next:
+        """The question itself had no answer: nothing is known that was not known before.
+
+        `spread` from 0 to 1 is drawn by the caller: sidecars that lost one store together must not ask it together.
+        """
+        self.note(trouble)
+        wait = min(LONGEST_AGAIN_S, AGAIN_S * 2 ** min(self.asked, 20))
+        return self.ask(now, now + wait * (0.5 + spread / 2))
+
+    def ask(self, now: float, at: float) -> Next:
+        self.asked += 1
+        # before its time is up it matters when the answer comes; later only that it comes, and the store may be slow
+        left = self.due - at
+        return Ask(at, at + (max(ASK_S, left) if left > 0 else LONGEST_ASK_S))
+
+    def note(self, trouble: Trouble) -> None:
+        self.trouble = [*self.trouble[-4:], f"{trouble.code or trouble.cause.value}: {trouble}"]
--- /dev/null
+++ b/ironscale/record/recorder.py
@@ -0,0 +1,147 @@
+"""Carries out `plan.Attempt` on one store, and goes on with what is open after nobody waits for it any more."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import traceback
+from collections.abc import Callable
+
+from ironscale.record.journal import Journal, Open
+from ironscale.record.model import Cause, Entry, Knowledge, Store, Trouble
+from ironscale.record.plan import Ask, Attempt, Done, Next, Told, Write
+
+MOST_OPEN = 10_000  # attempts that are out or not known; what comes beyond is not begun
+ASKING = 8  # questions at a time: after an outage all that is open wants to be asked together
+SAY_S = 5.0
+
+
+class Handle:
+    """One attempt, as who began it sees it. `on_told` is called once: with what became of it, or with OPEN when it was
+    given up on."""
+
+    def __init__(self, recorder: Recorder, entry: Entry, plan: Attempt,
+                 on_told: Callable[[Attempt], None]) -> None:
+        self.recorder, self.plan = recorder, plan
+        self.entry: Entry | None = entry  # with its body, until the write has ended
+        self.attempt, self.request, self.kind = entry.attempt, entry.request, entry.kind
+        self.tenant, self.key = entry.tenant, entry.key
+        self.on_told: Callable[[Attempt], None] | None = on_told
+
+    def tell(self) -> None:
+        on_told, self.on_told = self.on_told, None
+        if on_told is not None:
+            on_told(self.plan)
+
+    def give_up(self) -> None:
+        """Nobody waits any more. What became of it is found out all the same."""
+        if self.on_told is None:
+            return
+        self.tell()
+        if self.plan.told is Told.OPEN:
+            self.recorder.left_open(self)
+
+
+class Recorder:
+    """All attempts at one store."""
+
+    def __init__(self, name: str, store: Store, journal: Journal, log: Callable[[str], None],
+                 rng: random.Random | None = None) -> None:
+        self.name, self.store, self.journal, self.log = name, store, journal, log
+        self.rng = rng or random.Random()
+        self.loop = asyncio.get_running_loop()
+        self.handles: dict[asyncio.Task[None], Handle | None] = {}
+        self.asking = asyncio.Semaphore(ASKING)
+        self.said_at = -SAY_S
+
+    def write(self, entry: Entry, due: float, on_told: Callable[[Attempt], None]) -> Handle:
+        """Begins one attempt; `due` is on the loop's clock."""
+        handle = Handle(self, entry, Attempt(due), on_told)
+        if len(self.handles) >= MOST_OPEN:
+            handle.plan.failed(self.loop.time(), Trouble(
+                Knowledge.NEVER_RAN, Cause.TURNED_AWAY, f"{MOST_OPEN} attempts are open already", "OPEN"))
+            self.loop.call_soon(handle.tell)
+            return handle
+        task = self.loop.create_task(self.run(handle))
+        self.handles[task] = handle
+        task.add_done_callback(self.handles.pop)
+        return handle
+
+    def resume(self, entries: list[Open]) -> None:
+        """What a former process left open."""
+        for entry in entries:
+            if entry.store == self.name:
+                task = self.loop.create_task(self.find_out(entry))
+                self.handles[task] = None
+                task.add_done_callback(self.handles.pop)
+
+    async def run(self, handle: Handle) -> None:
+        plan = handle.plan
+        step = plan.begin(self.loop.time())
+        try:
+            while not isinstance(step, Done):
+                if isinstance(step, Write):
+                    assert handle.entry is not None
+                    try:
+                        step = plan.written(await self.store.write(handle.entry, step.until))
+                    except Trouble as trouble:
+                        self.say(trouble, self.loop.time())
+                        step = plan.failed(self.loop.time(), trouble)
+                    handle.entry = None
+                else:
+                    step = await self.ask(plan, handle.attempt, step)
+        except Exception:
+            # hazard: an error of ours must neither leave its request without a word nor count as an outcome
+            self.log(f"store {self.name}: attempt {handle.attempt} is left open\n{traceback.format_exc()}")
+            if handle.on_told is None:
+                return
+            handle.give_up()
+            return
+        late = handle.on_told is None
+        handle.tell()
+        if late:
+            self.journal.closed(handle.attempt, plan.told.value)
+
+    async def ask(self, plan: Attempt, attempt: str, step: Ask) -> Next:
+        now = self.loop.time()
+        if step.at > now:
+            await asyncio.sleep(step.at - now)
+        async with self.asking:
+            try:
+                # whoever waited long for its turn has the same time as the others
+                until = max(step.until, self.loop.time() + (step.until - step.at))
+                return plan.found(await self.store.ask(attempt, until))
+            except Trouble as trouble:
+                self.say(trouble, self.loop.time())
+                return plan.not_found(self.loop.time(), trouble, self.rng.random())
+
+    async def find_out(self, entry: Open) -> None:
+        now = self.loop.time()
+        plan = Attempt(now)
+        step: Next = plan.ask(now, now)
+        while isinstance(step, Ask):
+            step = await self.ask(plan, entry.attempt, step)
+        self.journal.closed(entry.attempt, plan.told.value)
+
+    def left_open(self, handle: Handle) -> None:
+        why = handle.plan.trouble[-1] if handle.plan.trouble else "no answer in time"
+        self.journal.opened(Open(handle.attempt, self.name, handle.request, handle.kind, handle.tenant, handle.key,
+                                 time.time_ns() // 1_000_000, why))
+
+    def say(self, trouble: Trouble, now: float) -> None:
+        """A line now and then: a store that is away has much to complain of."""
+        if now - self.said_at >= SAY_S:
+            self.said_at = now
+            self.log(f"store {self.name}: {trouble.knowledge.value}: {trouble}")
+
+    async def close(self, wait_s: float) -> None:
+        """What is open may end within `wait_s`; the rest stands in the journal."""
+        if self.handles:
+            await asyncio.wait(list(self.handles), timeout=wait_s)
+        for task, handle in list(self.handles.items()):
+            if handle is not None:
+                handle.give_up()
+            task.cancel()
+        await asyncio.gather(*self.handles, return_exceptions=True)
+        await self.store.close()
--- /dev/null
+++ b/ironscale/record/sql.py
@@ -0,0 +1,89 @@
+"""The statements of a store of record, once for both dialects. Values go in as parameters only, never as text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ironscale.record.model import Row
+
+COLUMNS = ("attempt", "state", "request", "kind", "tenant", "key", "effect", "target", "body", "fingerprint", "answer",
+           "at_ms", "until_ms", "slot")
+
+# Milliseconds of Unix time on the store's own clock: sidecars' clocks may differ, the store's is one.
+NOW_MS = {
+    "postgresql": "(extract(epoch FROM clock_timestamp()) * 1000)::bigint",
+    "sqlite": "CAST(unixepoch('subsec') * 1000 AS INTEGER)",
+}
+TYPES = {
+    "postgresql": {"TEXT": "text COLLATE \"C\"", "INTEGER": "bigint", "BLOB": "bytea"},
+    "sqlite": {"TEXT": "TEXT", "INTEGER": "INTEGER", "BLOB": "BLOB"},
+}
+MIGRATIONS: tuple[tuple[str, ...], ...] = (
+    (
+        """CREATE TABLE records (
+            attempt {TEXT} NOT NULL PRIMARY KEY, state {TEXT} NOT NULL, request {TEXT} NOT NULL, kind {TEXT} NOT NULL,
+            tenant {TEXT} NOT NULL, key {TEXT} NOT NULL, effect {TEXT} NOT NULL, target {TEXT} NOT NULL,
+            body {BLOB} NOT NULL, fingerprint {TEXT} NOT NULL, answer {BLOB} NOT NULL, at_ms {INTEGER} NOT NULL,
+            until_ms {INTEGER} NOT NULL, slot {TEXT},
+            CHECK (state IN ('written', 'void')), CHECK (state = 'written' OR slot IS NULL))""",
+        "CREATE UNIQUE INDEX records_by_slot ON records (slot)",
+        "CREATE INDEX records_by_request ON records (request)",
+    ),
+)
+SCHEMA = len(MIGRATIONS)
+_INSERT = ("INSERT INTO records (attempt, state, request, kind, tenant, key, effect, target, body, fingerprint, answer,"
+           " at_ms, until_ms, slot) ")
+# (attempt, request, kind, tenant, key, effect, target, body, fingerprint, answer, memory, memory, slot)
+_WRITE = (_INSERT + "VALUES (%s, 'written', %s, %s, %s, %s, %s, %s, %s, %s, %s, {NOW},"
+          " CASE WHEN %s = 0 THEN 0 ELSE {NOW} + %s END, %s) ON CONFLICT DO NOTHING RETURNING attempt")
+# (attempt, slot)
+_IN_THE_WAY = ("SELECT attempt, state, fingerprint, answer,"
+               " CASE WHEN until_ms > 0 AND until_ms <= {NOW} THEN 1 ELSE 0 END FROM records"
+               " WHERE attempt = %s OR slot = %s ORDER BY state DESC")
+# (slot)
+_FREE_SLOT = "UPDATE records SET slot = NULL WHERE slot = %s AND until_ms > 0 AND until_ms <= {NOW}"
+# (attempt): the fence. It conflicts with the record that it asks about, as both have the attempt's name.
+_VOID = (_INSERT + "VALUES (%s, 'void', '', '', '', '', '', '', {EMPTY}, '', {EMPTY}, {NOW}, 0, NULL)"
+         " ON CONFLICT DO NOTHING RETURNING attempt")
+_BY_ATTEMPT = "SELECT state, answer FROM records WHERE attempt = %s"
+_EMPTY = {"postgresql": "''::bytea", "sqlite": "x''"}
+
+
+class Dialect:
+    """The statements of one of the two."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        mark: Callable[[str], str] = (lambda text: text) if name == "postgresql" else (
+            lambda text: text.replace("%s", "?"))
+
+        def made(text: str) -> str:
+            return mark(text.replace("{NOW}", NOW_MS[name]).replace("{EMPTY}", _EMPTY[name]))
+
+        self.write = made(_WRITE)
+        self.in_the_way = made(_IN_THE_WAY)
+        self.free_slot = made(_FREE_SLOT)
+        self.void = made(_VOID)
+        self.by_attempt = made(_BY_ATTEMPT)
+        columns = ", ".join(COLUMNS)
+        self.by_request = made(f"SELECT {columns} FROM records WHERE request = %s ORDER BY attempt")
+        self.after = made(f"SELECT {columns} FROM records WHERE attempt > %s ORDER BY attempt LIMIT %s")
+        self.counts = "SELECT state, kind, count(*) FROM records GROUP BY state, kind ORDER BY state DESC, kind"
+        # (now - age): marks may go once no connection of their time can still be open
+        self.prune = made("DELETE FROM records WHERE state = 'void' AND at_ms < {NOW} - %s RETURNING attempt")
+
+    def migrations(self, version: int) -> list[str]:
+        """What brings a schema of `version` up to this program's."""
+        found = []
+        for statements in MIGRATIONS[version:]:
+            for statement in statements:
+                for kind, text in TYPES[self.name].items():
+                    statement = statement.replace(f"{{{kind}}}", text)
+                found.append(statement)
+        return found
+
+
+def row(values: tuple[object, ...]) -> Row:
+    """A record from its columns in the order of COLUMNS."""
+    plain = [bytes(v) if isinstance(v, memoryview) else v for v in values]
+    return Row(*plain)  # type: ignore[arg-type]
--- /dev/null
+++ b/ironscale/record/sqlite.py
@@ -0,0 +1,195 @@
+"""The store of record in SQLite."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import apsw
+
+from ironscale.record import database
+from ironscale.record.database import (
+    BUSY_MS,
+    CHECKPOINT_PAGES,
+    LONGEST_LOG_PAGES,
+    MOST_QUEUED,
+    NO_TIME,
+    Opener,
+    Reader,
+    Transaction,
+    Writer,
+)
+from ironscale.record.model import (
+    Cause,
+    Entry,
+    Knowledge,
+    Row,
+    Trouble,
+    Verdict,
+    Written,
+    fingerprint,
+    judge,
+)
+from ironscale.record.sql import SCHEMA, Dialect, row
+
+SQL = Dialect("sqlite")
+APPLICATION_ID = 0x69726F6E  # marks the file as ours, for `file` and for who opens another by mistake
+TURNS = 4  # a slot whose memory ran out is freed and the write tried anew so often in one transaction
+PAGE = 1_000  # rows read at a time
+STOP_S = 5.0
+PATIENT_MS = 5_000  # an operator's commands wait so long for a writer
+
+
+def migrate(connection: apsw.Connection) -> None:
+    """Raises Trouble where a newer program, or another one, has written the file."""
+    database.migrate(connection, SCHEMA, SQL.migrations, "name another file", APPLICATION_ID)
+
+
+def check(connection: apsw.Connection) -> None:
+    """For who only reads: the file is ours, and of this program's schema. Changes nothing."""
+    version = int(connection.pragma("user_version"))
+    if int(connection.pragma("application_id")) != APPLICATION_ID or version != SCHEMA:
+        raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{connection.filename}: expected a store of record of "
+                      f"schema {SCHEMA}, got {'schema ' + str(version) if version else 'another database'}", "FOREIGN")
+
+
+def write(entry: Entry) -> Callable[[Transaction], Written]:
+    """The work of one attempt, within a transaction that may hold others."""
+    values = (entry.attempt, entry.request, entry.kind, entry.tenant, entry.key, entry.effect, entry.target, entry.body,
+              entry.fingerprint, entry.answer, entry.memory_ms, entry.memory_ms, entry.slot)
+
+    def work(transaction: Transaction) -> Written:
+        for _ in range(TURNS):
+            if transaction.execute(SQL.write, values):
+                return Written(Verdict.WRITTEN, entry.answer)
+            found = transaction.execute(SQL.in_the_way, (entry.attempt, entry.slot))
+            standing = [(attempt, state, text, answer) for attempt, state, text, answer, over in found if not over]
+            if standing:
+                attempt, state, text, answer = standing[0]
+                return judge(entry, state, attempt, text, answer)
+            transaction.execute(SQL.free_slot, (entry.slot,))
+        raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY, "its slot was taken again each time that it was freed")
+
+    return work
+
+
+def ask(attempt: str) -> Callable[[Transaction], bytes | None]:
+    def work(transaction: Transaction) -> bytes | None:
+        if transaction.execute(SQL.void, (attempt,)):
+            return None
+        (state, answer), = transaction.execute(SQL.by_attempt, (attempt,))
+        return bytes(answer) if state == "written" else None
+
+    return work
+
+
+class SqliteStore:
+    """`Store` on one file. Several processes of one machine may share it."""
+
+    def __init__(self, path: Path, most_queued: int = MOST_QUEUED, vfs: str | None = None, busy_ms: int = BUSY_MS,
+                 checkpoint_pages: int = CHECKPOINT_PAGES, longest_log_pages: int = LONGEST_LOG_PAGES) -> None:
+        self.path = path
+        self.opener = Opener(path, migrate, vfs, busy_ms, exclusive=vfs is not None)
+        self.writer = Writer(self.opener, most_queued, checkpoint_pages, longest_log_pages)
+
+    async def write(self, entry: Entry, until: float = NO_TIME) -> Written:
+        return await self.writer.run(write(entry), until)
+
+    async def ask(self, attempt: str, until: float = NO_TIME) -> bytes | None:
+        return await self.writer.run(ask(attempt), until)
+
+    async def close(self) -> None:
+        await asyncio.get_running_loop().run_in_executor(None, self.writer.stop, STOP_S)
+
+
+# For operators: a file that a sidecar may be writing at the same time
+
+
+def reader(path: Path) -> Reader:
+    """Raises Trouble where there is no such file; creates nothing."""
+    if not path.is_file():
+        raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{path}: expected a store of record, got no file",
+                      "MISSING")
+    return Reader(Opener(path, check, busy_ms=PATIENT_MS))
+
+
+def rows(found: Reader, after: str = "") -> Iterator[Row]:
+    """All records in the order of their attempts, each page within a transaction of its own."""
+    while True:
+        page = found.now(lambda transaction, start=after: [  # type: ignore[misc]
+            row(values) for values in transaction.execute(SQL.after, (start, PAGE))])
+        yield from page
+        if len(page) < PAGE:
+            return
+        after = page[-1].attempt
+
+
+def verify(path: Path, progress: Callable[[int], None] = lambda done: None) -> tuple[int, list[str]]:
+    """Rows seen, and what is wrong with the file or with a record, a line each. Raises Trouble."""
+    found = reader(path)
+    try:
+        lines = found.now(lambda transaction: transaction.execute("PRAGMA integrity_check(20)"))
+        wrong = [f"file: {line}" for line, in lines if line != "ok"]
+        seen = 0
+        for one in [] if wrong else rows(found):
+            seen += 1
+            wrong += [f"record {one.attempt}: {text}" for text in faults(one)]
+            if seen % PAGE == 0:
+                progress(seen)
+            if len(wrong) >= 100:
+                break
+        return seen, wrong
+    finally:
+        found.close()
+
+
+def faults(one: Row) -> list[str]:
+    """What is wrong with one record."""
+    if one.state == "void":
+        return ["a mark with a slot"] if one.slot is not None else []
+    wrong = []
+    if fingerprint(one.target, one.body) != one.fingerprint:
+        wrong.append("its fingerprint is not that of its target and body")
+    if one.slot is None and one.until_ms == 0:
+        wrong.append("it has lost its slot, though it is remembered for ever")
+    if one.until_ms and one.until_ms < one.at_ms:
+        wrong.append(f"it is remembered until {one.until_ms}, before it was written at {one.at_ms}")
+    return wrong
+
+
+def backup(path: Path, to: Path, progress: Callable[[int, int], None] = lambda left, pages: None) -> int:
+    """A copy of one moment, made while sidecars write. The copy appears whole under its name or not at all.
+
+    Returns its pages. Raises Trouble.
+    """
+    if to.exists():
+        raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{to}: expected a name that is free, got a file", "EXISTS")
+    reader(path).close()
+    half = to.with_name(f"{to.name}.part")
+    half.unlink(missing_ok=True)
+    source = Opener(path, check, busy_ms=PATIENT_MS).open(create=False)
+    try:
+        target = Opener(half).open()
+        try:
+            with target.backup("main", source, "main") as copying:
+                while not copying.done:
+                    try:
+                        copying.step(PAGE)
+                    except (apsw.BusyError, apsw.LockedError):
+                        continue  # a commit lay between: it goes on, or begins anew by itself
+                    progress(copying.remaining, copying.page_count)
+                pages = copying.page_count
+            target.execute("PRAGMA journal_mode = DELETE").fetchall()  # one file, without a log beside it
+        finally:
+            target.close(True)
+        with half.open("rb+") as file:
+            os.fsync(file.fileno())
+        half.rename(to)
+        return int(pages)
+    except apsw.Error as error:
+        raise Trouble(Knowledge.NEVER_RAN, Cause.BROKEN, f"{to}: the copy was not made: {error}") from error
+    finally:
+        source.close(True)
+        half.unlink(missing_ok=True)
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -372,7 +372,12 @@
             shown = await s.ask("query($id: Int!) { operation(id: $id) { stalled phase } }", id=ident)
             assert "can't be written" in shown["data"]["operation"]["stalled"]
             assert not s.instances["i0001"].draining
-            await store.read(lambda r: store.connection.execute("PRAGMA query_only = 0"))
+            while True:
+                try:
+                    await store.read(lambda r: store.connection.execute("PRAGMA query_only = 0"))
+                    break
+                except StoreError:  # it stood in one commit with a write that was tried again just then
+                    pass
             assert set((await s.states(ident)).values()) == {State.APPLIED}
             assert all(i.effects == ["drain"] for i in s.instances.values())
 
--- /dev/null
+++ b/tests/record/disk.py
@@ -0,0 +1,162 @@
+"""A disk in memory under SQLite that loses power, fills up and fails at any write or sync, as an apsw VFS.
+
+What was written and not synced when the power goes is lost, kept or torn at sectors, each by chance, in any order.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import apsw
+
+SECTOR = 512
+
+
+class PowerLost(apsw.IOError):
+    pass
+
+
+class File:
+    def __init__(self) -> None:
+        self.synced = bytearray()
+        self.seen = bytearray()  # as this machine reads it
+        self.pending: list[tuple[int, bytes | None]] = []  # (offset, data), or (size, None) for a truncation
+
+
+def apply(data: bytearray, offset: int, piece: bytes | None) -> None:
+    if piece is None:
+        del data[offset:]
+        return
+    if len(data) < offset:
+        data.extend(bytes(offset - len(data)))
+    data[offset:offset + len(piece)] = piece
+
+
+class Disk:
+    """All files, a count of what changed them, and the fault that comes at one of these."""
+
+    def __init__(self, seed: int, fault: str = "", at: int = 0, times: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.fault, self.at, self.times = fault, at, times
+        self.files: dict[str, File] = {}
+        self.count = 0  # writes, syncs, truncations and deletions so far
+        self.dead = False
+        self.struck = ""  # what the fault struck
+
+    def step(self, what: str) -> None:
+        """Counts one change; raises where the fault comes."""
+        if self.dead:
+            raise PowerLost("the power is gone")
+        self.count += 1
+        if not self.fault or self.count < self.at or self.times <= 0:
+            return
+        if self.fault == "power":
+            self.dead, self.struck = True, what
+            raise PowerLost("the power goes")
+        if (self.fault == "full") == (what == "write") and (self.fault != "sync" or what == "sync"):
+            self.times -= 1
+            self.struck = what
+            raise apsw.FullError("no space") if self.fault == "full" else apsw.IOError("by the script")
+
+    def after_power(self) -> Disk:
+        """What a machine finds that starts again."""
+        other = Disk(self.random.randrange(1 << 30))
+        for name, file in self.files.items():
+            found = File()
+            data = bytearray(file.synced)
+            pending = list(file.pending)
+            self.random.shuffle(pending)
+            for offset, piece in pending:
+                if piece is None:
+                    if self.random.random() < 0.5:
+                        apply(data, offset, None)
+                    continue
+                for start in range(0, len(piece), SECTOR):  # torn at sectors
+                    if self.random.random() < 0.5:
+                        apply(data, offset + start, piece[start:start + SECTOR])
+            found.synced, found.seen = bytearray(data), bytearray(data)
+            other.files[name] = found
+        return other
+
+
+class Handle:
+    """An open file."""
+
+    def __init__(self, disk: Disk, name: str, file: File, delete: bool) -> None:
+        self.disk, self.name, self.file, self.delete = disk, name, file, delete
+
+    def xRead(self, amount: int, offset: int) -> bytes:
+        if self.disk.dead:
+            raise PowerLost("the power is gone")
+        return bytes(self.file.seen[offset:offset + amount])
+
+    def xWrite(self, data: bytes, offset: int) -> None:
+        self.disk.step("write")
+        piece = bytes(data)
+        apply(self.file.seen, offset, piece)
+        self.file.pending.append((offset, piece))
+
+    def xTruncate(self, size: int) -> None:
+        self.disk.step("truncate")
+        apply(self.file.seen, size, None)
+        self.file.pending.append((size, None))
+
+    def xSync(self, flags: int) -> None:
+        self.disk.step("sync")
+        self.file.synced = bytearray(self.file.seen)
+        self.file.pending.clear()
+
+    def xFileSize(self) -> int:
+        return len(self.file.seen)
+
+    def xClose(self) -> None:
+        if self.delete:
+            self.disk.files.pop(self.name, None)
+
+    def xLock(self, level: int) -> None:
+        pass
+
+    def xUnlock(self, level: int) -> None:
+        pass
+
+    def xCheckReservedLock(self) -> bool:
+        return False
+
+    def xSectorSize(self) -> int:
+        return SECTOR
+
+    def xDeviceCharacteristics(self) -> int:
+        return 0
+
+    def xFileControl(self, op: int, pointer: int) -> bool:
+        return False
+
+
+class Vfs(apsw.VFS):
+    """The disk, under a name that connections are opened with."""
+
+    def __init__(self, name: str, disk: Disk) -> None:
+        self.name, self.disk = name, disk
+        super().__init__(name, "")
+
+    def xOpen(self, name: Any, flags: list[int]) -> Any:
+        if self.disk.dead:
+            raise PowerLost("the power is gone")
+        text = str(name.filename() if hasattr(name, "filename") else name or f"temporary {id(flags)}")
+        if text not in self.disk.files:
+            if not flags[0] & apsw.SQLITE_OPEN_CREATE:
+                raise apsw.CantOpenError(text)
+            self.disk.files[text] = File()
+        flags[1] = flags[0]
+        return Handle(self.disk, text, self.disk.files[text], bool(flags[0] & apsw.SQLITE_OPEN_DELETEONCLOSE))
+
+    def xDelete(self, name: str, sync: bool) -> None:
+        self.disk.step("delete")
+        self.disk.files.pop(name, None)
+
+    def xAccess(self, name: str, flags: int) -> bool:
+        return name in self.disk.files
+
+    def xFullPathname(self, name: str) -> str:
+        return name
--- /dev/null
+++ b/tests/record/play.py
@@ -0,0 +1,63 @@
+"""Clients of a store of record as tests play them, and what they were told: the input of `ironscale.record.history`."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from ironscale.record import history
+from ironscale.record.journal import Journal
+from ironscale.record.model import Entry, Store
+from ironscale.record.plan import Attempt, Told
+from ironscale.record.recorder import Handle, Recorder
+from tests.record.samples import again
+
+WORDS = {Told.RAN: history.SERVED, Told.NEVER_RAN: history.REFUSED, Told.CONFLICT: history.CONFLICT,
+         Told.OPEN: history.FAILED}
+
+
+class Play:
+    """One recorder, its clients, and the log of both."""
+
+    def __init__(self, store: Store, seed: int = 1) -> None:
+        self.lines: list[str] = []
+        journal = Journal(None, "n", self.lines.append)
+        self.recorder = Recorder("s", store, journal, self.lines.append, random.Random(seed))
+        self.clients: list[history.Told] = []
+        self.handles: list[Handle] = []
+
+    async def submit(self, one: Entry, seconds: float, tries: int = 1) -> str:
+        """One client's request, tried again only after what never ran; gives what the client was told."""
+        for turn in range(tries):
+            handle = await self.attempt(again(one) if turn else one, seconds)
+            told = handle.plan.told
+            if told is not Told.NEVER_RAN:
+                break
+        word = WORDS[told]
+        self.clients.append(history.Told(one.request, one.kind, one.tenant, one.key, one.effect, one.fingerprint, word,
+                                         handle.plan.answer if word == history.SERVED else b""))
+        return word
+
+    async def attempt(self, one: Entry, seconds: float) -> Handle:
+        """Until it is told, by its outcome or by its time."""
+        loop = asyncio.get_running_loop()
+        told = asyncio.Event()
+
+        def on_told(plan: Attempt) -> None:
+            told.set()
+
+        due = loop.time() + seconds
+        handle = self.recorder.write(one, due, on_told)
+        self.handles.append(handle)
+        timer = loop.call_at(due, handle.give_up)
+        await told.wait()
+        timer.cancel()
+        return handle
+
+    async def settled(self) -> None:
+        """Until nothing is open any more."""
+        while self.recorder.handles:
+            await asyncio.wait(list(self.recorder.handles))
+
+    def outcomes(self) -> dict[str, str]:
+        return {handle.attempt: handle.plan.told.value for handle in self.handles}
--- /dev/null
+++ b/tests/record/postgres.py
@@ -0,0 +1,63 @@
+"""A store on stand-in hosts, and what scripts do to them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+from ironscale.record.postgres import Access, PostgresStore
+from ironscale.standins.postgres import Data, Drop, Host, Session, SqlError
+
+
+def dsn(*hosts: Host, **options: str) -> str:
+    names = ",".join("127.0.0.1" for _ in hosts)
+    ports = ",".join(str(host.port) for host in hosts)
+    return " ".join([f"host={names} port={ports} user=app dbname=records",
+                     *(f"{name}={value}" for name, value in options.items())])
+
+
+@contextlib.asynccontextmanager
+async def scene(count: int = 1, data: Data | None = None, **changes: Any
+                ) -> AsyncIterator[tuple[PostgresStore, list[Host]]]:
+    """A store on so many hosts that share a disk."""
+    data = data or Data()
+    hosts = [await Host(data).start() for _ in range(count)]
+    store = PostgresStore(Access(dsn(*hosts), **changes))
+    try:
+        yield store, hosts
+    finally:
+        await store.close()
+        for host in hosts:
+            await host.stop()
+
+
+class Gate:
+    """Holds each statement of one kind, before or after it is carried out, until it is opened."""
+
+    def __init__(self, kind: str, after: bool = False, times: int = 1) -> None:
+        self.kind, self.after, self.times = kind, after, times
+        self.reached, self.go = asyncio.Event(), asyncio.Event()
+
+    async def __call__(self, session: Session, kind: str, after: bool) -> None:
+        if (kind, after) == (self.kind, self.after) and self.times > 0:
+            self.times -= 1
+            self.reached.set()
+            await self.go.wait()
+
+
+class Fault:
+    """Answers a statement of one kind with an error, or drops its connection, so many times."""
+
+    def __init__(self, kind: str, error: SqlError | None = None, after: bool = False, times: int = 1) -> None:
+        self.kind, self.error, self.after, self.times = kind, error, after, times
+
+    async def __call__(self, session: Session, kind: str, after: bool) -> None:
+        if (kind, after) == (self.kind, self.after) and self.times > 0:
+            self.times -= 1
+            raise self.error or Drop
+
+
+def written(data: Data) -> list[str]:
+    return [request for request, in data.all("SELECT request FROM records WHERE state = 'written' ORDER BY request")]
--- /dev/null
+++ b/tests/record/test_cuts.py
@@ -0,0 +1,303 @@
+"""Connections cut at every byte of a submission's exchange, and at random under load: what clients were told and what
+the store holds agree. Each bug that is planted on purpose is found by the same histories."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ironscale.record import history, recorder
+from ironscale.record.model import Cause, Entry, Knowledge, Row, Trouble, Written
+from ironscale.record.postgres import PostgresStore, Turn
+from ironscale.record.sql import COLUMNS, row
+from ironscale.standins.postgres import Data, Drop, Host, Session, SqlError
+from tests.record.play import Play
+from tests.record.postgres import Gate, scene
+from tests.record.samples import entry
+from tests.sockets import run, until
+
+WORD_S = 5.0
+
+
+def standing(data: Data) -> list[Row]:
+    return [row(values) for values in data.all(f"SELECT {', '.join(COLUMNS)} FROM records")]
+
+
+class OneCut:
+    """Cuts the next connection that is opened, and no other."""
+
+    def __init__(self, direction: str, after: int) -> None:
+        self.plan: tuple[str, int] | None = (direction, after)
+
+    def __call__(self, number: int) -> tuple[str, int] | None:
+        plan, self.plan = self.plan, None
+        return plan
+
+
+async def exchange(store: PostgresStore, host: Host) -> tuple[int, int]:
+    """Bytes that one submission on a new connection takes, in and out."""
+    await store.connections.close()
+    seen = len(host.bytes)
+    assert await Play(store).submit(entry(body=b"measured"), WORD_S) == "served"
+    await store.connections.close()
+    await until(lambda: len(host.bytes) > seen)
+    return host.bytes[-1]
+
+
+@pytest.mark.parametrize("effect", ["at_most_once", "deduplicated"])
+@pytest.mark.parametrize("direction", ["in", "out"])
+def test_cut_at_every_byte(direction: str, effect: str) -> None:
+    async def test() -> None:
+        async with scene() as (store, (host,)):
+            play, told = Play(store), Counter[str]()
+            await play.submit(entry(), WORD_S)
+            came, went = await exchange(store, host)
+            total = came if direction == "in" else went
+            assert total > 400
+            for at in range(total):
+                await store.connections.close()
+                host.cut = OneCut(direction, at)
+                one = entry(effect=effect, key=f"k{at}" if effect == "deduplicated" else "")
+                told[await play.submit(one, WORD_S)] += 1
+            host.cut = None
+            await play.settled()
+            rows = standing(host.data)
+            assert history.faults(play.clients, rows, play.outcomes()) == []
+            # every outcome is found out within its time; a cut of the reply alone is served
+            assert set(told) == {"served", "refused"} and min(told.values()) > 5, told
+
+    run(test, 120)
+
+
+def test_cut_again_while_it_is_asked() -> None:
+    """The first connection is cut behind the commit, and the second, which asks, at every byte."""
+    async def test() -> None:
+        async with scene() as (store, (host,)):
+            play = Play(store)
+            await play.submit(entry(), WORD_S)
+            came, went = await exchange(store, host)
+            for direction, total in (("in", came), ("out", went)):
+                for at in range(0, total, 12):
+                    await store.connections.close()
+                    second = OneCut(direction, at)
+                    armed: list[OneCut] = []
+                    host.cut = lambda number, armed=armed: armed[0](number) if armed else None
+
+                    async def drop(session: Session, kind: str, after: bool, armed: list[OneCut] = armed,
+                                   second: OneCut = second) -> None:
+                        if kind == "commit" and not armed:
+                            armed.append(second)
+                            raise Drop
+
+                    host.hook = drop
+                    assert await play.submit(entry(), WORD_S) == "refused"
+            host.hook = host.cut = None
+            await play.settled()
+            assert history.faults(play.clients, standing(host.data), play.outcomes()) == []
+
+    run(test, 120)
+
+
+class Weather:
+    """What goes wrong at random, from one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.share = self.random.choice((0.05, 0.2, 0.4))
+        self.calm = False
+
+    async def __call__(self, session: Session, kind: str, after: bool) -> None:
+        draw = self.random.random
+        # most comes at COMMIT, where outcomes are lost
+        if self.calm or draw() > (self.share if kind == "commit" else self.share / 6):
+            return
+        what = self.random.choice(("drop", "late", "late", "end") if kind == "commit" else (
+            "drop", "slow", "late", "error", "end"))
+        if what == "drop":
+            raise Drop
+        if what == "slow":
+            await asyncio.sleep(draw() * 0.05)
+        elif what == "late":  # past the client's time, and then it goes on
+            await asyncio.sleep(0.1 + draw() * 0.3)
+        elif what == "error" and not (kind == "commit" and after):
+            raise SqlError(self.random.choice(("40001", "40P01", "53300", "57014", "XX000")), "by the script")
+        elif what == "end":
+            raise SqlError("57P01", "terminating connection due to administrator command", "FATAL")
+
+    def cut(self, number: int) -> tuple[str, int] | None:
+        if self.calm or self.random.random() > self.share:
+            return None
+        return self.random.choice(("in", "out")), 300 + self.random.randrange(2_000)
+
+
+async def storm(play: Play, host: Host, seed: int, requests: int = 60) -> list[str]:
+    """Many clients under one seed's weather, then calm until nothing is open; gives the faults."""
+    await play.submit(entry(), WORD_S)  # the schema stands
+    weather = Weather(seed)
+    host.hook, host.cut = weather, weather.cut
+    draw = random.Random(seed * 7 + 1)
+
+    async def client(number: int) -> None:
+        for i in range(requests // 6):
+            name, key = f"{seed}.{number}.{i}", f"{seed}.{draw.randrange(8)}"
+            one = entry(name, "deduplicated", key=key) if draw.random() < 0.5 else entry(name)
+            await play.submit(one, 0.05 + draw.random() * 0.3, tries=2)
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(6):
+            group.create_task(client(number))
+    weather.calm = True
+    async with asyncio.timeout(40):
+        await play.settled()
+    return history.faults(play.clients, standing(host.data), play.outcomes())
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_random_weather(seed: int) -> None:
+    async def test() -> None:
+        async with scene(most=4) as (store, (host,)):
+            play = Play(store, seed)
+            faults = await storm(play, host, seed)
+            assert faults == [], f"seed {seed}"
+            assert len(play.clients) == 61 and "Traceback" not in "".join(play.lines)
+
+    run(test, 120)
+
+
+# Bugs, planted
+
+
+class NoFence(PostgresStore):
+    """Asks by looking only."""
+
+    async def _ask(self, turn: Turn, attempt: str) -> bytes | None:
+        found = await turn.execute("SELECT state, answer FROM records WHERE attempt = %s", (attempt,))
+        await turn.execute("ROLLBACK")
+        return bytes(found[0][1]) if found else None
+
+
+class Guesses(PostgresStore):
+    """Takes a time-out, or a connection that broke, for a write that never ran."""
+
+    async def write(self, one: Entry, until: float) -> Written:
+        try:
+            return await super().write(one, until)
+        except Trouble as trouble:
+            raise Trouble(Knowledge.NEVER_RAN, trouble.cause, str(trouble)) from None
+
+
+class RetriesAfterCommit(PostgresStore):
+    """Writes anew when the outcome of COMMIT is not known, under another name, and believes what comes of that."""
+
+    async def write(self, one: Entry, until: float) -> Written:
+        try:
+            return await super().write(one, until)
+        except Trouble as trouble:
+            if trouble.knowledge is not Knowledge.NOT_KNOWN:
+                raise
+            return await super().write(replace(one, attempt=one.attempt[:-4] + "beef", slot=f"{one.slot} again"), until)
+
+
+async def late_commit(store: PostgresStore, host: Host, play: Play) -> None:
+    """COMMIT is held past the client's time, its reply is lost, and then it goes through."""
+    await play.submit(entry(), WORD_S)
+    gate = Gate("commit")
+    host.hook = gate
+    submitted = asyncio.create_task(play.submit(entry("late"), 0.4))
+    await gate.reached.wait()
+    for wire in host.wires.values():
+        wire.writer.transport.abort()
+    await submitted
+    gate.go.set()
+    host.hook = None
+    await play.settled()
+    await until(lambda: not host.data.owners)
+
+
+async def lost_reply(store: PostgresStore, host: Host, play: Play) -> None:
+    """COMMIT is carried out, and its reply cut."""
+    await play.submit(entry(), WORD_S)
+
+    async def drop(session: Session, kind: str, after: bool) -> None:
+        if kind == "commit" and after:
+            host.hook = None
+            raise Drop
+
+    host.hook = drop
+    await play.submit(entry("lost"), WORD_S)
+    await play.settled()
+
+
+SCRIPTS: dict[str, Any] = {"late commit": late_commit, "lost reply": lost_reply}
+
+
+@pytest.mark.parametrize(("kind", "script", "fault"), [
+    (PostgresStore, "late commit", ""), (PostgresStore, "lost reply", ""),
+    (NoFence, "late commit", "refused: late"), (Guesses, "lost reply", "refused: lost"),
+    (Guesses, "late commit", "refused: late"), (RetriesAfterCommit, "lost reply", "written twice: r:lost"),
+])
+def test_planted_bugs_are_found(kind: type[PostgresStore], script: str, fault: str) -> None:
+    async def test() -> None:
+        async with scene() as (plain, (host,)):
+            store = kind(plain.access)
+            play = Play(store)
+            await SCRIPTS[script](store, host, play)
+            found = history.faults(play.clients, standing(host.data), play.outcomes())
+            assert bool(found) == bool(fault) and any(line.startswith(fault) for line in found or [""]), found
+            await store.close()
+
+    run(test, 60)
+
+
+@pytest.mark.parametrize("kind", [NoFence, Guesses, RetriesAfterCommit])
+def test_random_weather_finds_planted_bugs(kind: type[PostgresStore]) -> None:
+    """So the random runs above can fail: within so many seeds each bug shows."""
+    async def test() -> None:
+        for seed in range(1, 30):
+            async with scene(most=4) as (plain, (host,)):
+                store = kind(plain.access)
+                faults = await storm(Play(store, seed), host, seed)
+                await store.close()
+                if faults:
+                    return
+        raise AssertionError("it was not found in 29 seeds")
+
+    run(test, 200)
+
+
+def test_no_more_than_so_many_attempts_are_out_and_the_rest_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(recorder, "MOST_OPEN", 3)
+
+    async def test() -> None:
+        async with scene() as (store, (host,)):
+            play = Play(store)
+            await play.submit(entry(), WORD_S)
+            gate = Gate("insert", times=10)
+            host.hook = gate
+            held = [asyncio.create_task(play.submit(entry(), WORD_S)) for _ in range(3)]
+            await gate.reached.wait()
+            assert await play.submit(entry("beyond"), WORD_S) == "refused"
+            gate.go.set()
+            assert [await one for one in held] == ["served"] * 3
+            assert history.faults(play.clients, standing(host.data), play.outcomes()) == []
+
+    run(test)
+
+
+def test_a_store_that_turns_everything_away_is_told_at_once() -> None:
+    class Away(PostgresStore):
+        async def write(self, one: Entry, until: float) -> Written:
+            raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY, "full")
+
+    async def test() -> None:
+        async with scene() as (plain, _):
+            store = Away(plain.access)
+            assert await Play(store).submit(entry(), WORD_S) == "refused"
+            await store.close()
+
+    run(test)
--- /dev/null
+++ b/tests/record/test_disk.py
@@ -0,0 +1,140 @@
+"""A disk that loses power, fills up or fails, at every single write and sync: nothing confirmed is lost, nothing
+refused is there, and the file opens again."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from ironscale.record import history
+from ironscale.record.model import Entry, Knowledge, Row, Trouble
+from ironscale.record.sql import COLUMNS, row
+from ironscale.record.sqlite import SqliteStore
+from tests.record.disk import Disk, Vfs
+from tests.record.play import Play
+from tests.record.samples import entry
+
+REQUESTS = 12
+_names = itertools.count(1)
+
+
+def opened(disk: Disk, checkpoint_pages: int = 12) -> tuple[SqliteStore, Vfs]:
+    name = f"broken{next(_names)}"
+    vfs = Vfs(name, disk)
+    return SqliteStore(Path("/r.db"), vfs=name, checkpoint_pages=checkpoint_pages), vfs
+
+
+async def standing(store: SqliteStore) -> list[Row]:
+    """Raises Trouble where the file can't be read."""
+    found = await store.writer.run(lambda t: [t.execute("PRAGMA integrity_check"),
+                                              t.execute(f"SELECT {', '.join(COLUMNS)} FROM records")])
+    assert found[0] == [("ok",)], found[0]
+    return [row(values) for values in found[1]]
+
+
+async def day(disk: Disk, most_s: float = 0.6) -> tuple[Play, list[Entry]]:
+    """Submissions alone and together, repeats among them; the disk may die within."""
+    store, vfs = opened(disk)
+    play, asked = Play(store), []
+    for i in range(REQUESTS // 3):
+        several = [entry(f"{i}.{k}", "deduplicated" if k == 1 else "at_most_once", body=bytes(700 * k),
+                         **({"key": f"k{i // 2}"} if k == 1 else {})) for k in range(3)]
+        asked += several
+        if disk.dead:
+            break
+        await asyncio.gather(*(play.submit(one, most_s if disk.fault != "power" else 0.05) for one in several))
+    if not disk.dead:
+        async with asyncio.timeout(20):
+            await play.settled()
+    await play.recorder.close(0.0)
+    vfs.unregister()
+    return play, asked
+
+
+async def changes() -> int:
+    disk = Disk(1)
+    play, _ = await day(disk)
+    assert Counter(one.told for one in play.clients) == {"served": REQUESTS}
+    return disk.count
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_power_lost_at_every_change(seed: int) -> None:
+    async def test() -> None:
+        total, told = await changes(), Counter[str]()
+        assert total > 40
+        for at in range(1, total + 1):
+            disk = Disk(seed * 1000 + at, "power", at)
+            play, asked = await day(disk)
+            told.update(one.told for one in play.clients)
+            store, vfs = opened(disk.after_power())
+            rows = await standing(store)
+            # what was open when the power went is asked now, as the next start does
+            outcomes = {}
+            for handle in play.handles:
+                if handle.plan.told.value == "open":
+                    found = await store.ask(handle.attempt)
+                    outcomes[handle.attempt] = "never ran" if found is None else "ran"
+            faults = history.faults(play.clients, await standing(store), {**play.outcomes(), **outcomes})
+            assert faults == [], f"seed {seed}, change {at} ({disk.struck})"
+            assert len(rows) <= len(asked)
+            assert (await store.write(entry("afterwards"))).verdict.value == "written"
+            await store.close()
+            vfs.unregister()
+        assert told["served"] > total and told["failed"] > 0
+
+    asyncio.run(asyncio.wait_for(test(), 200))
+
+
+def test_after_an_error_of_a_sync_the_connection_is_not_used_again() -> None:
+    """Its view of the log may differ from what a recovery finds; the disk here keeps both alike, so it is looked at."""
+    async def test() -> None:
+        disk = Disk(1)
+        store, vfs = opened(disk, 10_000)
+        await store.write(entry())
+        before = store.writer.connection
+        await store.write(entry())
+        assert store.writer.connection is before
+        disk.fault, disk.at, disk.times = "sync", 0, 1
+        with pytest.raises(Trouble, match="SQLITE_IOERR") as found:
+            await store.write(entry("lost"))
+        assert found.value.knowledge is Knowledge.NOT_KNOWN
+        await store.write(entry())
+        assert store.writer.connection is not before
+        await store.close()
+        vfs.unregister()
+
+    asyncio.run(asyncio.wait_for(test(), 30))
+
+
+@pytest.mark.parametrize("fault", ["full", "io", "sync"])
+@pytest.mark.parametrize("times", [1, 3])
+def test_a_full_disk_and_errors_at_every_change(fault: str, times: int) -> None:
+    """The process goes on; each outcome is found out, and stands so also if the power goes afterwards."""
+    async def test() -> None:
+        total, told = await changes(), Counter[str]()
+        for at in range(1, total + 1):
+            disk = Disk(at, fault, at, times)
+            play, _ = await day(disk)
+            told.update(one.told for one in play.clients)
+            for machine in (disk, disk.after_power()):
+                machine.fault = ""
+                store, vfs = opened(machine)
+                try:
+                    rows = await standing(store)
+                except Trouble as trouble:
+                    assert str(trouble).count("no such table"), trouble  # not even the schema was written
+                    rows = []
+                finally:
+                    await store.close()
+                    vfs.unregister()
+                faults = history.faults(play.clients, rows, play.outcomes())
+                assert faults == [], f"change {at} ({disk.struck})"
+            assert "Traceback" not in "".join(play.lines), play.lines
+        assert told["served"] > 2 * told["refused"] > 0 and told["failed"] == 0, told
+
+    asyncio.run(asyncio.wait_for(test(), 200))
--- /dev/null
+++ b/tests/record/test_lane.py
@@ -0,0 +1,515 @@
+"""A sidecar whose submissions and marks go to a store of record: the four rules hold, and nothing else notices."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import statistics
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale import interface as api
+from ironscale.net.config import ConfigError
+from ironscale.net.sidecar import MARGIN_US
+from ironscale.operator_file import OperatorFileError, Stores, StoreTarget
+from ironscale.record import beside as beside_module
+from ironscale.record import history
+from ironscale.record import journal as journal_module
+from ironscale.record.beside import beside
+from ironscale.record.lane import Stores as Front
+from ironscale.record.lane import settings_for
+from ironscale.record.model import Cause, Knowledge, Trouble, Verdict
+from ironscale.record.sql import COLUMNS, row
+from ironscale.record.sqlite import reader, rows
+from ironscale.standins.http import TURNED_AWAY, Message
+from ironscale.standins.postgres import Data, Drop, Host, Session
+from ironscale.standins.settings import SETTINGS
+from ironscale.standins.upstream import Peer, reply, serve_ok
+from tests.record.play import Play
+from tests.record.postgres import Fault, Gate, dsn, written
+from tests.record.postgres import scene as store_scene
+from tests.record.samples import entry
+from tests.sockets import Scene, run, until
+
+QUICK = [{**kind, "aim": 400_000, "deadline": 2_000_000} for kind in SETTINGS["request-classes"]]
+
+
+def to_postgres(*hosts: Host, name: str = "main", **changes: Any) -> StoreTarget:
+    return StoreTarget(name, postgresql=dsn(*hosts), **changes)
+
+
+def stores(tmp_path: Path, *targets: StoreTarget, **changes: Any) -> Stores:
+    return Stores("op.toml", **{"classes": ("pay", "mark"), "to": targets, "journal": tmp_path / "open", **changes})
+
+
+@contextlib.asynccontextmanager
+async def running(section: Stores, peers: int = 1, classes: Any = SETTINGS["request-classes"]
+                  ) -> AsyncIterator[tuple[Scene, list[Peer], Front]]:
+    found = [await Peer().start() for _ in range(peers)]
+    entries = [peer.entry(f"up-{i}") for i, peer in enumerate(found)]
+    scene = await Scene().start(*entries, **{"request-classes": classes})
+    try:
+        async with beside(section)(scene.sidecar, lambda: None):
+            front = next(iter(scene.sidecar.fronts.values()))
+            assert isinstance(front, Front)
+            yield scene, found, front
+    finally:
+        await scene.sidecar.stop()
+        for peer in found:
+            await peer.stop()
+
+
+def asked(scene: Scene, lane: str, body: bytes = b"", key: str = "k", org: str = "north",
+          remaining: str = "8000m") -> bytes:
+    scene.count += 1
+    keyed = f"Idempotency-Key: {key}\r\n" if lane == "mark" else ""
+    return (f"POST /api?sid=7f HTTP/1.1\r\nHost: x\r\nX-Txn: t{scene.count}\r\nX-Lane: {lane}\r\nX-Org: {org}\r\n"
+            f"X-Remaining: {remaining}\r\n{keyed}Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def answered(message: Message) -> dict[str, Any]:
+    found = json.loads(message.body)
+    assert isinstance(found, dict)
+    return found
+
+
+def test_what_writes_goes_to_the_store_and_what_reads_to_the_upstreams(tmp_path: Path) -> None:
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "r.db"))
+        async with running(section) as (scene, (peer,), front):
+            paid = await scene.raw(asked(scene, "pay", b"homework" * 8000))
+            assert paid.status == 200 and answered(paid) == {"recorded": "t1", "class": "pay"}
+            mark = await scene.raw(asked(scene, "mark", b"A"))
+            repeat = await scene.raw(asked(scene, "mark", b"A"))
+            assert (mark.status, repeat.status) == (200, 200) and repeat.body == mark.body
+            other = await scene.raw(asked(scene, "mark", b"B"))
+            assert other.status == 422 and answered(other)["error"] == "CONFLICT"
+            assert "key" in answered(other)["message"]
+            assert (await scene.raw(asked(scene, "mark", b"B", org="south"))).status == 200
+            assert (await scene.call("view")).body == b"done"
+            assert len(peer.got) == 1
+            assert (await scene.raw(asked(scene, "mark", b"A", key="k" * 257))).status == 400
+            lane = front.lanes[0]
+            assert {one.used for one in lane.balancer.view()} == {0} and not lane.out and not lane.numbers
+        found = reader(tmp_path / "r.db")
+        assert [(one.request, one.tenant, len(one.body)) for one in rows(found)] == [
+            ("t1", "north", 64_000), ("t2", "north", 1), ("t5", "south", 1)]
+        found.close()
+
+    run(test)
+
+
+def test_off_on_an_error_in_the_file_nothing_is_served() -> None:
+    async def test() -> None:
+        for classes, text in ((("pay", "nope"), "expected classes of the configuration (view, pay, mark), got 'nope'"),
+                              (("view",), "expected classes whose requests write, got 'view', which is safe to re")):
+            section = Stores("op.toml", classes=classes, to=(StoreTarget("main", sqlite=Path("/nowhere/r.db")),))
+            scene = await Scene().start()
+            with pytest.raises(ConfigError) as found:
+                async with beside(section)(scene.sidecar, lambda: None):
+                    pass
+            assert text in str(found.value) and str(found.value).startswith("op.toml: store.classes: ")
+            assert not scene.sidecar.fronts
+            await scene.sidecar.stop()
+        with pytest.raises(OperatorFileError, match="without a password"):
+            beside(Stores("op.toml", ("pay",), (StoreTarget("main", postgresql="host=h password=x"),)))
+
+    run(test)
+
+
+def test_a_store_that_cannot_be_opened_refuses_and_says_when_to_return(tmp_path: Path) -> None:
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "no" / "r.db"))
+        async with running(section) as (scene, _, front):
+            began = time.monotonic()
+            paid = await scene.raw(asked(scene, "pay", b"x"))
+            assert paid.status == 503 and float(paid.headers["retry-after"]) > 0
+            assert time.monotonic() - began < 3.0  # at once, and not near its deadline of 8 s
+            assert (await scene.call("view")).status == 200
+            (tmp_path / "no").mkdir()  # someone acts
+            deadline = time.monotonic() + 20
+            while (await scene.raw(asked(scene, "pay", b"x"))).status != 200:
+                assert time.monotonic() < deadline
+                await asyncio.sleep(0.01)
+
+    run(test)
+
+
+def test_a_commit_whose_reply_is_lost_is_served_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            for lane in ("pay", "mark"):
+                host.hook = Fault("commit", after=True)
+                assert (await scene.raw(asked(scene, lane))).status == 200
+            assert written(host.data) == ["t1", "t2", "t3"]
+            # a connection lost before COMMIT never ran: it is tried again through another slot
+            host.hook = Fault("insert")
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            assert written(host.data) == ["t1", "t2", "t3", "t4"]
+        await host.stop()
+
+    run(test)
+
+
+def test_what_is_not_known_when_its_time_is_up_has_failed_and_is_found_out_and_listed(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        section = stores(tmp_path, to_postgres(host))
+        async with running(section) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            gate = Gate("commit", times=1000)
+            host.hook = gate
+            began = time.monotonic()
+            assert (await scene.raw(asked(scene, "pay", remaining="600m"))).status == 502
+            assert 0.3 < time.monotonic() - began < 0.6 + 0.05 - MARGIN_US / 1e6 + 0.2
+            journal = front.lanes[0].recorder.journal
+            await until(lambda: journal.writing is None and journal.open)
+            (one,), damaged = journal_module.read_all(tmp_path / "open")
+            assert damaged == 0 and (one.request, one.kind, one.store, one.tenant) == ("t2", "pay", "main", "north")
+            host.hook = None
+            gate.go.set()
+            await until(lambda: not journal.open and journal.writing is None)
+            assert journal_module.read_all(tmp_path / "open") == ([], 0)
+            assert written(host.data) == ["t1", "t2"]  # it had run; its client was promised nothing
+        await host.stop()
+
+    run(test)
+
+
+def test_the_next_start_finds_out_what_the_former_left_open(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        section = stores(tmp_path, to_postgres(host))
+        async with running(section) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            gate = Gate("commit", times=1000)
+            host.hook = gate
+            assert (await scene.raw(asked(scene, "pay", remaining="500m"))).status == 502
+        assert len(journal_module.read_all(tmp_path / "open")[0]) == 1
+        with next((tmp_path / "open").iterdir()).open("ab") as file:
+            file.write(b'{"open":{"attempt":"torn')
+        host.hook = None
+        gate.go.set()
+        async with running(section) as (scene, _, front):
+            journal = front.lanes[0].recorder.journal
+            await until(lambda: not journal.open and journal.writing is None)
+            assert journal_module.read_all(tmp_path / "open") == ([], 0)
+        await host.stop()
+
+    run(test)
+
+
+def test_views_beside_a_stalled_store_notice_nothing_and_what_it_holds_is_bounded(tmp_path: Path) -> None:
+    """The store stalls for 3 s under 200 submissions a second; then it is back without a rush."""
+    async def test() -> None:
+        host = await Host().start()
+        section = stores(tmp_path, to_postgres(host))
+        async with running(section, 3, QUICK) as (scene, peers, front):
+            lane, results = front.lanes[0], Counter[str]()
+            took: dict[bool, list[float]] = {False: [], True: []}
+            phase = {"stalled": False, "end": False, "most_out": 0}
+
+            async def views() -> None:
+                while not phase["end"]:
+                    began, stalled = time.monotonic(), bool(phase["stalled"])
+                    assert (await scene.call("view", remaining="2000m")).status == 200
+                    took[stalled].append(time.monotonic() - began)
+                    await asyncio.sleep(0.002)
+
+            async def pay() -> None:
+                answer = await scene.raw(asked(scene, "pay", remaining="2000m"))
+                told = answer.status != 503 or "retry-after" in answer.headers
+                results[f"{answer.status}{'' if told else ' without word'}"] += 1
+
+            async def pays(group: asyncio.TaskGroup) -> None:
+                while not phase["end"]:
+                    group.create_task(pay())
+                    phase["most_out"] = max(int(phase["most_out"]), len(lane.out))
+                    await asyncio.sleep(0.005)
+
+            async with asyncio.TaskGroup() as group:
+                group.create_task(views())
+                group.create_task(pays(group))
+                await until(lambda: results["200"] > 100)
+                gate = Gate("insert", times=1_000_000)
+                host.hook, phase["stalled"] = gate, True
+                await asyncio.sleep(3.0)
+                host.hook, phase["stalled"] = None, False
+                gate.go.set()
+                served = results["200"]
+                await until(lambda: results["200"] > served + 200)
+                phase["end"] = True
+            # out: slots of all ways and what came due late, never all that arrived
+            assert int(phase["most_out"]) < 100, phase
+            assert set(results) <= {"200", "503", "502"} and results["503"] > 100, results
+            usual, beside_it = (statistics.median(took[key]) for key in (False, True))
+            assert beside_it < 3 * usual + 0.005, (usual, beside_it)
+            assert len(written(host.data)) >= results["200"]
+        await host.stop()
+
+    run(test, 60)
+
+
+def test_two_stores_share_by_tenant_and_one_that_stalls_holds_up_the_other_no_more_than_itself(tmp_path: Path) -> None:
+    async def test() -> None:
+        hosts = [await Host().start() for _ in range(2)]
+        section = stores(tmp_path, *(to_postgres(host, name=f"s{i}") for i, host in enumerate(hosts)))
+        async with running(section) as (scene, _, front):
+            for i in range(40):
+                assert (await scene.raw(asked(scene, "pay", org=f"org{i % 10}"))).status == 200
+            by_host = [{t for t, in host.data.all("SELECT DISTINCT tenant FROM records")} for host in hosts]
+            assert by_host[0] and by_host[1] and not by_host[0] & by_host[1]
+            gate = Gate("insert", times=1000)
+            hosts[0].hook = gate
+            held = [asyncio.create_task(scene.raw(asked(scene, "pay", org=min(by_host[0])))) for _ in range(5)]
+            await gate.reached.wait()
+            assert (await scene.raw(asked(scene, "pay", org=min(by_host[1])))).status == 200
+            hosts[0].hook = None
+            gate.go.set()
+            assert {(await one).status for one in held} <= {200, 503}
+        for host in hosts:
+            await host.stop()
+
+    run(test)
+
+
+def test_what_a_process_of_the_same_name_leaves_while_this_one_runs_is_found_out_too(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(beside_module, "TAKE_OVER_S", 0.02)
+
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "r.db"))
+        async with running(section) as (scene, _, front):
+            former = journal_module.Journal(tmp_path / "open", scene.sidecar.config.name, print)
+            former.begin()
+            lost = entry("lost")
+            former.opened(journal_module.Open(lost.attempt, "main", "lost", "pay", "north", "", 1))
+            await until(lambda: former.writing is None)
+            os.close(former.fd)  # it has ended
+            await until(lambda: former.path is not None and not former.path.exists())
+            journal = front.lanes[0].recorder.journal
+            await until(lambda: not journal.open and journal.writing is None)
+            found = await front.lanes[0].recorder.store.write(lost, asyncio.get_running_loop().time() + 10)
+            assert found.verdict is Verdict.FENCED  # it was asked
+
+    run(test)
+
+
+def test_a_key_without_memory_is_free_at_once(tmp_path: Path) -> None:
+    classes = [{**kind, "memory-span": 0} if kind["name"] == "mark" else kind for kind in SETTINGS["request-classes"]]
+
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "r.db"))
+        async with running(section, classes=classes) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "mark", b"A"))).status == 200
+            deadline = time.monotonic() + 20
+            while (await scene.raw(asked(scene, "mark", b"B"))).status != 200:
+                assert time.monotonic() < deadline
+
+    run(test)
+
+
+def test_a_store_that_is_away_is_said_now_and_then_and_not_for_each_request() -> None:
+    async def test() -> None:
+        async with store_scene() as (store, _):
+            play = Play(store)
+            for at in (0.0, 0.1, 4.9, 5.1, 9.9, 10.2):
+                play.recorder.said_at = -5.0 if at == 0.0 else play.recorder.said_at
+                play.recorder.say(Trouble(Knowledge.NEVER_RAN, Cause.UNREACHABLE, "gone"), at)
+            assert play.lines == ["store s: never ran: gone"] * 3
+
+    run(test)
+
+
+def test_drained_and_reconfigured_the_front_follows(tmp_path: Path) -> None:
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "r.db"))
+        async with running(section) as (scene, _, front):
+            scene.sidecar.drain(True)
+            assert (await scene.raw(asked(scene, "pay"))).status == 503
+            scene.sidecar.drain(False)
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            changed = [{**kind, "deadline": 9_000_000} for kind in SETTINGS["request-classes"]]
+            scene.sidecar.reconfigure(1, {"settings": {"request-classes": changed}})
+            assert front.lanes[0].balancer.settings.classes[1].deadline_us == 9_000_000
+            assert front.lanes[0].balancer.settings.classes[2].group == "cell"
+            assert (await scene.raw(asked(scene, "mark"))).status == 200
+
+    run(test)
+
+
+def test_a_client_that_goes_leaves_nothing_behind_and_its_record_is_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            gate = Gate("insert")
+            host.hook = gate
+            reader_, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+            writer.write(asked(scene, "pay"))
+            await gate.reached.wait()
+            writer.close()
+            await until(lambda: not scene.sidecar.by_txn)
+            gate.go.set()
+            lane = front.lanes[0]
+            await until(lambda: not lane.out and not lane.numbers and not scene.sidecar.requests)
+            assert written(host.data) == ["t1", "t2"] and not lane.balancer.requests
+        await host.stop()
+
+    run(test)
+
+
+def test_a_client_that_goes_while_its_request_waits_frees_the_buffer_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            balancer, gate = front.lanes[0].balancer, Gate("insert", times=1_000)
+            host.hook = gate
+            writers = []
+            while balancer.buffer is None:
+                _, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+                writers.append(writer)
+                writer.write(asked(scene, "pay"))
+                await until(lambda: scene.count in {int(txn[1:]) for txn in scene.sidecar.by_txn})
+            waiting = balancer.buffer
+            for writer in writers:
+                writer.close()
+            await until(lambda: balancer.buffer is None)
+            # by the client's going, and not by its time in the buffer
+            assert not waiting.attempts and waiting.done and not scene.sidecar.refusals["waited"]
+            gate.go.set()
+            await until(lambda: not scene.sidecar.requests and not balancer.requests)
+            assert f"t{scene.count}" not in written(host.data)
+        await host.stop()
+
+    run(test)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_under_faults_each_client_has_one_answer_and_the_store_agrees(seed: int, tmp_path: Path) -> None:
+    """Two sidecars on one store, connections lost at random: counted on both sides."""
+    draw = random.Random(seed)
+
+    async def weather(session: Session, kind: str, after: bool) -> None:
+        if draw.random() < 0.02:
+            raise Drop
+        if draw.random() < 0.05:
+            await asyncio.sleep(0.2 * draw.random())
+
+    async def test() -> None:
+        host = await Host(Data()).start()
+        results: dict[str, tuple[str, int]] = {}
+        async with contextlib.AsyncExitStack() as stack:
+            scenes = []
+            for i in range(2):
+                (tmp_path / str(i)).mkdir()
+                scenes.append((await stack.enter_async_context(running(
+                    stores(tmp_path / str(i), to_postgres(host)), classes=QUICK)))[0])
+            scenes[1].count = 100_000
+            host.hook = weather
+
+            async def client(scene: Scene, number: int) -> None:
+                for i in range(25):
+                    lane = "pay" if number % 2 else "mark"
+                    for _ in range(200):  # comes again after a refusal, as it is told
+                        request = asked(scene, lane, b"x", key=f"{i}", remaining="1500m")
+                        txn = request.split(b"X-Txn: ")[1].split(b"\r\n")[0].decode()
+                        answer = await scene.raw(request)
+                        results[txn] = lane, answer.status
+                        if answer.status != 503:
+                            break
+                        await asyncio.sleep(float(answer.headers["retry-after"]))
+
+            await asyncio.gather(*(client(scene, number) for scene in scenes for number in range(6)))
+            host.hook = None
+        rows_ = host.data.all("SELECT request, kind FROM records WHERE state = 'written'")
+        assert len(results) >= 300 and len({r for r, _ in rows_}) == len(rows_)
+        standing = {request for request, _ in rows_}
+        found = [row(values) for values in host.data.all(f"SELECT {', '.join(COLUMNS)} FROM records")]
+        assert history.faults([], found) == [], f"seed {seed}"
+        assert {one.key for one in found if one.kind == "mark"} == {str(i) for i in range(25)}, f"seed {seed}"
+        counts = Counter(status for _, status in results.values())
+        # each of 300 requests was served in the end, or, few of them, has failed
+        assert counts[200] + counts[502] == 300 and counts[502] < 30, f"seed {seed}: {counts}"
+        assert set(counts) <= {200, 502, 503}
+        for txn, (lane, status) in results.items():
+            if status == 503:
+                assert txn not in standing, f"seed {seed}: {txn} was refused, and stands"
+            if status == 200 and lane == "pay":
+                assert txn in standing, f"seed {seed}: {txn} was served, and is lost"
+        await host.stop()
+
+    run(test, 60)
+
+
+@pytest.mark.parametrize("order", ["first", "last"])
+def test_to_both_in_the_order_that_is_stated(order: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        async with running(stores(tmp_path, to_postgres(host), upstreams=order)) as (scene, (peer,), front):
+            seen: list[str] = []
+
+            async def hook(session: Session, kind: str, after: bool) -> None:
+                if kind == "commit" and after:
+                    seen.append("store")
+
+            async def behave(peer: Peer, message: Message, writer: asyncio.StreamWriter) -> None:
+                seen.append("upstream")
+                await serve_ok(peer, message, writer)
+
+            host.hook, peer.behave = hook, behave
+            for lane in ("pay", "mark", "pay"):
+                seen.clear()
+                answer = await scene.raw(asked(scene, lane))
+                assert (answer.status, answer.body) == (200, b"done")
+                wanted = ["upstream", "store"] if order == "first" else ["store", "upstream"]
+                assert [one for i, one in enumerate(seen) if one not in seen[:i]] == wanted
+            # the store's reply is lost: found out, and each of the two has it once
+            host.hook = Fault("commit", after=True)
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+            assert written(host.data) == ["t1", "t2", "t3", "t4"]
+            assert {peer.executions[f"t{i}"] for i in range(1, 5)} == {1}
+            lane_ = front.lanes[0]
+            await until(lambda: not scene.sidecar.requests and not lane_.out)
+            assert not lane_.numbers and not lane_.balancer.requests and not scene.sidecar.balancer.requests
+        await host.stop()
+
+    run(test)
+
+
+def test_what_ran_in_one_and_is_refused_by_the_other_has_failed_and_is_not_called_harmless(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host().start()
+        (tmp_path / "a").mkdir()
+        async with running(stores(tmp_path / "a", to_postgres(host), upstreams="last")) as (scene, (peer,), _):
+            peer.behave = reply(TURNED_AWAY)
+            assert (await scene.raw(asked(scene, "pay"))).status == 502
+            assert written(host.data) == ["t1"]
+        await host.stop()
+        (tmp_path / "b").mkdir()
+        async with running(stores(tmp_path / "b", to_postgres(host), upstreams="first")) as (scene, (peer,), _):
+            assert (await scene.raw(asked(scene, "pay"))).status == 502  # the store is away, and the upstream ran it
+            assert peer.executions["t1"] == 1
+            peer.behave = reply(TURNED_AWAY)
+            assert (await scene.raw(asked(scene, "pay"))).status == 503  # neither has it
+
+    run(test)
+
+
+def test_the_decisions_settings_for_a_store() -> None:
+    settings = api.Settings(classes=[api.RequestClass("m", 1, 2, effect="deduplicated", group="all", memory_us=5)],
+                            second_copies=True, list_on_request=True, probes=True, cold_share=0.1, warm_up_us=5)
+    found = settings_for(settings)
+    assert found.classes[0].group == "cell" and found.classes[0].memory_us == 5
+    assert not (found.second_copies or found.list_on_request or found.probes) and found.cold_share == 1.0
--- /dev/null
+++ b/tests/record/test_plan.py
@@ -0,0 +1,173 @@
+"""The decisions of a write: what an error means, what is done next, which store has it, what a history shows."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ironscale.record import history, model, routes
+from ironscale.record.errors import Step, cause, knowledge, sqlite_cause, sqlite_knowledge
+from ironscale.record.model import Cause, Knowledge, Row, Trouble, Verdict, Written
+from ironscale.record.plan import Ask, Attempt, Done, Told, Write
+from tests.record.samples import again, entry
+
+NEVER, UNKNOWN = Knowledge.NEVER_RAN, Knowledge.NOT_KNOWN
+
+
+@pytest.mark.parametrize(("step", "code", "severity", "expected"), [
+    (Step.CONNECT, "", "", NEVER), (Step.WORK, "", "", NEVER), (Step.WORK, "57P01", "FATAL", NEVER),
+    (Step.WORK, "XX000", "ERROR", NEVER),
+    (Step.COMMIT, "", "", UNKNOWN),  # the connection broke
+    (Step.COMMIT, "57P01", "FATAL", UNKNOWN),  # told to end while it waits for a standby: committed here
+    (Step.COMMIT, "XX000", "PANIC", UNKNOWN), (Step.COMMIT, "40003", "ERROR", UNKNOWN),
+    (Step.COMMIT, "08007", "ERROR", UNKNOWN), (Step.COMMIT, "57014", "ERROR", UNKNOWN),
+    (Step.COMMIT, "58030", "ERROR", UNKNOWN), (Step.COMMIT, "ZZ999", "ERROR", UNKNOWN),
+    (Step.COMMIT, "40001", "ERROR", NEVER), (Step.COMMIT, "23505", "ERROR", NEVER),
+    (Step.COMMIT, "25P02", "ERROR", NEVER), (Step.COMMIT, "40001", "FATAL", UNKNOWN),
+])
+def test_what_an_sqlstate_says_of_a_write(step: Step, code: str, severity: str, expected: Knowledge) -> None:
+    assert knowledge(step, code, severity) is expected
+
+
+@pytest.mark.parametrize(("step", "code", "expected"), [
+    (Step.CONNECT, "", Cause.UNREACHABLE), (Step.WORK, "", Cause.BROKEN), (Step.WORK, "25006", Cause.TURNED_AWAY),
+    (Step.CONNECT, "57P03", Cause.TURNED_AWAY), (Step.CONNECT, "53300", Cause.TURNED_AWAY),
+    (Step.WORK, "40P01", Cause.RETRY), (Step.COMMIT, "40001", Cause.RETRY), (Step.WORK, "57014", Cause.TIMEOUT),
+    (Step.CONNECT, "28P01", Cause.UNUSABLE), (Step.WORK, "42P01", Cause.UNUSABLE), (Step.WORK, "XX000", Cause.BROKEN),
+])
+def test_what_an_sqlstate_says_of_the_store(step: Step, code: str, expected: Cause) -> None:
+    assert cause(step, code) is expected
+
+
+def test_what_sqlites_codes_say() -> None:
+    assert sqlite_knowledge(Step.WORK, "SQLITE_IOERR") is NEVER
+    assert sqlite_knowledge(Step.COMMIT, "SQLITE_BUSY") is NEVER
+    for name in ("SQLITE_IOERR", "SQLITE_FULL", "SQLITE_CORRUPT", "SQLITE_NOMEM"):
+        assert sqlite_knowledge(Step.COMMIT, name) is UNKNOWN
+    assert sqlite_cause("SQLITE_FULL") is Cause.TURNED_AWAY and sqlite_cause("SQLITE_NOTADB") is Cause.UNUSABLE
+    assert sqlite_cause("SQLITE_IOERR") is Cause.BROKEN
+
+
+# The plan
+
+
+def lost(what: Knowledge = UNKNOWN) -> Trouble:
+    return Trouble(what, Cause.BROKEN, "it broke\nin two lines", "X")
+
+
+def test_an_answered_write_is_done() -> None:
+    for verdict, told in ((Verdict.WRITTEN, Told.RAN), (Verdict.REPEAT, Told.RAN), (Verdict.CONFLICT, Told.CONFLICT),
+                          (Verdict.FENCED, Told.NEVER_RAN)):
+        plan = Attempt(10.0)
+        begun = plan.begin(4.0)
+        assert isinstance(begun, Write) and begun.until == pytest.approx(9.5)  # time is kept for asking
+        assert isinstance(plan.written(Written(verdict, b"a")), Done)
+        assert plan.told is told and plan.answer == (b"a" if told is Told.RAN else b"")
+
+
+def test_what_never_ran_is_told_and_not_asked() -> None:
+    plan = Attempt(10.0)
+    plan.begin(9.7)
+    assert isinstance(plan.failed(9.8, lost(NEVER)), Done)
+    assert plan.told is Told.NEVER_RAN and plan.cause is Cause.BROKEN and "\n" not in plan.detail
+
+
+def test_what_is_not_known_is_asked_until_the_store_says_also_after_its_time() -> None:
+    plan = Attempt(10.0)
+    plan.begin(9.0)
+    step = plan.failed(9.5, lost())
+    now, waits = 9.5, []
+    for _ in range(40):
+        assert isinstance(step, Ask) and plan.told is Told.OPEN and step.at >= now and step.until > step.at
+        waits.append(step.at - now)
+        now = step.until
+        step = plan.not_found(now, lost(NEVER), 1.0)  # a question that never ran says nothing of the attempt
+    assert waits[0] == 0.0 and max(waits) == pytest.approx(5.0) and now > 60.0
+    assert isinstance(plan.found(b"a"), Done) and plan.told is Told.RAN
+    other = Attempt(1.0)
+    other.failed(0.5, lost())
+    assert isinstance(other.found(None), Done) and other.told is Told.NEVER_RAN
+
+
+def test_the_time_for_a_question_ends_with_the_request_while_that_is_open() -> None:
+    plan = Attempt(10.0)
+    step = plan.failed(8.0, lost())
+    assert isinstance(step, Ask) and step.until == 10.0
+    step = plan.not_found(9.9, lost(), 0.0)
+    assert isinstance(step, Ask) and 9.9 < step.at < 10.0 and step.until - step.at == pytest.approx(0.25)
+
+
+# Names
+
+
+def test_no_two_effects_share_a_slot() -> None:
+    slots = [model.slot_of("deduplicated", *names, "r") for names in (
+        ("ab", "c", "k"), ("a", "bc", "k"), ("a", "b", "ck"), ("a.1:b", "", "k"), ("a", "", "1:bk"))]
+    slots += [model.slot_of("at_most_once", "a", "b", "", "r"), model.slot_of("deduplicated", "", "", "r:r", "")]
+    assert len(set(slots)) == len(slots)
+    assert model.fingerprint("/a", b"b") != model.fingerprint("/", b"ab")
+
+
+def test_attempts_sort_by_time_and_differ() -> None:
+    names = [model.attempt_name(at, bytes([i] * 10)) for at in (1, 2, 2**47) for i in (0, 255)]
+    assert names == sorted(names) and len(set(names)) == 6 and {len(name) for name in names} == {32}
+
+
+def test_another_store_takes_only_its_share() -> None:
+    about = [f"t{i}" for i in range(3_000)]
+    before = [routes.choose(("a", "b", "c"), name) for name in about]
+    after = [routes.choose(("a", "b", "c", "d"), name) for name in about]
+    moved = [new for old, new in zip(before, after, strict=True) if old != new]
+    assert set(moved) == {3} and 0.2 < len(moved) / 3_000 < 0.3
+    assert min(before.count(i) for i in range(3)) > 900
+    assert routes.subject("tenant", "t", "k", "r") == routes.subject("tenant", "t", "other", "s")
+    assert routes.subject("key", "t", "k", "r") == routes.subject("key", "t", "k", "s")
+    assert routes.subject("key", "t", "", "r") != routes.subject("key", "t", "", "s")
+
+
+# The history checker
+
+
+def stands(one: model.Entry, at_ms: int = 0, state: str = "written") -> Row:
+    return Row(one.attempt, state, one.request, one.kind, one.tenant, one.key, one.effect, one.target, one.body,
+               one.fingerprint, one.answer, at_ms, at_ms + one.memory_ms if one.memory_ms else 0, one.slot)
+
+
+def told(one: model.Entry, what: str) -> history.Told:
+    return history.Told(one.request, one.kind, one.tenant, one.key, one.effect, one.fingerprint, what,
+                        one.answer if what == history.SERVED else b"")
+
+
+def test_a_history_that_keeps_the_rules_has_no_faults() -> None:
+    first, mark = entry("a"), entry("b", "deduplicated")
+    repeat = replace(again(mark), request="c")
+    fenced = again(first)
+    rows = [stands(first), stands(mark), stands(replace(again(mark), request="d"), 60_000),
+            Row(fenced.attempt, "void", "", "", "", "", "", "", b"", "", b"", 0, 0, None)]
+    clients = [told(first, "served"), told(mark, "served"), replace(told(repeat, "served"), answer=mark.answer),
+               told(entry("e"), "refused"), told(entry("f"), "failed")]
+    assert history.faults(clients, rows, {first.attempt: "ran", fenced.attempt: "never ran"}) == []
+
+
+@pytest.mark.parametrize(("expected", "clients", "rows", "outcomes"), [
+    ("written twice", [], [(0, 0), (1, 0)], {}), ("lost", [("served", 0)], [], {}),
+    ("refused", [("refused", 0)], [(0, 0)], {}), ("conflict", [("conflict", 0)], [(0, 0)], {}),
+    ("outcome", [], [(0, 0)], {0: "never ran"}),
+])
+def test_each_break_of_a_rule_is_found(expected: str, clients: list[tuple[str, int]], rows: list[tuple[int, int]],
+                                       outcomes: dict[int, str]) -> None:
+    attempts = [entry("a")]
+    attempts.append(again(attempts[0]))
+    (fault,) = history.faults([told(attempts[i], what) for what, i in clients],
+                              [stands(attempts[i], at) for i, at in rows],
+                              {attempts[i].attempt: what for i, what in outcomes.items()})
+    assert fault.startswith(expected)
+
+
+def test_a_keyed_effect_written_twice_within_its_memory_and_a_wrong_answer_are_found() -> None:
+    first = entry("a", "deduplicated")
+    second = replace(again(first), request="b")
+    assert history.faults([], [stands(first, 0), stands(second, 59_999)])[0].startswith("written twice")
+    assert history.faults([], [stands(first, 0), stands(second, 60_000)]) == []
+    assert history.faults([replace(told(first, "served"), answer=b"x")], [stands(first)])[0].startswith("answer")
