--- /dev/null
+++ b/tests/record/test_sqlite.py
@@ -0,0 +1,405 @@
+"""The store of record in SQLite, as one process and as several use it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import apsw
+import pytest
+
+from ironscale.record import sqlite
+from ironscale.record.database import Opener, Transaction
+from ironscale.record.model import Cause, Knowledge, Trouble, Verdict
+from ironscale.record.sqlite import SqliteStore, backup, migrate, reader, rows, verify
+from tests.deployed import ROOT
+from tests.record.samples import again, entry
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 60))
+
+
+async def soon(seconds: float) -> float:
+    return asyncio.get_running_loop().time() + seconds
+
+
+def test_written_once_and_answered_with_the_first_answer(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        first = entry("a", body=bytes(range(256)) * 256)  # 64 KiB
+        assert (await store.write(first)).verdict is Verdict.WRITTEN
+        repeat = await store.write(again(first))
+        assert repeat.verdict is Verdict.REPEAT and repeat.answer == first.answer
+        other = await store.write(entry("a", body=b"other"))
+        assert other.verdict is Verdict.CONFLICT and other.answer == b""
+        mark = entry("b", "deduplicated")
+        assert (await store.write(mark)).verdict is Verdict.WRITTEN
+        again_by_another = await store.write(entry("c", "deduplicated"))
+        assert again_by_another.verdict is Verdict.REPEAT and again_by_another.answer == mark.answer
+        assert (await store.write(entry("d", "deduplicated", body=b"other"))).verdict is Verdict.CONFLICT
+        for changes in ({"tenant": "south"}, {"kind": "grade"}, {"key": "l"}):
+            assert (await store.write(entry("e", "deduplicated", body=b"other", **changes))).verdict is Verdict.WRITTEN
+        found = reader(store.path)
+        standing = list(rows(found))
+        assert sorted(one.request for one in standing) == ["a", "b", "e", "e", "e"]
+        assert [one.body for one in standing if one.request == "a"] == [first.body]
+        found.close()
+        await store.close()
+
+    run(test())
+
+
+def test_a_key_is_free_again_once_its_memory_ran_out_and_the_old_record_stays(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        first = entry("a", "deduplicated", memory_ms=30)
+        await store.write(first)
+        deadline = time.monotonic() + 20
+        changes = {"body": b"new", "memory_ms": 60_000}
+        while (await store.write(entry("b", "deduplicated", **changes))).verdict is not Verdict.WRITTEN:  # type: ignore
+            assert time.monotonic() < deadline
+        assert (await store.write(entry("c", "deduplicated", body=b"new"))).verdict is Verdict.REPEAT
+        found = reader(store.path)
+        assert sorted((one.request, one.body, one.slot is None) for one in rows(found)) == [
+            ("a", b"work", True), ("b", b"new", False)]
+        found.close()
+        # asked of the first attempt: it ran, though its slot is another's by now
+        assert await store.ask(first.attempt) == first.answer
+        await store.close()
+        assert verify(store.path) == (2, [])
+
+    run(test())
+
+
+def test_the_fence_keeps_a_late_write_out_and_asking_twice_is_harmless(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        late = entry("a")
+        assert await store.ask(late.attempt) is None
+        assert await store.ask(late.attempt) is None
+        assert (await store.write(late)).verdict is Verdict.FENCED
+        second = again(late)
+        assert (await store.write(second)).verdict is Verdict.WRITTEN  # another attempt at it is free to run
+        assert (await store.write(late)).verdict is Verdict.REPEAT  # and answers for the first
+        assert await store.ask(second.attempt) == second.answer
+        assert await store.ask(late.attempt) is None
+        await store.close()
+
+    run(test())
+
+
+def test_what_waits_shares_a_commit_and_one_bad_piece_of_work_spoils_no_other(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        await store.write(entry())
+
+        def bad(transaction: Transaction) -> None:
+            transaction.execute("INSERT INTO records (attempt) VALUES ('half')")
+
+        def worse(transaction: Transaction) -> None:
+            transaction.execute("DELETE FROM records")
+            raise ValueError("in the middle")
+
+        results = await asyncio.gather(*(store.write(entry()) for _ in range(300)), store.writer.run(bad),
+                                       store.writer.run(worse), return_exceptions=True)
+        assert [type(r).__name__ for r in results[300:]] == ["Trouble", "ValueError"]
+        assert store.writer.commits < 60
+        assert (await store.writer.run(lambda t: t.execute("SELECT count(*) FROM records")))[0][0] == 301
+        await store.close()
+
+    run(test())
+
+
+class Stalled:
+    """Holds the writer's thread within a piece of work, as a disk that hangs would."""
+
+    def __init__(self) -> None:
+        self.reached, self.go = threading.Event(), threading.Event()
+
+    def __call__(self, transaction: Transaction) -> None:
+        self.reached.set()
+        assert self.go.wait(30)
+
+
+async def reached(stalled: Stalled) -> None:
+    while not stalled.reached.is_set():
+        await asyncio.sleep(0.001)
+
+
+def test_what_has_not_begun_in_time_never_runs_and_what_has_is_not_known(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        held, stalled, waiting = entry("held"), Stalled(), entry("waiting")
+
+        def work(transaction: Transaction) -> object:
+            found = sqlite.write(held)(transaction)
+            stalled(transaction)
+            return found
+
+        first = asyncio.create_task(store.writer.run(work, await soon(0.3)))
+        await reached(stalled)
+        with pytest.raises(Trouble) as second:
+            await store.write(waiting, await soon(0.05))
+        assert (second.value.knowledge, second.value.cause) == (Knowledge.NEVER_RAN, Cause.TIMEOUT)
+        with pytest.raises(Trouble) as unknown:
+            await first
+        assert unknown.value.knowledge is Knowledge.NOT_KNOWN
+        stalled.go.set()
+        assert await store.ask(held.attempt) == held.answer  # it came late, and it did run
+        assert await store.ask(waiting.attempt) is None
+        await store.close()
+
+    run(test())
+
+
+def test_the_queue_is_bounded_and_says_so_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db", most_queued=5)
+        stalled = Stalled()
+        first = asyncio.create_task(store.writer.run(stalled))
+        await reached(stalled)
+        waiting = [asyncio.create_task(store.write(entry())) for _ in range(5)]
+        await asyncio.sleep(0)
+        with pytest.raises(Trouble, match="5 writes wait already") as full:
+            await store.write(entry())
+        assert (full.value.knowledge, full.value.cause) == (Knowledge.NEVER_RAN, Cause.TURNED_AWAY)
+        stalled.go.set()
+        await first
+        assert all(one.verdict is Verdict.WRITTEN for one in await asyncio.gather(*waiting))
+        await store.close()
+
+    run(test())
+
+
+def test_a_busy_file_is_told_as_a_refusal_and_used_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db", busy_ms=20)
+        await store.write(entry("a"))
+        other = Opener(store.path).open()
+        other.execute("BEGIN IMMEDIATE")
+        with pytest.raises(Trouble, match="another process writes it") as busy:
+            await store.write(entry("b"))
+        assert (busy.value.knowledge, busy.value.cause) == (Knowledge.NEVER_RAN, Cause.TURNED_AWAY)
+        other.execute("ROLLBACK")
+        assert (await store.write(entry("b"))).verdict is Verdict.WRITTEN
+        other.close()
+        await store.close()
+
+    run(test())
+
+
+def test_two_processes_sharing_a_file_write_a_key_once(tmp_path: Path) -> None:
+    """Both at the same moment, again and again."""
+    async def test() -> None:
+        stores = [SqliteStore(tmp_path / "r.db", busy_ms=5_000) for _ in range(2)]
+        for i in range(40):
+            found = await asyncio.gather(*(store.write(entry("", "deduplicated", key=f"k{i}")) for store in stores))
+            assert sorted(one.verdict.value for one in found) == ["repeat", "written"]
+            assert found[0].answer == found[1].answer
+        for store in stores:
+            await store.close()
+        assert verify(tmp_path / "r.db") == (40, [])
+
+    run(test())
+
+
+# Files that can't be used
+
+
+@pytest.mark.parametrize(("make", "code"), [
+    (lambda path: path.write_bytes(b"no database" * 1000), "SQLITE_NOTADB"),
+    (lambda path: sqlite3.connect(path).execute("CREATE TABLE other (x)"), "FOREIGN"),
+    (lambda path: newer(path), "NEWER"), (lambda path: path.mkdir(), "SQLITE_CANTOPEN"),
+])
+def test_a_file_that_is_not_ours_is_named_and_left_as_it_was(
+        make: Callable[[Path], object], code: str, tmp_path: Path) -> None:
+    path = tmp_path / "r.db"
+    make(path)
+    before = path.read_bytes() if path.is_file() else b""
+
+    async def test() -> None:
+        store = SqliteStore(path)
+        with pytest.raises(Trouble, match="r.db: ") as found:
+            await store.write(entry())
+        assert found.value.code == code and found.value.knowledge is Knowledge.NEVER_RAN
+        assert found.value.cause is Cause.UNUSABLE and "\n" not in str(found.value)
+        await store.close()
+
+    run(test())
+    if path.is_file() and code != "FOREIGN":
+        assert path.read_bytes() == before
+
+
+def newer(path: Path) -> None:
+    connection = Opener(path, migrate).open()
+    connection.execute("PRAGMA user_version = 99")
+    connection.close()
+
+
+def test_a_migration_that_is_cut_off_leaves_the_former_schema(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sqlite.SQL, "migrations", lambda version: ["CREATE TABLE records (x)", "no SQL at all"])
+    with pytest.raises(apsw.SQLError):
+        Opener(tmp_path / "r.db", migrate).open()
+    monkeypatch.undo()
+    Opener(tmp_path / "r.db", migrate).open().close()
+    assert verify(tmp_path / "r.db") == (0, [])
+
+
+def test_only_the_owner_can_read_the_file(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        await store.write(entry())
+        assert {path.name: path.stat().st_mode & 0o777 for path in tmp_path.iterdir()} == dict.fromkeys(
+            ("r.db", "r.db-wal", "r.db-shm"), 0o600)
+        await store.close()
+
+    run(test())
+
+
+# Kills
+
+WRITING = """
+import asyncio, sys
+from pathlib import Path
+from ironscale.record.sqlite import SqliteStore
+from tests.record.samples import entry
+
+async def main():
+    store = SqliteStore(Path(sys.argv[1]))
+    async def writer(k):
+        for i in range(100_000):
+            one = entry(f"{sys.argv[2]}.{k}.{i}")
+            await store.write(one)
+            print(one.request, flush=True)
+    await asyncio.gather(*(writer(k) for k in range(8)))
+
+asyncio.run(main())
+"""
+
+
+def test_killed_at_any_moment_what_was_confirmed_is_there(tmp_path: Path) -> None:
+    path, confirmed = tmp_path / "r.db", set()
+    for turn in range(6):
+        process = subprocess.Popen([sys.executable, "-c", WRITING, str(path), str(turn)], cwd=ROOT,
+                                   stdout=subprocess.PIPE, env={**os.environ, "PYTHONPATH": str(ROOT)})
+        assert process.stdout is not None
+        for _ in range(20 + 37 * turn):
+            confirmed.add(process.stdout.readline().decode().strip())
+        process.send_signal(signal.SIGKILL)
+        rest = process.stdout.read().decode()
+        confirmed |= set(rest.split("\n")[:-1])
+        process.wait(20)
+    found = reader(path)
+    standing = [one.request for one in rows(found)]
+    found.close()
+    assert confirmed <= set(standing) and len(standing) == len(set(standing))
+    assert len(standing) <= len(confirmed) + 6 * 8
+    assert verify(path) == (len(standing), [])
+
+
+# Checkpoints, backup, verify
+
+
+def test_the_log_is_copied_beside_the_writer_and_stays_bounded(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db", checkpoint_pages=50, longest_log_pages=400)
+        for _ in range(300):
+            await store.write(entry(body=bytes(8_000)))
+        log = (tmp_path / "r.db-wal").stat().st_size
+        assert log < 4_200 * (400 + 40), log
+        assert (tmp_path / "r.db").stat().st_size > 100 * 8_000  # some has been copied
+        await store.close()
+        assert verify(store.path)[1] == []
+
+    run(test())
+
+
+def test_a_backup_made_while_it_is_written_is_whole_and_can_be_restored(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        written: list[str] = []
+        stop = asyncio.Event()
+
+        async def writer() -> None:
+            while not stop.is_set():
+                one = entry(body=bytes(2_000))
+                await store.write(one)
+                written.append(one.request)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(writer())
+            while len(written) < 300:
+                await asyncio.sleep(0.001)
+            before = list(written)
+            seen: list[tuple[int, int]] = []
+            pages = await asyncio.get_running_loop().run_in_executor(
+                None, lambda: backup(store.path, tmp_path / "copy.db", lambda *at: seen.append(at)))
+            stop.set()
+        assert pages > 100 and seen and seen[-1][0] == 0
+        await store.close()
+        count, wrong = verify(tmp_path / "copy.db")
+        assert wrong == [] and len(before) <= count <= len(written)
+        with pytest.raises(Trouble, match="expected a name that is free"):
+            backup(store.path, tmp_path / "copy.db")
+        restored = SqliteStore(tmp_path / "copy.db")
+        copied = reader(tmp_path / "copy.db")
+        assert set(before) <= {one.request for one in rows(copied)}
+        copied.close()
+        assert (await restored.write(entry("after"))).verdict is Verdict.WRITTEN
+        await restored.close()
+        assert {path.name for path in tmp_path.iterdir()} == {"r.db", "copy.db"}
+
+    run(test())
+
+
+@pytest.mark.parametrize(("sql", "text"), [
+    ("UPDATE records SET body = x'00'", "fingerprint"), ("UPDATE records SET slot = NULL", "lost its slot"),
+    ("UPDATE records SET until_ms = 5", "remembered until"),
+])
+def test_verify_names_what_was_changed_behind_its_back(sql: str, text: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        one = entry()
+        await store.write(one)
+        await store.close()
+        connection = sqlite3.connect(store.path, isolation_level=None)
+        connection.execute(sql)
+        connection.close()
+        seen, wrong = verify(store.path)
+        assert seen == 1 and len(wrong) == 1 and wrong[0].startswith(f"record {one.attempt}: ") and text in wrong[0]
+
+    run(test())
+
+
+def test_verify_finds_a_damaged_page(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        for _ in range(50):
+            await store.write(entry(body=bytes(3_000)))
+        await store.close()
+        data = bytearray(store.path.read_bytes())
+        data[3 * 4096:3 * 4096 + 200] = bytes(200)
+        store.path.write_bytes(data)
+        with pytest.raises(Trouble, match="SQLITE_CORRUPT") as found:
+            if wrong := verify(store.path)[1]:
+                raise Trouble(Knowledge.NEVER_RAN, Cause.BROKEN, f"SQLITE_CORRUPT {wrong[0]}")
+        assert found.value
+
+    run(test())
+
+
+def test_nothing_is_made_of_a_store_that_is_not_there(tmp_path: Path) -> None:
+    for act in (reader, verify, lambda path: backup(path, tmp_path / "copy.db")):
+        with pytest.raises(Trouble, match="expected a store of record, got no file"):
+            act(tmp_path / "none.db")
+    assert list(tmp_path.iterdir()) == []
