The writer's queue and thread stand apart from SQLite

Need: the agent's record on PostgreSQL wants the same group commit, withdrawal and time limits as SQLite's writer has.

Change: ironscale/record/worker.py holds queue, thread and the outcome of a job that nobody could wait for; the SQLite writer keeps what is SQLite's. No behaviour changes.

--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -4,28 +4,24 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import os
 import threading
 import time
-from collections import deque
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, Generic, TypeVar
+from typing import Any, TypeVar
 
 import apsw
 
 from ironscale.record.errors import Step, sqlite_cause, sqlite_knowledge
 from ironscale.record.model import Cause, Knowledge, Trouble
+from ironscale.record.worker import MOST_QUEUED, Done, Job, Worker
 
 T = TypeVar("T")
 BUSY_MS = 250  # another process writes: so long at a time, then it is told; who asked may ask again
-GROUP = 256  # pieces of work in one commit at most
-MOST_QUEUED = 4_096
 CHECKPOINT_PAGES = 1_000  # of the log, from where they are copied into the file beside the writer
 LONGEST_LOG_PAGES = 32_000  # past this the writer itself waits for the copying: else the log would grow for ever
-NO_TIME = float("inf")
 
 
 # An error that a file system in Python raised has no code of its own, but its class.
@@ -100,30 +96,6 @@
 Work = Callable[[Transaction], T]
 
 
-class _Job(Generic[T]):
-    """Waits in the queue until it is taken, or withdrawn by who asked for it."""
-
-    __slots__ = ("begun", "future", "loop", "until", "work", "writes")
-
-    def __init__(self, work: Work[T], until: float, writes: bool, loop: asyncio.AbstractEventLoop) -> None:
-        self.work, self.until, self.writes, self.loop = work, until, writes, loop
-        self.begun = False
-        self.future: asyncio.Future[T] = loop.create_future()
-        self.future.add_done_callback(lambda done: done.cancelled() or done.exception())  # it may be told to nobody
-
-    def settle(self, result: Any, error: BaseException | None) -> None:
-        def now() -> None:
-            if self.future.done():
-                return
-            if error is not None:
-                self.future.set_exception(error)
-            else:
-                self.future.set_result(result)
-
-        with contextlib.suppress(RuntimeError):  # the loop has ended: nobody waits
-            self.loop.call_soon_threadsafe(now)
-
-
 class Opener:
     """Opens connections to one file, all alike. `vfs` names one that is registered with apsw; tests break it."""
 
@@ -170,82 +142,29 @@
         return connection
 
 
-class Writer:
+class Writer(Worker[Transaction]):
     """One connection on one thread."""
 
     def __init__(self, opener: Opener, most_queued: int = MOST_QUEUED, checkpoint_pages: int = CHECKPOINT_PAGES,
                  longest_log_pages: int = LONGEST_LOG_PAGES, connection: apsw.Connection | None = None) -> None:
         """`connection`: one that the opener has opened already, and nobody else uses."""
+        super().__init__(str(opener.path), most_queued)
         self.opener = opener
-        self.most_queued = most_queued
         self.checkpoint_pages = checkpoint_pages
         self.longest_log_pages = checkpoint_pages if opener.exclusive else longest_log_pages
-        self.jobs: deque[_Job[Any]] = deque()
-        self.wake = threading.Condition()
-        self.ending = False
         self.connection = connection
         if connection is not None:
             connection.set_wal_hook(self._on_log)
         self.log_pages = 0
         self.commits = self.written = 0
-        self.longest_s = 0.0  # a commit, from BEGIN on
         self.checkpoint_s = 0.0  # the longest that the writer itself waited for copying
         self.to_copy = threading.Event()
-        self.thread = threading.Thread(target=self._run, name="record-writer", daemon=True)
         self.copier = threading.Thread(target=self._copy, name="record-checkpoints", daemon=True)
-        self.thread.start()
         self.copier.start()
+        self.start()
 
-    async def run(self, work: Work[T], until: float = NO_TIME, writes: bool = True) -> T:
-        """The work's result, once it is durable. Raises Trouble, or what the work raised; then nothing of it was kept,
-        unless a Trouble says that this is not known. A caller who is cancelled has not taken it back."""
-        loop = asyncio.get_running_loop()
-        job = _Job(work, until, writes, loop)
-        with self.wake:
-            if self.ending:
-                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY, f"{self.opener.path}: it is being closed",
-                              "CLOSED")
-            if len(self.jobs) >= self.most_queued:
-                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY,
-                              f"{self.opener.path}: {self.most_queued} writes wait already", "QUEUE")
-            self.jobs.append(job)
-            self.wake.notify()
-        left = until - loop.time()
-        done, _ = await asyncio.wait([job.future], timeout=None if until == NO_TIME else max(0.0, left))
-        if done:
-            return job.future.result()
-        with self.wake:
-            if not job.begun:
-                # withdrawn before it was taken: it never runs
-                with contextlib.suppress(ValueError):
-                    self.jobs.remove(job)
-                job.begun = True
-                raise Trouble(Knowledge.NEVER_RAN, Cause.TIMEOUT, f"{self.opener.path}: its turn did not come in time",
-                              "TIMEOUT")
-        raise Trouble(Knowledge.NOT_KNOWN, Cause.TIMEOUT, f"{self.opener.path}: its commit was not answered in time",
-                      "TIMEOUT")
-
-    def _run(self) -> None:
-        while True:
-            with self.wake:
-                while not self.jobs and not self.ending:
-                    self.wake.wait()
-                if not self.jobs:
-                    return
-                group: list[_Job[Any]] = []
-                while self.jobs and len(group) < GROUP:
-                    job = self.jobs.popleft()
-                    job.begun = True
-                    group.append(job)
-            began = time.monotonic()
-            done = self._commit(group)
-            self.longest_s = max(self.longest_s, time.monotonic() - began)
-            for job, result, problem in done:
-                job.settle(result, problem)
-            self._mind_log()
-
-    def _commit(self, group: list[_Job[Any]]) -> list[tuple[_Job[Any], Any, BaseException | None]]:
-        done: list[tuple[_Job[Any], Any, BaseException | None]] = []
+    def commit(self, group: list[Job[Transaction, Any]]) -> list[Done[Transaction]]:
+        done: list[Done[Transaction]] = []
         step, opened = Step.CONNECT, self.connection
         try:
             if opened is None:
@@ -306,7 +225,7 @@
         self.log_pages = pages
         return 0
 
-    def _mind_log(self) -> None:
+    def after(self) -> None:
         if self.log_pages >= self.checkpoint_pages and not self.opener.exclusive:
             self.to_copy.set()
         if self.log_pages >= self.longest_log_pages and self.connection is not None:
@@ -340,9 +259,7 @@
 
     def stop(self, wait_s: float) -> None:
         """After all that was asked for. Blocks; hazard: a disk that hangs must not keep the process for ever."""
-        with self.wake:
-            self.ending = True
-            self.wake.notify()
+        self.end()
         self.to_copy.set()
         self.copier.join(wait_s)
         self.thread.join(wait_s)
--- a/ironscale/record/sqlite.py
+++ b/ironscale/record/sqlite.py
@@ -14,8 +14,6 @@
     BUSY_MS,
     CHECKPOINT_PAGES,
     LONGEST_LOG_PAGES,
-    MOST_QUEUED,
-    NO_TIME,
     Opener,
     Reader,
     Transaction,
@@ -33,6 +31,7 @@
     judge,
 )
 from ironscale.record.sql import SCHEMA, Dialect, row
+from ironscale.record.worker import MOST_QUEUED, NO_TIME
 
 SQL = Dialect("sqlite")
 APPLICATION_ID = 0x69726F6E  # marks the file as ours, for `file` and for who opens another by mistake
--- /dev/null
+++ b/ironscale/record/worker.py
@@ -0,0 +1,126 @@
+"""One thread that carries out pieces of work in groups: what is asked for while a group is under way shares the next
+one's commit. Knows neither the store nor what is written; both are handed in.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import contextlib
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+
+from ironscale.record.model import Cause, Knowledge, Trouble
+
+T = TypeVar("T")
+X = TypeVar("X")  # what a piece of work is handed: the transaction that it shares
+GROUP = 256  # pieces of work in one commit at most
+MOST_QUEUED = 4_096
+NO_TIME = float("inf")
+
+
+class Job(Generic[X, T]):
+    """Waits in the queue until it is taken, or withdrawn by who asked for it."""
+
+    __slots__ = ("begun", "future", "loop", "until", "work", "writes")
+
+    def __init__(self, work: Callable[[X], T], until: float, writes: bool, loop: asyncio.AbstractEventLoop) -> None:
+        self.work, self.until, self.writes, self.loop = work, until, writes, loop
+        self.begun = False
+        self.future: asyncio.Future[T] = loop.create_future()
+        self.future.add_done_callback(lambda done: done.cancelled() or done.exception())  # it may be told to nobody
+
+    def settle(self, result: Any, error: BaseException | None) -> None:
+        def now() -> None:
+            if self.future.done():
+                return
+            if error is not None:
+                self.future.set_exception(error)
+            else:
+                self.future.set_result(result)
+
+        with contextlib.suppress(RuntimeError):  # the loop has ended: nobody waits
+            self.loop.call_soon_threadsafe(now)
+
+
+Done = tuple[Job[X, Any], Any, BaseException | None]
+
+
+class Worker(abc.ABC, Generic[X]):
+    """The queue and its thread; `commit` carries a group out."""
+
+    def __init__(self, name: str, most_queued: int = MOST_QUEUED) -> None:
+        """`name`: the store's, as errors tell it."""
+        self.name = name
+        self.most_queued = most_queued
+        self.jobs: deque[Job[X, Any]] = deque()
+        self.wake = threading.Condition()
+        self.ending = False
+        self.longest_s = 0.0  # a commit, from BEGIN on
+        self.thread = threading.Thread(target=self._run, name="record-writer", daemon=True)
+
+    @abc.abstractmethod
+    def commit(self, group: list[Job[X, Any]]) -> list[Done[X]]:
+        """Each job of the group with its result, or the error. Raises nothing."""
+
+    def after(self) -> None:  # noqa: B027 (not every store has something to see to)
+        """On the thread, once the results of a group are told."""
+
+    def start(self) -> None:
+        self.thread.start()
+
+    def end(self) -> None:
+        """Nothing more is taken; what waits is still carried out."""
+        with self.wake:
+            self.ending = True
+            self.wake.notify()
+
+    async def run(self, work: Callable[[X], T], until: float = NO_TIME, writes: bool = True) -> T:
+        """The work's result, once it is durable. Raises Trouble, or what the work raised; then nothing of it was kept,
+        unless a Trouble says that this is not known. A caller who is cancelled has not taken it back."""
+        loop = asyncio.get_running_loop()
+        job = Job(work, until, writes, loop)
+        with self.wake:
+            if self.ending:
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY, f"{self.name}: it is being closed", "CLOSED")
+            if len(self.jobs) >= self.most_queued:
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TURNED_AWAY,
+                              f"{self.name}: {self.most_queued} writes wait already", "QUEUE")
+            self.jobs.append(job)
+            self.wake.notify()
+        left = until - loop.time()
+        done, _ = await asyncio.wait([job.future], timeout=None if until == NO_TIME else max(0.0, left))
+        if done:
+            return job.future.result()
+        with self.wake:
+            if not job.begun:
+                # withdrawn before it was taken: it never runs
+                with contextlib.suppress(ValueError):
+                    self.jobs.remove(job)
+                job.begun = True
+                raise Trouble(Knowledge.NEVER_RAN, Cause.TIMEOUT, f"{self.name}: its turn did not come in time",
+                              "TIMEOUT")
+        raise Trouble(Knowledge.NOT_KNOWN, Cause.TIMEOUT, f"{self.name}: its commit was not answered in time",
+                      "TIMEOUT")
+
+    def _run(self) -> None:
+        while True:
+            with self.wake:
+                while not self.jobs and not self.ending:
+                    self.wake.wait()
+                if not self.jobs:
+                    return
+                group: list[Job[X, Any]] = []
+                while self.jobs and len(group) < GROUP:
+                    job = self.jobs.popleft()
+                    job.begun = True
+                    group.append(job)
+            began = time.monotonic()
+            done = self.commit(group)
+            self.longest_s = max(self.longest_s, time.monotonic() - began)
+            for job, result, problem in done:
+                job.settle(result, problem)
+            self.after()
