Agents killed on a PostgreSQL record, and the commands as an operator meets them

Need: what is promised after a kill was tested on SQLite alone.

Change: writers and agents are killed with SIGKILL at moments and at steps, on the stand-in; the next one on the folder claims at once. `config check`, `agent` and `events` are played against a database that is there, is away, has a newer schema, wants another password.

Result: nothing told is lost in 5 kills of a writer, 5 kills of an agent each end in one rollout with one effect each.

--- /dev/null
+++ b/tests/agent/test_postgres_killed.py
@@ -0,0 +1,136 @@
+"""Agent processes on a PostgreSQL record that are killed: the next one has all that was told, and need not wait."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.standins.postgres import Data, Host
+from tests.agent.scene import run
+from tests.agent.test_killed import check, rollout
+from tests.deployed import ROOT
+from tests.record.postgres import dsn
+
+WRITER = """
+import asyncio, sys
+from pathlib import Path
+from ironscale.agent.opening import open_store
+from ironscale.operator_file import Agent
+async def main():
+    data = Path(sys.argv[1])
+    store = await open_store(Agent(data=data, postgresql=sys.argv[2]), data, print, print)
+    while True:
+        n = await store.write(lambda r: r.next_fence())
+        await store.write(lambda r: r.audit(n, "w", "step", str(n), "done"))
+        print(n, flush=True)
+asyncio.run(main())
+"""
+
+
+def test_what_was_told_as_kept_survives_a_kill_at_any_moment(tmp_path: Path) -> None:
+    async def test() -> None:
+        data = Data()
+        host = await Host(data).start()
+        told: list[int] = []
+        try:
+            for turn in range(5):
+                writer = await asyncio.create_subprocess_exec(
+                    sys.executable, "-c", WRITER, str(tmp_path), dsn(host), cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+                assert writer.stdout is not None
+                told += [int(await writer.stdout.readline()) for _ in range(3)]
+                await asyncio.sleep(0.003 * turn)
+                writer.send_signal(signal.SIGKILL)
+                told += [int(line) for line in (await writer.stdout.read()).split()]
+                await writer.wait()
+            found = [int(subject) for subject, in data.all("SELECT subject FROM agent_audit ORDER BY id")]
+            assert set(told) <= set(found) and len(found) == len(set(found)) and found == sorted(found)
+            assert data.all("SELECT epoch FROM agent_owner") == [(5,)]  # each claimed once, and at once
+        finally:
+            await host.stop()
+
+    run(test)
+
+
+async def ironscale(*words: str) -> tuple[int, str, str]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ironscale.cli", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE)
+    out, err = await process.communicate()
+    return process.returncode or 0, out.decode(), err.decode()
+
+
+def test_the_commands_show_what_is_kept_and_say_what_is_wrong(tmp_path: Path) -> None:
+    """As an operator meets it: check, start, ask, stop; a database that is away; one that another agent has."""
+    async def test() -> None:
+        data = Data()
+        host = await Host(data, password="so secret").start()
+        file, password = tmp_path / "o.toml", tmp_path / "password"
+        password.write_text("so secret\n")
+        password.chmod(0o600)
+
+        def write(folder: str, port: int) -> None:
+            file.write_text(f'[agent]\ndata = "{folder}"\ncontrol = "127.0.0.1:0"\napi = "127.0.0.1:0"\n'
+                            f'postgresql = "host=127.0.0.1 port={port} user=app dbname=records"\n'
+                            'password_file = "password"\n')
+
+        async def started(folder: str) -> asyncio.subprocess.Process:
+            write(folder, host.port)
+            agent = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "ironscale.cli", "agent", str(file), cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+            assert agent.stderr is not None
+            while b"api http://" not in (line := await agent.stderr.readline()):
+                assert line, "it ended"
+            return agent
+
+        async def ended(agent: asyncio.subprocess.Process, number: int) -> str:
+            assert agent.stderr is not None
+            agent.send_signal(number)
+            said = await agent.stderr.read()
+            await agent.wait()
+            return said.decode()
+
+        try:
+            write("one", host.port)
+            code, out, _ = await ironscale("config", "check", str(file))
+            assert code == 0 and "record in PostgreSQL" in out
+            agent = await started("one")
+            code, out, said = await ironscale("events", "--data", str(tmp_path / "one"), "-o", "json")
+            assert code == 0, said
+            subjects: list[Any] = [json.loads(text)["subject"] for text in out.splitlines()]
+            assert subjects == ["admin", "instance"]
+            await ended(agent, signal.SIGKILL)
+            agent = await started("one")  # the lease of the one before runs, and keeps this one waiting for nothing
+            assert data.all("SELECT epoch FROM agent_owner") == [(2,)]
+            said = await ended(agent, signal.SIGTERM)
+            assert agent.returncode == 0 and "Traceback" not in said
+            assert data.all("SELECT until_ms FROM agent_owner") == [(0,)]
+            data.db.execute("UPDATE agent_schema SET version = 99")
+            code, _, said = await ironscale("agent", str(file))
+            assert code == 2 and "expected schema 1 or older, got 99" in said and said.count("\n") == 1
+            password.write_text("guessed\n")
+            code, _, said = await ironscale("agent", str(file))
+            assert code == 2 and "password authentication failed" in said and "guessed" not in said
+        finally:
+            await host.stop()
+        code, _, said = await ironscale("agent", str(file))
+        assert code == 2 and "refused" in said and said.count("\n") == 1 and "Traceback" not in said
+
+    run(test)
+
+
+@pytest.mark.parametrize("fatal", [2, 3, 6, 9, 12])
+def test_an_agent_that_is_killed_at_a_step_is_gone_on_from(fatal: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host(Data()).start()
+        try:
+            check(fatal, *await rollout(tmp_path, fatal, dsn(host)))
+        finally:
+            await host.stop()
+
+    run(test)
