Tests of the agent's record share their rows and their writer

Need: two scenes stood twice, once for each kind of record.

Change: `fill` and WRITER stand in test_store; the writer opens its record as the agent does, by open_store.

--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -27,7 +27,7 @@
 from ironscale.record.postgres import Access
 from ironscale.standins.postgres import Data, Drop, Host, Session, SqlError
 from tests.agent.scene import run, scene, section, until
-from tests.agent.test_store import OP, TARGET, row
+from tests.agent.test_store import OP, TARGET, fill, row
 from tests.record.postgres import Fault, Gate, dsn
 from tests.sockets import run as limited
 
@@ -76,16 +76,6 @@
 def test_everything_comes_back_as_it_was_also_for_the_next_agent() -> None:
     async def test() -> None:
         async with hosts(Data()) as (host,):
-            def fill(r: Records) -> None:
-                r.put_instances([row("i0", host="m", ticks=4, ended="exit 0"), row("i1", connected=False)])
-                r.put_operation(OP)
-                r.put_targets(1, [TARGET, Target("i1", 1)])
-                r.add_configuration(Configuration(1, {"settings": {"x": None}}, "ann", 5, 1))
-                r.add_mutation("ann", "k", "f", 1, 6)
-                r.audit(1, "ann", "drain", "i0", "applied", {"x": 1})
-                r.put_token(TokenRow("t", "read", "d", 1))
-                r.set_alive(77)
-
             async with store_on(host) as store:
                 await store.write(fill)
                 await store.write(lambda r: r.set_desired([("i0", 9)]))
--- a/tests/agent/test_postgres_killed.py
+++ b/tests/agent/test_postgres_killed.py
@@ -14,24 +14,10 @@
 from ironscale.standins.postgres import Data, Host
 from tests.agent.scene import run
 from tests.agent.test_killed import check, rollout
+from tests.agent.test_store import WRITER
 from tests.deployed import ROOT
 from tests.record.postgres import dsn
 
-WRITER = """
-import asyncio, sys
-from pathlib import Path
-from ironscale.agent.opening import open_store
-from ironscale.operator_file import Agent
-async def main():
-    data = Path(sys.argv[1])
-    store = await open_store(Agent(data=data, postgresql=sys.argv[2]), data, print, print)
-    while True:
-        n = await store.write(lambda r: r.next_fence())
-        await store.write(lambda r: r.audit(n, "w", "step", str(n), "done"))
-        print(n, flush=True)
-asyncio.run(main())
-"""
-
 
 def test_what_was_told_as_kept_survives_a_kill_at_any_moment(tmp_path: Path) -> None:
     async def test() -> None:
--- a/tests/agent/test_store.py
+++ b/tests/agent/test_store.py
@@ -44,20 +44,22 @@
 TARGET = Target("i0", 0, State.NO_ANSWER, "d", 9, "b", "1.0.1", 10, 2, "applied", True, True, 3)
 
 
+def fill(r: Records) -> None:
+    """A row of each kind."""
+    r.put_instances([row("i0", host="m", ticks=4, ended="exit 0"), row("i1", connected=False)])
+    r.put_operation(OP)
+    r.put_targets(1, [TARGET, Target("i1", 1)])
+    r.add_configuration(Configuration(1, {"settings": {"x": None}}, "ann", 5, 1))
+    r.add_mutation("ann", "k", "f", 1, 6)
+    r.audit(1, "ann", "drain", "i0", "applied", {"x": 1})
+    r.put_token(TokenRow("t", "read", "d", 1))
+    r.set_alive(77)
+
+
 def test_everything_comes_back_as_it_was_also_after_the_file_is_opened_anew(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "a.db")
 
-        def fill(r: Records) -> None:
-            r.put_instances([row("i0", host="m", ticks=4, ended="exit 0"), row("i1", connected=False)])
-            r.put_operation(OP)
-            r.put_targets(1, [TARGET, Target("i1", 1)])
-            r.add_configuration(Configuration(1, {"settings": {"x": None}}, "ann", 5, 1))
-            r.add_mutation("ann", "k", "f", 1, 6)
-            r.audit(1, "ann", "drain", "i0", "applied", {"x": 1})
-            r.put_token(TokenRow("t", "read", "d", 1))
-            r.set_alive(77)
-
         await store.write(fill)
         await store.write(lambda r: r.set_desired([("i0", 9)]))
         await store.write(lambda r: r.put_instances([row("i0", boot="c", desired=0)]))
@@ -286,12 +288,15 @@
     run(test())
 
 
+# Writes on and on, and prints what it was told is kept: WRITER DATA [DSN].
 WRITER = """
 import asyncio, sys
 from pathlib import Path
-from ironscale.agent.sqlite import SqliteStore
+from ironscale.agent.opening import open_store
+from ironscale.operator_file import Agent
 async def main():
-    store = SqliteStore(Path(sys.argv[1]))
+    data = Path(sys.argv[1])
+    store = await open_store(Agent(data=data, postgresql="".join(sys.argv[2:])), data, print, print)
     while True:
         n = await store.write(lambda r: r.next_fence())
         await store.write(lambda r: r.audit(n, "w", "step", str(n), "done"))
@@ -302,7 +307,7 @@
 
 def test_what_was_told_as_kept_survives_a_kill_at_any_moment(tmp_path: Path) -> None:
     for turn in range(6):
-        writer = subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path / "a.db")], cwd=ROOT,
+        writer = subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path)], cwd=ROOT,
                                   stdout=subprocess.PIPE, text=True)
         assert writer.stdout is not None
         told = [int(writer.stdout.readline()) for _ in range(5)]
@@ -310,5 +315,5 @@
         writer.send_signal(signal.SIGKILL)
         told += [int(line) for line in writer.stdout.read().splitlines() if line]
         writer.wait()
-        subjects = [r[0] for r in connect(tmp_path / "a.db").execute("SELECT subject FROM audit")]
+        subjects = [r[0] for r in connect(tmp_path / "agent.db").execute("SELECT subject FROM audit")]
         assert set(map(str, told)) <= set(subjects) and len(subjects) == len(set(subjects))
