Read again: one migration, one fate of a group, one way to a counter; doubt goes down

Change: the steps that bring a PostgreSQL schema up stand once, without I/O, for both clients (record/sql.bring_up), as do the types, and what a failed group means (record/worker.fated). Counters of the agent's record are read and set in one way, kept stores are a class with two methods to fill in, the engine's recorded state is taken in by one function. Fragments that never end are told by their names and no longer by the depth of Python's stack.

Mended: whether a GraphQL field is asked for may not be known, and that did not hold for keyed fields below it: they are unsafe now.

--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -221,7 +221,10 @@
             for _ in range(taken):
                 live.answers.popleft()
             return False, plan.wake_ms
+        desired = self.desired(op, changed.values())
+
         def recorded(new_op: Operation) -> None:
+            self.fleet.set_desired(desired)
             for _ in range(taken):
                 live.answers.popleft()
             for target in changed.values():
@@ -235,16 +238,15 @@
                 self.step("after a send")
 
         try:
-            recorded(await self.record(op, list(changed.values()), plan, recorded))
+            recorded(await self.record(op, list(changed.values()), plan, desired, recorded))
         except StoreError:
             live.names = None  # what was seen has not been taken in
             raise
         return True, None
 
-    async def record(self, op: Operation, changed: list[Target], plan: Plan,
-                     recorded: Callable[[Operation], None]) -> Operation:
+    async def record(self, op: Operation, changed: list[Target], plan: Plan, desired: list[tuple[str, int]],
+                     late: Callable[[Operation], None]) -> Operation:
         now_ms = self.now_ms()
-        desired = self.desired(op, changed)
 
         def work(records: Records) -> Operation:
             new = op
@@ -265,14 +267,9 @@
                               {"note": new.note})
             return new
 
-        def late(new: Operation) -> None:
-            self.fleet.set_desired(desired)
-            recorded(new)
-
         self.step("before a commit")
         new = await self.store.write(work, late)
         self.step("after a commit")
-        self.fleet.set_desired(desired)
         return new
 
     @staticmethod
--- a/ironscale/agent/keeping.py
+++ b/ironscale/agent/keeping.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Generic, Protocol, TypeVar
+from typing import Any, Generic, TypeVar
 
 from ironscale.agent.sql import SqlRecords, Transaction
 from ironscale.agent.store import Records, StoreError
@@ -22,6 +23,7 @@
 X = TypeVar("X", bound=Transaction)
 RESOLVE_S = 10.0  # who asked waits so long for the word whether his write stands
 AGAIN_S = 0.5
+CLOSE_S = 10.0
 CODES = {"SQLITE_FULL": "FULL", "SQLITE_BUSY": "LOCKED", "SQLITE_LOCKED": "LOCKED", "SQLITE_READONLY": "READ_ONLY",
          "SQLITE_CANTOPEN": "READ_ONLY", "SQLITE_PERM": "READ_ONLY", "SQLITE_CORRUPT": "DAMAGED",
          "SQLITE_NOTADB": "DAMAGED", "NEWER": "NEWER", "53100": "FULL", "25006": "READ_ONLY", "LOCKED": "LOCKED",
@@ -46,23 +48,13 @@
     waiting: bool = True
 
 
-class Marked(Protocol):
-    """How a store numbers its writes."""
+class KeptStore(abc.ABC, Generic[X]):
+    """`Store` on a worker, which writes nothing more from the moment on that an outcome is open."""
 
     reaches_by_write: bool  # whether `reached` is asked within a transaction that writes
 
-    def mark(self, records: SqlRecords) -> int:
-        """Within a write's transaction: its number, above all before; kept by the commit that keeps the write."""
-
-    def reached(self, records: SqlRecords) -> int:
-        """The number of the last write that the record holds, in a transaction that no earlier commit can overtake."""
-
-
-class KeptStore(Generic[X]):
-    """`Store` on a worker. Its `unknown` stops further writes from the moment on that an outcome is open."""
-
-    def __init__(self, worker: Worker[X], dialect: str, marked: Marked) -> None:
-        self.worker, self.dialect, self.marked = worker, dialect, marked
+    def __init__(self, worker: Worker[X], dialect: str) -> None:
+        self.worker, self.dialect = worker, dialect
         worker.stops_at_unknown = True
         self.group: X | None = None
         self.carried: list[_Write] = []  # of the group, on the worker's thread; it rests while an outcome is open
@@ -70,6 +62,14 @@
         self.stood = 0  # writes that were told as not known and turned out to stand
         self.resolve_s = RESOLVE_S
 
+    @abc.abstractmethod
+    def mark(self, records: SqlRecords) -> int:
+        """Within a write's transaction: its number, above all before; kept by the commit that keeps the write."""
+
+    @abc.abstractmethod
+    def reached(self, records: SqlRecords) -> int:
+        """The number of the last write that the record holds, in a transaction that no earlier commit can overtake."""
+
     async def write(self, work: Callable[[Records], T], late: Callable[[T], None] | None = None) -> T:
         """Raises StoreError; with the code UNKNOWN the work may stand, and if it does, `late` is called with its
         result before anything else is written."""
@@ -85,7 +85,7 @@
             records = SqlRecords(transaction, self.dialect)
             result = write.result = work(records)
             records.end()
-            write.number = self.marked.mark(records)
+            write.number = self.mark(records)
             self.carried.append(write)
             return result
 
@@ -122,8 +122,8 @@
         while True:
             with contextlib.suppress(Trouble):
                 reached = await self.worker.run(
-                    lambda transaction: self.marked.reached(SqlRecords(transaction, self.dialect)),
-                    writes=self.marked.reaches_by_write, resolves=True)
+                    lambda transaction: self.reached(SqlRecords(transaction, self.dialect)),
+                    writes=self.reaches_by_write, resolves=True)
                 break
             if self.worker.ending:
                 return
@@ -137,7 +137,7 @@
         self.resolving = None
         self.worker.unknown = False
 
-    def close(self, wait_s: float) -> None:
+    def close(self, wait_s: float = CLOSE_S) -> None:
         if self.resolving is not None:
             self.resolving.cancel()
         self.worker.stop(wait_s)
--- a/ironscale/agent/opening.py
+++ b/ironscale/agent/opening.py
@@ -22,18 +22,19 @@
 from ironscale.agent.store import Records, StoreError
 from ironscale.operator_file import Agent as AgentSection
 from ironscale.operator_file import OperatorFileError, read_secret
-from ironscale.record.database import trouble
+from ironscale.record.database import Transaction, trouble
 from ironscale.record.errors import Step
 
 if TYPE_CHECKING:
     from ironscale.agent.postgres import PostgresStore
     from ironscale.record.postgres import Access
 
-TABLES = (("counters", ("name", "value")), ("instances", sql.INSTANCE), ("operations", sql.OPERATION),
+TABLES = (("counters", sql.COUNTER), ("instances", sql.INSTANCE), ("operations", sql.OPERATION),
           ("targets", sql.TARGET), ("configurations", sql.CONFIGURATION), ("mutations", sql.MUTATION),
           ("audit", sql.AUDIT), ("tokens", sql.TOKEN))
 MOVE_S = 600.0  # the longest that a record's way to PostgreSQL may take
 AT_ONCE = 5_000  # rows read at a time
+MOVED = "moved"  # in both: the record has been brought over
 WAIT_S, AGAIN_S = 2.0, 0.5  # past the end of another agent's lease; between two looks
 
 
@@ -60,7 +61,7 @@
     path = data / "agent.db"
     if not section.postgresql:
         store = SqliteStore(path)
-        if await store.read(lambda records: counter(records, "moved")):
+        if await store.read(lambda records: of_sql(records).counter(MOVED)):
             store.close()
             raise StoreError("FAILED", f"{path}: expected a record in use, got one that was moved to PostgreSQL; name "
                                        "agent.postgresql in the operator file, or another data folder")
@@ -103,12 +104,6 @@
         await asyncio.sleep(AGAIN_S)
 
 
-def counter(records: Records, name: str) -> int:
-    assert isinstance(records, sql.SqlRecords)
-    found = records.sql("SELECT value FROM @counters WHERE name = %s", (name,))
-    return int(found[0][0]) if found else 0
-
-
 # From SQLite to PostgreSQL
 
 
@@ -117,16 +112,17 @@
     that no agent goes on from what it holds. Raises StoreError."""
     source = connect(path)
     try:
-        if numbers(source, "moved"):
-            return
+        own = sql.SqlRecords(Transaction(source), "sqlite")
+        with reported(path):
+            if own.counter(MOVED):
+                return
 
         def work(records: Records) -> int:
-            assert isinstance(records, sql.SqlRecords)
-            if counter(records, "moved"):
+            if of_sql(records).counter(MOVED):
                 return 0  # it was brought over by a start that ended before it had marked the file
             if records.tokens() or records.last_event():
                 return -1
-            return copy(source, records)
+            return copy(source, of_sql(records))
 
         limit_s, store.holder.limit_s = store.holder.limit_s, MOVE_S
         try:
@@ -137,12 +133,17 @@
             log(f"{path} is not used: {store.holder.name} has a record already")
             return
         with reported(path):
-            source.execute("INSERT INTO counters VALUES ('moved', 1) ON CONFLICT (name) DO UPDATE SET value = 1")
+            own.set_counter(MOVED, 1)
         log(f"moved the record of {path} to {store.holder.name}, {count:,} rows")
     finally:
         source.close()
 
 
+def of_sql(records: Records) -> sql.SqlRecords:
+    assert isinstance(records, sql.SqlRecords)
+    return records
+
+
 @contextlib.contextmanager
 def reported(path: Path) -> Iterator[None]:
     try:
@@ -151,12 +152,6 @@
         raise told(trouble(error, Step.WORK, path)) from error
 
 
-def numbers(source: apsw.Connection, name: str) -> int:
-    with reported(Path(source.filename)):
-        found = source.execute("SELECT value FROM counters WHERE name = ?", (name,)).fetchall()
-        return int(str(found[0][0])) if found else 0
-
-
 def copy(source: apsw.Connection, records: sql.SqlRecords) -> int:
     """All rows, in the order that references ask for; how many."""
     count = 0
@@ -169,5 +164,5 @@
                 count += len(rows)
     finally:
         source.execute("ROLLBACK")
-    records.insert("counters", ("name", "value"), [("moved", max(1, count))])
+    records.set_counter(MOVED, 1)
     return count
--- a/ironscale/agent/postgres.py
+++ b/ironscale/agent/postgres.py
@@ -26,14 +26,13 @@
 from ironscale.record.errors import Step, cause, knowledge
 from ironscale.record.model import Cause, Knowledge, Trouble
 from ironscale.record.postgres import Access, is_stale, settings_of
-from ironscale.record.sql import NOW_MS
-from ironscale.record.worker import Done, Job, Worker
+from ironscale.record.sql import NOW_MS, bring_up
+from ironscale.record.worker import Done, Job, Worker, fated
 
 NOW = NOW_MS["postgresql"]
 LEASE_MS = 10_000  # a holder that was not heard for so long may be followed by another
 LIMIT_S = 5.0  # a transaction, from BEGIN to the answer of COMMIT
 CONNECT_S = 2.0
-CLOSE_S = 10.0
 LOCK = 0x69726F61  # advisory: one agent at a time brings the schema up
 FENCES_APART = 1_000_000  # instances may have seen fences that a record which lost commits would give again
 
@@ -150,11 +149,7 @@
             found = Trouble(Knowledge.NOT_KNOWN if step is Step.COMMIT else Knowledge.NEVER_RAN, Cause.BROKEN,
                             f"{self.name}: {type(error).__name__}: {error}")
         self._drop()
-        # all of the group share its fate, but for those that had failed by themselves
-        failed = {id(job) for job, _, problem in done if problem is not None}
-        return [entry for entry in done if entry[2] is not None] + [
-            (job, None, Trouble(found.knowledge, found.cause, str(found), found.code))
-            for job in group if id(job) not in failed]
+        return fated(group, done, found)
 
     def _do(self, held: Held, job: Job[Held, Any], done: list[Done[Held]], several: bool) -> None:
         """One job; what it has done is taken back if it fails. Raises what ends the whole transaction."""
@@ -229,22 +224,16 @@
 
     def _migrate(self, connection: psycopg.Connection[Any]) -> None:
         connection.execute("BEGIN")
-        # two that start at once: the second finds it done
-        connection.execute("SELECT pg_advisory_xact_lock(%s)", (LOCK,))
-        connection.execute("CREATE TABLE IF NOT EXISTS agent_schema (one bigint NOT NULL PRIMARY KEY,"
-                           " version bigint NOT NULL)")
-        found = connection.execute("SELECT version FROM agent_schema WHERE one = %s", (1,)).fetchall()
-        version = found[0][0] if found else 0
-        if version > SCHEMA:
-            raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{self.name}: expected schema {SCHEMA} or older, got "
-                          f"{version}; start the newer program, or name another database", "NEWER")
-        for statement in migrations(version):
-            connection.execute(statement)
-        connection.execute("INSERT INTO agent_schema (one, version) VALUES (%s, %s)"
-                           " ON CONFLICT (one) DO UPDATE SET version = excluded.version", (1, SCHEMA))
-        answer = connection.execute("COMMIT").statusmessage
-        if answer != "COMMIT":
-            raise Trouble(Knowledge.NEVER_RAN, Cause.BROKEN, f"{self.name}: expected COMMIT, got {answer}", "ROLLBACK")
+        held, steps = Held(connection, 0), bring_up(self.name, "agent_schema", LOCK, SCHEMA, migrations)
+        try:
+            asked = next(steps)
+            while True:
+                asked = steps.send(held.execute(*asked))
+        except StopIteration as done:
+            answer = connection.execute("COMMIT" if done.value else "ROLLBACK").statusmessage
+            if done.value and answer != "COMMIT":
+                raise Trouble(Knowledge.NEVER_RAN, Cause.BROKEN, f"{self.name}: expected COMMIT, got {answer}",
+                              "ROLLBACK") from None
 
     def _claim(self, connection: psycopg.Connection[Any]) -> None:
         """Makes the record ours, or ours again. Waits for what an earlier transaction of ours still does."""
@@ -307,7 +296,7 @@
 
     def __init__(self, holder: Holder) -> None:
         self.holder = holder
-        super().__init__(holder, "postgresql", self)
+        super().__init__(holder, "postgresql")
         holder.start()
 
     def mark(self, records: SqlRecords) -> int:
@@ -319,9 +308,6 @@
         """By the claim that this connection made: it has waited for all that came before, and shut out the rest."""
         return self.holder.confirmed
 
-    def close(self, wait_s: float = CLOSE_S) -> None:
-        super().close(wait_s)
-
 
 def holder_of(data: Path) -> str:
     """Who claims: the same for every agent on this data folder, of which there is one at a time."""
--- a/ironscale/agent/sql.py
+++ b/ironscale/agent/sql.py
@@ -8,7 +8,6 @@
 
 import functools
 import json
-import re
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import asdict, fields
 from operator import attrgetter
@@ -16,6 +15,7 @@
 
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Policy, State, Target
 from ironscale.agent.store import Configuration, Event, InstanceRow, TokenRow
+from ironscale.record.sql import typed
 
 ROWS_AT_ONCE = 500  # of one INSERT: 15 values each, and PostgreSQL takes 65,535 parameters, SQLite 32,766
 
@@ -48,6 +48,7 @@
 TOKEN = tuple(f.name for f in fields(TokenRow))
 OPERATION = ("id", "kind", "fence", "phase", "actor", "policy", "generation", "args", "note", "created_ms", "ended_ms")
 CONFIGURATION = ("generation", "overlay", "actor", "at_ms", "operation")
+COUNTER = ("name", "value")
 MUTATION = ("actor", "key", "fingerprint", "operation", "at_ms")
 AUDIT = ("id", "at_ms", "actor", "action", "subject", "result", "detail")
 
@@ -60,6 +61,7 @@
 PUT_INSTANCES = _upsert("name", (c for c in INSTANCE if c not in ("name", "first_seen_ms", "desired")))
 PUT_OPERATION = _upsert("id", ("policy", "fence", "phase", "note", "ended_ms"))
 PUT_TARGETS = _upsert("operation, name", (c for c in TARGET if c not in ("operation", "name")))
+PUT_COUNTER = _upsert("name", ("value",))
 PUT_TOKEN = _upsert("name", TOKEN[1:])
 
 
@@ -95,7 +97,15 @@
         lines, self.audited = self.audited, []
         self.insert("audit", AUDIT, lines)
 
-    def _counter(self, name: str) -> int:
+    def counter(self, name: str) -> int:
+        found = self.sql("SELECT value FROM @counters WHERE name = %s", (name,))
+        return int(found[0][0]) if found else 0
+
+    def set_counter(self, name: str, value: int) -> None:
+        self.insert("counters", COUNTER, [(name, value)], PUT_COUNTER)
+
+    def count(self, name: str) -> int:
+        """One more, from 1 on."""
         return self._number("INSERT INTO @counters (name, value) VALUES (%s, 1) ON CONFLICT (name) DO UPDATE"
                             " SET value = @counters.value + 1 RETURNING value", (name,))
 
@@ -136,18 +146,16 @@
         self.sql("DELETE FROM @instances WHERE name = %s", (name,))
 
     def alive_ms(self) -> int:
-        found = self.sql("SELECT value FROM @counters WHERE name = 'alive_ms'")
-        return int(found[0][0]) if found else 0
+        return self.counter("alive_ms")
 
     def set_alive(self, at_ms: int) -> None:
-        self.sql("INSERT INTO @counters (name, value) VALUES ('alive_ms', %s) ON CONFLICT (name) DO UPDATE"
-                 " SET value = excluded.value", (at_ms,))
+        self.set_counter("alive_ms", at_ms)
 
     def next_fence(self) -> int:
-        return self._counter("fence")
+        return self.count("fence")
 
     def next_operation(self) -> int:
-        return self._counter("operation")
+        return self.count("operation")
 
     @staticmethod
     def _operation(row: tuple[Any, ...]) -> Operation:
@@ -226,21 +234,7 @@
     def put_token(self, token: TokenRow) -> None:
         self.insert("tokens", TOKEN, [_token_values(token)], PUT_TOKEN)
 
-    # How far the record has come (`agent/keeping.py`)
-
-    def sequence(self) -> int:
-        found = self.sql("SELECT value FROM @counters WHERE name = 'sequence'")
-        return int(found[0][0]) if found else 0
-
-    def count_resolved(self) -> int:
-        return self._counter("resolved")
-
-    def set_sequence(self, number: int) -> None:
-        self.sql("INSERT INTO @counters (name, value) VALUES ('sequence', %s) ON CONFLICT (name) DO UPDATE"
-                 " SET value = excluded.value", (number,))
-
 
-TYPES = {"TEXT": 'text COLLATE "C"', "INTEGER": "bigint"}
 # One statement each. The log can't be changed nor thinned out: what tries finds nothing done.
 MIGRATIONS: tuple[tuple[str, ...], ...] = (
     (
@@ -288,5 +282,5 @@
 
 def migrations(version: int) -> list[str]:
     """What brings a PostgreSQL schema of `version` up to this program's."""
-    return [re.sub(r"\{(\w+)\}", lambda found: TYPES[found[1]], statement)
+    return [typed(statement, "postgresql")
             for statements in MIGRATIONS[version:] for statement in statements]
--- a/ironscale/agent/sqlite.py
+++ b/ironscale/agent/sqlite.py
@@ -14,7 +14,7 @@
 from ironscale.record.model import Trouble
 
 BUSY_MS = 2_000
-CLOSE_S = 10.0
+SEQUENCE = "sequence"  # of the last write
 MIGRATIONS = (
     """
     CREATE TABLE counters (name TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
@@ -80,7 +80,7 @@
         opener = opener or Opener(path, migrate, busy_ms=BUSY_MS)
         self.writer = Writer(opener, connection=connect(path, opener))
         self.number = -1  # of the last write; the record's own until the first
-        super().__init__(self.writer, "sqlite", self)
+        super().__init__(self.writer, "sqlite")
 
     @property
     def connection(self) -> apsw.Connection:
@@ -89,16 +89,13 @@
 
     def mark(self, records: SqlRecords) -> int:
         if self.number < 0:
-            self.number = records.sequence()
+            self.number = records.counter(SEQUENCE)
         self.number += 1
-        records.set_sequence(self.number)
+        records.set_counter(SEQUENCE, self.number)
         return self.number
 
     def reached(self, records: SqlRecords) -> int:
         """Told only with a commit of its own: what a recovery found may lie in the log without having been synced.
         Hazard: SQLite leaves a row alone that would get the value it has, and a commit of nothing syncs nothing."""
-        records.count_resolved()
-        return records.sequence()
-
-    def close(self, wait_s: float = CLOSE_S) -> None:
-        super().close(wait_s)
+        records.count("resolved")
+        return records.counter(SEQUENCE)
--- a/ironscale/graphql/classify.py
+++ b/ironscale/graphql/classify.py
@@ -196,7 +196,7 @@
         if node.name.value in META:
             self.spend(1)
             if node.selection_set is not None:
-                self.below(node.selection_set, self.schema.get_type(META[node.name.value]), 1, [], [])
+                self.below(node.selection_set, self.schema.get_type(META[node.name.value]), 1, [], [], unsure)
             return None
         name = f"{root.name}.{node.name.value}"
         found: list[tuple[RequestClass, str]] = []
@@ -213,37 +213,39 @@
         if node.selection_set is not None:
             definition = root.fields[node.name.value]
             self.below(node.selection_set, get_named_type(definition.type), self.size(node, definition.type, rule),
-                       found, keys)
+                       found, keys, unsure)
         least, why = min(found, key=lambda one: repeatability(one[0]))
         return Part((node.alias or node.name).value, name, least, why, tuple(keys), tuple(tenants), self.cost - before)
 
     def below(self, selections: SelectionSetNode, owner: Any, times: int, found: list[tuple[RequestClass, str]],
-              keys: list[str]) -> None:
+              keys: list[str], doubtful: bool) -> None:
         """Nested fields: what they cost, and those that have a rule of their own."""
         for node in selections.selections:
             self.step()
             included = self.included(node.directives or ())
             if included is False:
                 continue
+            unsure = doubtful or included is UNKNOWN
             if isinstance(node, FieldNode):
                 self.spend(times)
                 definition = self.definition(owner, node.name.value)
                 rule = self.rule(owner, node.name.value)
                 if rule is not None and rule.name:
-                    found.append(self.by_rule(rule, node, keys, included is UNKNOWN))
+                    found.append(self.by_rule(rule, node, keys, unsure))
                 if node.selection_set is not None:
                     kind = definition.type if definition is not None else None
                     size = self.of_schema(node) if owner is not None and owner.name.startswith("__") else self.size(
                         node, kind, rule)
                     self.below(node.selection_set, get_named_type(kind) if kind is not None else None, times * size,
-                               found, keys)
+                               found, keys, unsure)
             elif isinstance(node, InlineFragmentNode):
                 on = node.type_condition
-                self.below(node.selection_set, self.schema.get_type(on.name.value) if on else owner, times, found, keys)
+                kind = self.schema.get_type(on.name.value) if on else owner
+                self.below(node.selection_set, kind, times, found, keys, unsure)
             elif isinstance(node, FragmentSpreadNode):
                 fragment = self.document.fragments[node.name.value]
                 on = fragment.type_condition
-                self.below(fragment.selection_set, self.schema.get_type(on.name.value), times, found, keys)
+                self.below(fragment.selection_set, self.schema.get_type(on.name.value), times, found, keys, unsure)
 
     def definition(self, owner: Any, name: str) -> Any:
         return owner.fields.get(name) if isinstance(owner, GraphQLObjectType | GraphQLInterfaceType) else None
--- a/ironscale/graphql/documents.py
+++ b/ironscale/graphql/documents.py
@@ -169,13 +169,13 @@
 
 def _measure(operations: Sequence[OperationDefinitionNode], fragments: Mapping[str, FragmentDefinitionNode],
              limits: Limits) -> None:
-    """Depth, fields, and fields of one name, before the rules of validation see them: one of those compares each two
-    fields of one response name. Hazard: fragments that spread each other double at each level, or never end, so the
-    walk itself stops at the limits. Raises RequestError."""
+    """Depth, fields, and fields of one name, before the rules of validation see them: one of those compares fields of
+    one response name with each other, and takes a second for 500. Hazard: fragments that spread each other double at
+    each level, or never end, so the walk itself stops. Raises RequestError."""
     fields = 0
     same = 0
 
-    def walk(selections: SelectionSetNode, depth: int, names: dict[str, int]) -> None:
+    def walk(selections: SelectionSetNode, depth: int, names: dict[str, int], inside: tuple[str, ...]) -> None:
         nonlocal fields, same
         if depth > limits.depth:
             raise RequestError("TOO_DEEP", f"query: expected a depth of {limits.depth} at most, got more")
@@ -191,18 +191,17 @@
                     raise RequestError("TOO_MANY_FIELDS", f"query: expected fields of one name less often, got "
                                        f"{name!r} {names[name]} times")
                 if node.selection_set is not None:
-                    walk(node.selection_set, depth + 1, {})
+                    walk(node.selection_set, depth + 1, {}, inside)
             elif isinstance(node, InlineFragmentNode):
-                walk(node.selection_set, depth, names)
+                walk(node.selection_set, depth, names, inside)
             elif isinstance(node, FragmentSpreadNode) and node.name.value in fragments:
-                walk(fragments[node.name.value].selection_set, depth, names)
+                name = node.name.value
+                if name in inside:
+                    raise RequestError("INVALID", f"query: expected fragments that end, got {name} within itself")
+                walk(fragments[name].selection_set, depth, names, (*inside, name))
 
     for one in operations:
-        try:
-            walk(one.selection_set, 1, {})
-        except RecursionError:  # fragments that spread each other: no depth of fields stops them
-            raise RequestError("INVALID", "query: expected fragments that end, got some that spread each other"
-                               ) from None
+        walk(one.selection_set, 1, {}, ())
 
 
 def read_document(text: str, schema: GraphQLSchema, limits: Limits) -> Document:
--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -16,7 +16,7 @@
 
 from ironscale.record.errors import Step, sqlite_cause, sqlite_knowledge
 from ironscale.record.model import Cause, Knowledge, Trouble
-from ironscale.record.worker import MOST_QUEUED, Done, Job, Worker
+from ironscale.record.worker import MOST_QUEUED, Done, Job, Worker, fated
 
 T = TypeVar("T")
 BUSY_MS = 250  # another process writes: so long at a time, then it is told; who asked may ask again
@@ -89,9 +89,6 @@
     def execute(self, sql: str, values: Sequence[Any] = ()) -> list[tuple[Any, ...]]:
         return self.connection.execute(sql, values).fetchall()
 
-    def many(self, sql: str, rows: Sequence[Sequence[Any]]) -> None:
-        self.connection.executemany(sql, rows)
-
 
 Work = Callable[[Transaction], T]
 
@@ -196,17 +193,13 @@
             found = error if isinstance(error, Trouble) else trouble(error, step, self.opener.path)
             if opened is not None:
                 self._after_error(opened, found)
-            # all of the group share its fate, but for those that had failed by themselves
-            failed = {id(job) for job, _, problem in done if problem is not None}
-            return [entry for entry in done if entry[2] is not None] + [
-                (job, None, Trouble(found.knowledge, found.cause, str(found), found.code))
-                for job in group if id(job) not in failed]
+            return fated(group, done, found)
         except Exception as error:  # hazard: a thread that died would leave all that wait for it without a word
             if opened is not None:
                 self._after_error(opened, None)
-            problem = Trouble(Knowledge.NOT_KNOWN if step is Step.COMMIT else Knowledge.NEVER_RAN, Cause.BROKEN,
-                              f"{self.opener.path}: {type(error).__name__}: {error}")
-            return [(job, None, problem) for job in group]
+            return fated(group, [], Trouble(
+                Knowledge.NOT_KNOWN if step is Step.COMMIT else Knowledge.NEVER_RAN, Cause.BROKEN,
+                f"{self.opener.path}: {type(error).__name__}: {error}"))
 
     def _after_error(self, opened: apsw.Connection, found: Trouble | None) -> None:
         try:
--- a/ironscale/record/postgres.py
+++ b/ironscale/record/postgres.py
@@ -21,7 +21,7 @@
 
 from ironscale.record.errors import Step, cause, knowledge
 from ironscale.record.model import Cause, Entry, Knowledge, Trouble, Verdict, Written, judge
-from ironscale.record.sql import SCHEMA, Dialect
+from ironscale.record.sql import SCHEMA, Dialect, bring_up
 
 T = TypeVar("T")
 # What it would warn of on standard error is told in our own lines, without secrets.
@@ -292,22 +292,17 @@
 
     async def _migrate(self, turn: Turn) -> None:
         await turn.execute("BEGIN")
-        # two that start at once: the second finds it done
-        await turn.execute("SELECT pg_advisory_xact_lock(%s)", (LOCK,))
-        await turn.execute("CREATE TABLE IF NOT EXISTS record_schema (one bigint NOT NULL PRIMARY KEY,"
-                           " version bigint NOT NULL)")
-        found = await turn.execute("SELECT version FROM record_schema WHERE one = %s", (1,))
-        version = found[0][0] if found else 0
-        if version > SCHEMA:
-            await turn.execute("ROLLBACK")
-            raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{self.name}: expected schema {SCHEMA} or older, got "
-                          f"{version}; start the newer program, or name another database", "NEWER")
-        if version == SCHEMA:
+        steps = bring_up(self.name, "record_schema", LOCK, SCHEMA, SQL.migrations)
+        try:
+            asked = next(steps)
+            while True:
+                asked = steps.send(await turn.execute(*asked))
+        except StopIteration as done:
+            if done.value:
+                await turn.commit()
+            else:
+                await turn.execute("ROLLBACK")
+        except Trouble:
             await turn.execute("ROLLBACK")
-        else:
-            for statement in SQL.migrations(version):
-                await turn.execute(statement)
-            await turn.execute("INSERT INTO record_schema (one, version) VALUES (%s, %s)"
-                               " ON CONFLICT (one) DO UPDATE SET version = excluded.version", (1, SCHEMA))
-            await turn.commit()
+            raise
         self.connections.checked = True
--- a/ironscale/record/sql.py
+++ b/ironscale/record/sql.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Generator, Sequence
+from typing import Any
 
-from ironscale.record.model import Row
+from ironscale.record.model import Cause, Knowledge, Row, Trouble
 
 COLUMNS = ("attempt", "state", "request", "kind", "tenant", "key", "effect", "target", "body", "fingerprint", "answer",
            "at_ms", "until_ms", "slot")
@@ -49,6 +50,36 @@
 _EMPTY = {"postgresql": "''::bytea", "sqlite": "x''"}
 
 
+def typed(statement: str, dialect: str) -> str:
+    for kind, text in TYPES[dialect].items():
+        statement = statement.replace(f"{{{kind}}}", text)
+    return statement
+
+
+Asked = tuple[str, tuple[object, ...]]
+
+
+def bring_up(name: str, table: str, lock: int, schema: int, statements: Callable[[int], Sequence[str]]
+             ) -> Generator[Asked, list[tuple[Any, ...]], bool]:
+    """A PostgreSQL schema's way to this program's, within one transaction: gives statements, takes their rows, and says
+    whether there is something to commit. Whoever drives it does so on a connection of either kind. Raises Trouble where
+    a newer program has written it."""
+    yield "SELECT pg_advisory_xact_lock(%s)", (lock,)  # two that start at once: the second finds it done
+    yield f"CREATE TABLE IF NOT EXISTS {table} (one bigint NOT NULL PRIMARY KEY, version bigint NOT NULL)", ()
+    found = yield f"SELECT version FROM {table} WHERE one = %s", (1,)
+    version = found[0][0] if found else 0
+    if version > schema:
+        raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{name}: expected schema {schema} or older, got {version}; "
+                      "start the newer program, or name another database", "NEWER")
+    if version == schema:
+        return False
+    for statement in statements(version):
+        yield statement, ()
+    yield (f"INSERT INTO {table} (one, version) VALUES (%s, %s) ON CONFLICT (one) DO UPDATE SET"
+           " version = excluded.version", (1, schema))
+    return True
+
+
 class Dialect:
     """The statements of one of the two."""
 
@@ -74,13 +105,7 @@
 
     def migrations(self, version: int) -> list[str]:
         """What brings a schema of `version` up to this program's."""
-        found = []
-        for statements in MIGRATIONS[version:]:
-            for statement in statements:
-                for kind, text in TYPES[self.name].items():
-                    statement = statement.replace(f"{{{kind}}}", text)
-                found.append(statement)
-        return found
+        return [typed(statement, self.name) for statements in MIGRATIONS[version:] for statement in statements]
 
 
 def row(values: tuple[object, ...]) -> Row:
--- a/ironscale/record/worker.py
+++ b/ironscale/record/worker.py
@@ -50,6 +50,14 @@
 Done = tuple[Job[X, Any], Any, BaseException | None]
 
 
+def fated(group: list[Job[X, Any]], done: list[Done[X]], found: Trouble) -> list[Done[X]]:
+    """All of a group share its transaction's fate, but for those that had failed by themselves before."""
+    failed = [entry for entry in done if entry[2] is not None]
+    alone = {id(job) for job, _, _ in failed}
+    return failed + [(job, None, Trouble(found.knowledge, found.cause, str(found), found.code))
+                     for job in group if id(job) not in alone]
+
+
 class Worker(abc.ABC, Generic[X]):
     """The queue and its thread; `commit` carries a group out."""
 
--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -23,11 +23,12 @@
 from ironscale.agent.sql import SCHEMA
 from ironscale.agent.sqlite import SqliteStore, connect
 from ironscale.agent.store import Configuration, Records, StoreError, TokenRow
+from ironscale.cli.output import CODES, Exit
 from ironscale.operator_file import OperatorFileError, Service, parse
 from ironscale.record.postgres import Access
 from ironscale.standins.postgres import Data, Drop, Host, Session, SqlError
 from tests.agent.scene import run, scene, section, until
-from tests.agent.test_store import OP, TARGET, fill, row
+from tests.agent.test_store import OP, TARGET, fill, half, row, twice
 from tests.record.postgres import Fault, Gate, dsn
 from tests.sockets import run as limited
 
@@ -62,6 +63,24 @@
     return [subject for subject, in data.all("SELECT subject FROM agent_audit ORDER BY id")]
 
 
+class Vanishes:
+    """The server goes away at the COMMIT of what was written to a table, before or after it has taken it."""
+
+    def __init__(self, host: Host, table: str, stands: bool = True) -> None:
+        self.host, self.table, self.stands = host, table, stands
+        self.meant = False
+
+    async def __call__(self, session: Session, kind: str, after: bool) -> None:
+        if kind != "commit":
+            return
+        if not after:
+            self.meant = any(self.table in sql for sql, _ in session.log)
+        if self.meant and after == self.stands:
+            self.host.starting = True
+            self.host.wires[session.number].writer.transport.abort()
+            raise Drop
+
+
 def line(subject: str) -> Callable[[Records], str]:
     def work(records: Records) -> str:
         records.audit(1, "ann", "did", subject, "done")
@@ -115,15 +134,6 @@
 def test_a_piece_of_work_that_fails_leaves_nothing_and_takes_no_other_along() -> None:
     async def test() -> None:
         async with hosts(Data()) as (host,), store_on(host) as store:
-            def half(records: Records) -> None:
-                records.put_token(TokenRow("half", "read", "d", 1))
-                raise ValueError("in the middle")
-
-            def twice(records: Records) -> None:
-                records.put_operation(OP)
-                for _ in range(2):
-                    records.add_configuration(Configuration(1, {}, "ann", 1, 1))
-
             gate = host.hook = Gate("begin")
             first = asyncio.create_task(store.read(lambda r: r.tokens()))  # the others wait behind it, as one group
             await gate.reached.wait()
@@ -315,14 +325,7 @@
             store.resolve_s = 0.1
             heard: list[str] = []
 
-            async def gone(session: Session, kind: str, after: bool) -> None:
-                if (kind, after) == ("commit", stands):
-                    host.starting = True
-                    host.wires[session.number].writer.transport.abort()
-                    if not stands:
-                        raise SqlError("57P01", "terminating connection due to administrator command", "FATAL")
-
-            host.hook = gone
+            host.hook = Vanishes(host, "agent_audit", stands)
             with pytest.raises(StoreError, match="whether it stands is not known yet") as found:
                 await store.write(line("it"), heard.append)
             assert found.value.code == "UNKNOWN" and heard == []
@@ -619,17 +622,7 @@
             assert isinstance(store, PostgresStore)
             store.resolve_s = 0.1
             await s.start_many(3)
-            begins = False
-
-            async def gone(session: Session, kind: str, after: bool) -> None:
-                nonlocal begins
-                begins |= kind == "insert" and any("agent_operations" in sql for sql, _ in session.log)
-                if begins and (kind, after) == ("commit", stands):
-                    host.starting = True
-                    host.wires[session.number].writer.transport.abort()
-                    raise SqlError("57P01", "terminating connection due to administrator command", "FATAL")
-
-            host.hook = gone
+            host.hook = Vanishes(host, "agent_operations", stands)
             with pytest.raises(StoreError) as found:
                 await s.begin(key="k")
             assert found.value.code == "UNKNOWN"
@@ -658,17 +651,7 @@
             s.instances["i0000"].open = 1  # the first wave does not end
             ident = await s.begin(Kind.DRAIN, policy=Policy(wave=1))
             await until(lambda: s.instances["i0000"].draining)
-            pausing = False
-
-            async def gone(session: Session, kind: str, after: bool) -> None:
-                nonlocal pausing
-                if kind == "commit" and not after:
-                    pausing = any("agent_operations" in sql for sql, _ in session.log)
-                elif kind == "commit" and pausing:
-                    host.starting = True
-                    host.wires[session.number].writer.transport.abort()
-
-            host.hook = gone
+            host.hook = Vanishes(host, "agent_operations")
             with pytest.raises(StoreError) as found:
                 await s.engine.control("ann", ident, "pause")
             assert found.value.code == "UNKNOWN"
@@ -681,6 +664,40 @@
     run(test)
 
 
+def test_operators_are_told_by_a_code_while_instances_go_on(tmp_path: Path) -> None:
+    """A server that is away, and one that went at a commit: what memory holds is answered all the same."""
+    async def test() -> None:
+        async with hosts(Data()) as (host,), scene(tmp_path, postgresql=dsn(host)) as s:
+            store = s.engine.store
+            assert isinstance(store, PostgresStore)
+            store.resolve_s = 0.1
+            await s.start_many(2)
+            mutation = 'mutation { createToken(name: "t", role: READ) { secret } }'
+
+            async def code() -> str:
+                found: str = (await s.ask(mutation))["errors"][0]["extensions"]["code"]
+                return found
+
+            gone = Vanishes(host, "agent_tokens")
+            host.starting = True
+            await host.end_sessions()
+            assert await code() == "STORE_AWAY"
+            host.starting = False
+            host.hook = gone
+            await until(lambda: host.sessions)
+            assert await code() == "STORE_UNKNOWN"
+            listed = await s.ask("{ instances(first: 9) { edges { node { name } } } }")
+            assert len(listed["data"]["instances"]["edges"]) == 2
+            assert CODES["STORE_UNKNOWN"] is Exit.NO_AGENT
+            host.hook, host.starting = None, False
+            await until(lambda: store.resolving is None)
+            # it stands, and so it is known to the agent, though nobody has its secret
+            await until(lambda: any(token.name == "t" for token in s.agent.tokens))
+            assert await code() == "CONFLICT"
+
+    run(test)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_rollout_in_bad_weather_has_every_effect_once_and_a_true_log(tmp_path: Path, seed: int) -> None:
     async def test() -> None:
@@ -837,7 +854,7 @@
         data = Data()
         async with hosts(data) as (host,):
             where = section(tmp_path, postgresql=dsn(host))
-            for kind, after, times in (("insert", True, 5), ("commit", False, 3)):
+            for kind, after, times in (("insert", True, 5), ("commit", False, 2)):  # the schema is there by then
                 met = 0
 
                 async def fail(session: Session, what: str, later: bool, kind: str = kind, after: bool = after,
--- a/tests/agent/test_store.py
+++ b/tests/agent/test_store.py
@@ -56,10 +56,21 @@
     r.set_alive(77)
 
 
+def half(records: Records) -> None:
+    records.put_token(TokenRow("half", "read", "d", 1))
+    raise ValueError("in the middle")
+
+
+def twice(records: Records) -> None:
+    """What a unique key forbids."""
+    records.put_operation(OP)
+    for _ in range(2):
+        records.add_configuration(Configuration(1, {}, "ann", 1, 1))
+
+
 def test_everything_comes_back_as_it_was_also_after_the_file_is_opened_anew(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "a.db")
-
         await store.write(fill)
         await store.write(lambda r: r.set_desired([("i0", 9)]))
         await store.write(lambda r: r.put_instances([row("i0", boot="c", desired=0)]))
@@ -86,16 +97,6 @@
 def test_a_piece_of_work_that_fails_leaves_nothing_and_takes_no_other_along(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "a.db")
-
-        def half(records: Records) -> None:
-            records.put_token(TokenRow("half", "read", "d", 1))
-            raise ValueError("in the middle")
-
-        def twice(records: Records) -> None:
-            records.put_operation(OP)
-            for _ in range(2):
-                records.add_configuration(Configuration(1, {}, "ann", 1, 1))
-
         results = await asyncio.gather(
             store.write(lambda r: r.put_token(TokenRow("first", "read", "d", 1))), store.write(half),
             store.write(twice), store.write(lambda r: r.put_token(TokenRow("last", "read", "d", 1))),
--- a/tests/graphql/test_classify.py
+++ b/tests/graphql/test_classify.py
@@ -12,8 +12,8 @@
 from ironscale.graphql import classify as module
 from ironscale.graphql.classify import classify, together
 from ironscale.graphql.documents import Documents, Limits, Request, RequestError, read_requests
-from ironscale.graphql.mapping import repeatability
-from tests.graphql.samples import CLASSES, FIELDS, LIMITS, MAP, SCHEMA, Maker, mapped, verdict
+from ironscale.graphql.mapping import read_schema, repeatability
+from tests.graphql.samples import CLASSES, FIELDS, LIMITS, MAP, SCHEMA, SDL, Maker, mapped, verdict
 
 MARK = 'mark(input: {requestId: "k", homework: 1, points: 2}) { points }'
 SUBMIT = 'submit(input: {homework: 1, text: "t"}) { id }'
@@ -86,6 +86,25 @@
     assert found.found.name == "pay" and "is not known" in found.why
 
 
+def test_doubt_about_what_stands_above_holds_for_what_stands_below() -> None:
+    fields = mapped({**FIELDS, "Homework.render": {"class": "note", "key": "key"}},
+                    SDL.replace("solution: String,", "solution: String, render(key: String): String,"))
+    schema = read_schema(SDL.replace("solution: String,", "solution: String, render(key: String): String,"), "s")
+
+    def found(query: str, **variables: Any) -> str:
+        request = Request(query, None, variables)
+        return classify(request, Documents(schema, LIMITS).find(request), schema, fields, LIMITS).found.name
+
+    inner = '{ render(key: "k") }'
+    assert found(f"{{ homework(id: 1) {inner} }}") == "note"
+    for query in (f"query($x: Boolean!) {{ homework(id: 1) @include(if: $x) {inner} }}",
+                  f"query($x: Boolean!) {{ homework(id: 1) {{ ... @include(if: $x) {inner} }} }}",
+                  f"query($x: Boolean!) {{ homework(id: 1) {{ ...F @skip(if: $x) }} }} fragment F on Homework {inner}",
+                  f"query($x: Boolean!) {{ school {{ homeworks @include(if: $x) {inner} }} }}"):
+        assert found(query) == "pay", query
+        assert found(query, x="@skip" not in query) == "note", query
+
+
 def test_keys_in_lists_all_count_and_an_empty_list_has_none() -> None:
     def marks(*keys: str) -> str:
         return ("mutation { markAll(inputs: [" + ", ".join(
--- a/tests/graphql/test_documents.py
+++ b/tests/graphql/test_documents.py
@@ -82,9 +82,9 @@
     ("{ schol { name } }", "INVALID", "Did you mean 'school'?"),
     ("fragment F on Query { extra }", "OPERATION", "expected an operation, got none"),
     ("type Query { a: Int }", "OPERATION", "expected an operation, got none"),
-    ("{ ...F } fragment F on Query { ...G } fragment G on Query { ...F }", "INVALID", "expected fragments that end"),
+    ("{ ...F } fragment F on Query { ...G } fragment G on Query { ...F }", "INVALID", "got F within itself"),
     ("{ ...F } fragment F on Query { school { homeworks { school { ...G } } } }"
-     " fragment G on School { homeworks { school { ...G } } }", "TOO_DEEP", "a depth of 15"),
+     " fragment G on School { homeworks { school { ...G } } }", "INVALID", "got G within itself"),
     ("{ " + " ".join(f"a{i}: extra" for i in range(10_000)) + " }", "TOO_MANY_TOKENS", "tokens"),
     ("{ " + " ".join(f"a{i}: extra" for i in range(5_001)) + " }", "TOO_MANY_FIELDS", "5,000 fields"),
     ("{ " + "extra " * 4_900 + "}", "TOO_MANY_FIELDS", "fields of one name less often, got 'extra' 201 times"),
--- a/tests/record/test_lane.py
+++ b/tests/record/test_lane.py
@@ -67,6 +67,16 @@
             await peer.stop()
 
 
+@contextlib.asynccontextmanager
+async def on_postgres(tmp_path: Path, **changes: Any) -> AsyncIterator[tuple[Host, Stores]]:
+    """One host, and a section that writes to it."""
+    host = await Host().start()
+    try:
+        yield host, stores(tmp_path, to_postgres(host), **changes)
+    finally:
+        await host.stop()
+
+
 def asked(scene: Scene, lane: str, body: bytes = b"", key: str = "k", org: str = "north",
           remaining: str = "8000m") -> bytes:
     scene.count += 1
@@ -145,8 +155,8 @@
 
 def test_a_commit_whose_reply_is_lost_is_served_once(tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+        async with (on_postgres(tmp_path) as (host, section),
+                    running(section) as (scene, _, front)):
             assert (await scene.raw(asked(scene, "pay"))).status == 200
             for lane in ("pay", "mark"):
                 host.hook = Fault("commit", after=True)
@@ -156,16 +166,13 @@
             host.hook = Fault("insert")
             assert (await scene.raw(asked(scene, "pay"))).status == 200
             assert written(host.data) == ["t1", "t2", "t3", "t4"]
-        await host.stop()
 
     run(test)
 
 
 def test_what_is_not_known_when_its_time_is_up_has_failed_and_is_found_out_and_listed(tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        section = stores(tmp_path, to_postgres(host))
-        async with running(section) as (scene, _, front):
+        async with on_postgres(tmp_path) as (host, section), running(section) as (scene, _, front):
             assert (await scene.raw(asked(scene, "pay"))).status == 200
             gate = Gate("commit", times=1000)
             host.hook = gate
@@ -181,30 +188,27 @@
             await until(lambda: not journal.open and journal.writing is None)
             assert journal_module.read_all(tmp_path / "open") == ([], 0)
             assert written(host.data) == ["t1", "t2"]  # it had run; its client was promised nothing
-        await host.stop()
 
     run(test)
 
 
 def test_the_next_start_finds_out_what_the_former_left_open(tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        section = stores(tmp_path, to_postgres(host))
-        async with running(section) as (scene, _, front):
-            assert (await scene.raw(asked(scene, "pay"))).status == 200
-            gate = Gate("commit", times=1000)
-            host.hook = gate
-            assert (await scene.raw(asked(scene, "pay", remaining="500m"))).status == 502
-        assert len(journal_module.read_all(tmp_path / "open")[0]) == 1
-        with next((tmp_path / "open").iterdir()).open("ab") as file:
-            file.write(b'{"open":{"attempt":"torn')
-        host.hook = None
-        gate.go.set()
-        async with running(section) as (scene, _, front):
-            journal = front.lanes[0].recorder.journal
-            await until(lambda: not journal.open and journal.writing is None)
-            assert journal_module.read_all(tmp_path / "open") == ([], 0)
-        await host.stop()
+        async with on_postgres(tmp_path) as (host, section):
+            async with running(section) as (scene, _, front):
+                assert (await scene.raw(asked(scene, "pay"))).status == 200
+                gate = Gate("commit", times=1000)
+                host.hook = gate
+                assert (await scene.raw(asked(scene, "pay", remaining="500m"))).status == 502
+            assert len(journal_module.read_all(tmp_path / "open")[0]) == 1
+            with next((tmp_path / "open").iterdir()).open("ab") as file:
+                file.write(b'{"open":{"attempt":"torn')
+            host.hook = None
+            gate.go.set()
+            async with running(section) as (scene, _, front):
+                journal = front.lanes[0].recorder.journal
+                await until(lambda: not journal.open and journal.writing is None)
+                assert journal_module.read_all(tmp_path / "open") == ([], 0)
 
     run(test)
 
@@ -212,9 +216,8 @@
 def test_views_beside_a_stalled_store_notice_nothing_and_what_it_holds_is_bounded(tmp_path: Path) -> None:
     """The store stalls for 3 s under 200 submissions a second; then it is back without a rush."""
     async def test() -> None:
-        host = await Host().start()
-        section = stores(tmp_path, to_postgres(host))
-        async with running(section, 3, QUICK) as (scene, peers, front):
+        async with (on_postgres(tmp_path) as (host, section),
+                    running(section, 3, QUICK) as (scene, peers, front)):
             lane, results = front.lanes[0], Counter[str]()
             took: dict[bool, list[float]] = {False: [], True: []}
             phase = {"stalled": False, "end": False, "most_out": 0}
@@ -255,7 +258,6 @@
             usual, beside_it = (statistics.median(took[key]) for key in (False, True))
             assert beside_it < 3 * usual + 0.005, (usual, beside_it)
             assert len(written(host.data)) >= results["200"]
-        await host.stop()
 
     run(test, 60)
 
@@ -350,8 +352,8 @@
 
 def test_a_client_that_goes_leaves_nothing_behind_and_its_record_is_whole(tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+        async with (on_postgres(tmp_path) as (host, section),
+                    running(section) as (scene, _, front)):
             assert (await scene.raw(asked(scene, "pay"))).status == 200
             gate = Gate("insert")
             host.hook = gate
@@ -364,15 +366,14 @@
             lane = front.lanes[0]
             await until(lambda: not lane.out and not lane.numbers and not scene.sidecar.requests)
             assert written(host.data) == ["t1", "t2"] and not lane.balancer.requests
-        await host.stop()
 
     run(test)
 
 
 def test_a_client_that_goes_while_its_request_waits_frees_the_buffer_at_once(tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        async with running(stores(tmp_path, to_postgres(host))) as (scene, _, front):
+        async with (on_postgres(tmp_path) as (host, section),
+                    running(section) as (scene, _, front)):
             assert (await scene.raw(asked(scene, "pay"))).status == 200
             balancer, gate = front.lanes[0].balancer, Gate("insert", times=1_000)
             host.hook = gate
@@ -391,7 +392,6 @@
             gate.go.set()
             await until(lambda: not scene.sidecar.requests and not balancer.requests)
             assert f"t{scene.count}" not in written(host.data)
-        await host.stop()
 
     run(test)
 
@@ -456,8 +456,8 @@
 @pytest.mark.parametrize("order", ["first", "last"])
 def test_to_both_in_the_order_that_is_stated(order: str, tmp_path: Path) -> None:
     async def test() -> None:
-        host = await Host().start()
-        async with running(stores(tmp_path, to_postgres(host), upstreams=order)) as (scene, (peer,), front):
+        async with (on_postgres(tmp_path, upstreams=order) as (host, section),
+                    running(section) as (scene, (peer,), front)):
             seen: list[str] = []
 
             async def hook(session: Session, kind: str, after: bool) -> None:
@@ -483,7 +483,6 @@
             lane_ = front.lanes[0]
             await until(lambda: not scene.sidecar.requests and not lane_.out)
             assert not lane_.numbers and not lane_.balancer.requests and not scene.sidecar.balancer.requests
-        await host.stop()
 
     run(test)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -53,6 +53,15 @@
     return client
 
 
+@contextlib.asynccontextmanager
+async def served(asked: bool) -> AsyncIterator[tuple[Server, socket.socket]]:
+    server = Server(Answers(), 8, now_us)
+    await server.listen(("127.0.0.1", 0))
+    with await connected(server, asked) as client:
+        yield server, client
+    await server.stop(0.0, 0.0, 0.0, 5.0)
+
+
 async def close_idle(server: Server) -> None:
     server.close_idle()
 
@@ -71,15 +80,12 @@
         closing: Callable[[Server], Awaitable[None]], asked: bool) -> None:
     """The process had no CPU while the request came: what closes quiet connections runs before the loop reads it."""
     async def test() -> None:
-        server = Server(Answers(), 8, now_us)
-        await server.listen(("127.0.0.1", 0))
-        with await connected(server, asked) as client:
+        async with served(asked) as (server, client):
             client.send(REQUEST)  # from within one step of the loop, which so cannot read it
             await closing(server)
             reader, writer = await asyncio.open_connection(sock=client)
             assert (await read_message(reader)).status == 200
             writer.close()
-        await server.stop(0.0, 0.0, 0.0, 5.0)
 
     run(test)
 
@@ -89,13 +95,10 @@
 def test_a_quiet_connection_is_still_closed(
         closing: Callable[[Server], Awaitable[None]], asked: bool) -> None:
     async def test() -> None:
-        server = Server(Answers(), 8, now_us)
-        await server.listen(("127.0.0.1", 0))
-        with await connected(server, asked) as client:
+        async with served(asked) as (server, client):
             await closing(server)
             assert all(one.final or one.transport is None or one.transport.is_closing() for one in server.connections)
             assert await asyncio.get_running_loop().sock_recv(client, 10) == b""
-        await server.stop(0.0, 0.0, 0.0, 5.0)
 
     run(test)
 
