A job that failed by itself is told so though its group's commit fails too

Need: the line that keeps such a job's own error could be broken without a test noticing; who asked would have waited for ever.

Change: a test: three writes in one group, the second raises, then the server vanishes at COMMIT.

Result: the broken line is found now.

--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -157,6 +157,28 @@
     run(test)
 
 
+def test_one_that_failed_by_itself_is_told_so_though_the_commit_of_its_group_fails_too() -> None:
+    async def test() -> None:
+        data = Data()
+        async with hosts(data) as (host,), store_on(host) as store:
+            await store.write(line("before"))
+            gate = host.hook = Gate("begin")
+            reading = asyncio.create_task(store.read(lambda r: r.tokens()))
+            await gate.reached.wait()
+            others = [asyncio.create_task(store.write(work)) for work in (line("a"), half, line("b"))]
+            await asyncio.sleep(0)
+            host.hook = Vanishes(host, "agent_audit", stands=False)
+            gate.go.set()
+            await reading
+            await until(lambda: host.starting)
+            host.hook, host.starting = None, False
+            results = await asyncio.gather(*others, return_exceptions=True)
+            assert [type(found) for found in results] == [StoreError, ValueError, StoreError], results
+            assert subjects(data) == ["before"]
+
+    run(test)
+
+
 def test_the_log_can_not_be_changed() -> None:
     async def test() -> None:
         async with hosts(Data()) as (host,), store_on(host) as store:
