One of many sidecars: part of the traffic, shared faults, no shutting itself out

All refusals are in the few sidecars that carry most (n11: 3,588 of 5,122; the 20 quietest: 0). 34 of 36 cold upstreams are shut by cold_gap_us: gaps of 11 to 17 s, as the time of a usual answer (230 ms of way and queue) was taken for its work. A zone that is lost costs 326 failed connects a second, each of the retry budget, so 266 requests a second are given up as 'tries spent'. Upstreams that fail at once draw 15 to 22 % of all sends (8 of 78): idle and near, so weighed a thousand times the others.

Change: ironscale/crowd.py, pure: a sidecar's part of the traffic by its sends beside the tenants' allowances; faults and slowness of a kind or zone, fading with time. By the part: cold gaps, slots kept at slow upstreams, how many upstreams it uses. Its own window stays open for one of many. Failed connects cost no retry. No copies while all answer slowly.

--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -11,6 +11,7 @@
 
 from ironscale import interface as api
 from ironscale import trust
+from ironscale.crowd import FAULT_HALVES_US, FEW, Common, Traffic
 from ironscale.places import Places
 
 RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
@@ -20,8 +21,14 @@
 SMALLEST_SIZE = 0.1  # of the mean: a listed weight near 0 must not cut an upstream off
 KEPT_IN_HAND = 2.0  # slow answers leave an upstream about so many requests from all sidecars together
 STACKED = 3.0  # times its even share of what is out, that an upstream may get: idle ones come first
+MANY = 20  # sidecars, from which on one's own answers are too few to judge all by
+KEPT_BY_MANY = 4.0  # in place of KEPT_IN_HAND, by each one's part of the traffic
+SPREAD = 4.0  # of an upstream's load, what comes from this sidecar is a part in so many at most
+WELL = 0.3  # share of faults, under which nearness counts
+LEAST_FAVOUR = 1e-4  # hazard: a weight of 0 would mean no try at all, and a refusal in its place
 FAR = 1e-3  # weight of what is not idle and in this zone, where crossing zones costs
 SUBSET = 3.0  # free slots that a draw chooses among, in upstreams of mean size
+COST_NOTHING = (api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)  # nobody
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 SHOWS_NOTHING = (api.Outcome.CANCELLED, api.Outcome.NOT_SENT)  # of the upstream
@@ -68,6 +75,8 @@
         self.used = 0  # slots taken by this sidecar's sends
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
+        self.common = Common()  # its own answers alone
+        self.favour = 1.0  # as last looked at
         self.failing = False  # its last answer was a fault
         self.least_us = 0  # the quickest of its answers: how far it is; 0 = none yet
         self.answered_us = 0  # when what it answered was sent, the latest of it
@@ -145,8 +154,8 @@
         self.buffer: Request | None = None
         self.latency = [Latency(c.aim_us) for c in settings.classes]
         self.window = Window("this sidecar", 1.0)  # for all sends of this sidecar together
+        self.is_one_of_many = False  # most slots of most upstreams lie idle then
         self.least = 1.0  # hazard: after an outage all would rest for long
-        self.least_each = min(1.0, KEPT_IN_HAND / settings.instances)
         self.out = 0  # those that count for it
         self.order: list[Server] = []  # ready upstreams, from this sidecar's own starting point on
         self.places = Places(0)  # those of `order` that are free, as far as they have been looked at
@@ -154,11 +163,14 @@
         self.warming: dict[Server, None] = {}  # cold and free: their weight changes by itself
         self.opening: list[tuple[int, int, Server]] = []  # when to look again, by time; a heap
         self.shut: list[tuple[int, int, Server]] = []  # until when a slot is shut by time alone; a heap
+        self.traffic = Traffic(sum(t.allowance_per_s for t in settings.tenants), settings.instances, now_us)
+        self.all = Common()
+        self.kinds: dict[int, Common] = {}
+        self.zones: dict[int, Common] = {}
         self.home = -1  # a zone, if what is not idle there counts less
-        self.subset = SUBSET
+        self.subset = self.least_subset = SUBSET
         self.retry_tokens = RETRIES_KEPT
         self.busy_at = next((i for i, n in enumerate(settings.report_names) if n == "utilization"), None)
-        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
         self.tenant_seen = [0.0 for _ in settings.tenants]
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
@@ -259,7 +271,7 @@
         if not s.worth_by_work:
             worth /= self.latency[request.event.class_index].mean_us
         if request.event.tenant < len(s.tenants):
-            allowed = s.tenants[request.event.tenant].allowance_per_s / self.allowed_per_s
+            allowed = s.tenants[request.event.tenant].allowance_per_s / max(1.0, self.traffic.allowed_per_s)
             seen = self.tenant_weights[request.event.tenant] / self.tenant_weight
             worth *= s.over_share_worth + (1.0 - s.over_share_worth) * min(1.0, allowed / seen)
         return worth
@@ -307,6 +319,13 @@
             server.confirmed_us = self.confirmed_us = self.now_us
             if server.lesson is not None:
                 self.test(server, outcome, elapsed_us)
+        kind = self.kinds.setdefault(server.entry.kind, Common())
+        zone = self.zones.setdefault(server.entry.zone, Common())
+        if outcome is not None and outcome not in SHOWS_NOTHING:
+            # hazard: each of a lost zone's upstreams would be found out anew, at the price of a request each
+            if zone.end(self.now_us, outcome is not api.Outcome.OK, 1 / 8):
+                self.changed.update((other, None) for other in self.order if other.entry.zone == server.entry.zone)
+            server.common.end(self.now_us, outcome is not api.Outcome.OK, 1 / 4)
         if outcome in INSTANT_FAULTS:
             # hazard: what fails at once would draw ever more; but one in ten must not close them all, nor
             # those that turn away though they have room the sidecar: how full others are, their slots tell
@@ -324,7 +343,7 @@
             step = (attempt.slowness or FULL_LOAD) - slowness
             # hazard: slots opened without need, by many sidecars above all, choke bursts (cf. RFC 7661)
             most = max(1.0, STACKED * (self.out + 1) / max(1, len(self.order)))
-            server.window.move(GROWTH * step, self.least_each, most)
+            server.window.move(GROWTH * step, self.least_each(), most)
             full = min(1.0, max(LEAST_LOAD, FULL_QUEUE * latency.base_us / attempt.slow_us))
             step = (attempt.slowness or full) - slowness
             if server.busy < IDLE:  # hazard: a long request is slow by itself
@@ -334,12 +353,20 @@
             if step > 0.0 or self.window.slots < need:
                 self.window.move(GROWTH / 2 * step, self.least, need)
             attempt.slowness = slowness
+            kind.add(slowness)
+            self.all.add(slowness)
         # hazard: beside answers of seconds, short rests leave a choked upstream crowded
         busy_us = min(max(elapsed_us, latency.mean_us), attempt.slow_us)
         for window in (server.window, self.window):
             window.rest(self.now_us, busy_us * (0.5 + self.random.random()))
             self.log(window)
 
+    def least_each(self) -> float:
+        """Slots that slow answers leave at an upstream. Hazard: by number alone, the few of many sidecars that carry
+        most of the traffic would hold back for all, and refuse what idle upstreams could serve."""
+        return min(1.0, KEPT_BY_MANY * self.traffic.part() if self.is_one_of_many else
+                   KEPT_IN_HAND / self.settings.instances)
+
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has; 1 from where one slot from each
         sidecar can't push it over, as that takes more than one and a half times what it does when warm."""
@@ -362,8 +389,10 @@
         """Rule 4: how long after a send the next may follow, so that all sidecars together send half the
         multiple that a cold upstream bears. A request's work is taken as the time of a usual answer, as if
         the upstream had one core."""
-        s, warmth = self.settings, self.warmth(server)
-        return int(s.instances * work_us / (warmth * max(1.0, s.overload_factor / 2))) if warmth < 1.0 else 0
+        s, warmth, traffic = self.settings, self.warmth(server), self.traffic
+        if traffic.allowed_per_s:  # hazard: answers' times are mostly the way and the queue, also elsewhere
+            work_us = min(work_us, 1e6 * len(self.order) / traffic.allowed_per_s)
+        return int(work_us / (traffic.part() * warmth * max(1.0, s.overload_factor / 2))) if warmth < 1.0 else 0
 
     def draw(self, request: Request) -> Server | None:
         """A random one of the first free slots in this sidecar's order that the request may use, drawn by the
@@ -410,14 +439,23 @@
             if server.place >= 0:
                 self.look_at(server)
 
+    def favour(self, server: Server) -> float:
+        """What is known beyond its slots. Hazard: what fails at once is always idle, and would draw the most."""
+        # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
+        near = server.entry.zone == self.home and server.used == 0
+        own, kind = server.common.faults_at(self.now_us), self.kinds.get(server.entry.kind)
+        zone = self.zones.get(server.entry.zone)
+        shared = zone.faults_at(self.now_us) if zone is not None else 0.0
+        favour = ((1.0 - own) * (1.0 - shared)) ** 3 * (kind.favour(self.all.slowness) if kind is not None else 1.0)
+        return max(LEAST_FAVOUR, favour) * (1.0 if near and max(own, shared) < WELL else FAR)
+
     def look_at(self, server: Server) -> None:
         now_us, window = self.now_us, server.window
         slots, weight, room, warmth = window.open(now_us) - server.used, 0.0, 0.0, self.warmth(server)
         is_cold = warmth < 1.0
         if slots > 0 and not (is_cold and now_us < server.next_cold_us):
-            # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
-            near = 1.0 if server.entry.zone == self.home and server.used == 0 else FAR
-            weight = min(float(slots), window.slots) * server.size * warmth * near
+            server.favour = self.favour(server)
+            weight = min(float(slots), window.slots) * server.size * warmth * server.favour
             room = min(1.0, window.slots) * server.size
         self.places.put(server.place, weight, room)
         if is_cold and weight > 0.0:
@@ -425,6 +463,8 @@
         else:
             self.warming.pop(server, None)
         again_us = window.rest_until_us if window.slots < 1.0 and window.rest_until_us > now_us else 0
+        if server.favour < FAR / 2 and not again_us:  # hazard: what is never drawn would never be thought better of
+            again_us = now_us + FAULT_HALVES_US // 2
         if is_cold and server.next_cold_us > now_us:
             cold_us = min(server.next_cold_us, max(now_us + 1, self.warm_at_us(server)))
             again_us = min(again_us, cold_us) if again_us else cold_us
@@ -445,13 +485,16 @@
         if request.done or request.streaming or self.now_us >= request.event.due_us or sent >= s.max_attempts:
             return False
         # hazard: reissues and copies feed the overload that they answer
-        if (sent > 0 and self.retry_tokens < 1.0) or (request.out > 0 and not s.second_copies):
+        if (self.retry_costs(request) and self.retry_tokens < 1.0) or (request.out > 0 and not s.second_copies):
             return False
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         if first is None or kind.effect == "idempotent":
             return True
         return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
 
+    def retry_costs(self, request: Request) -> bool:
+        return bool(request.attempts) and request.attempts[-1].ended not in COST_NOTHING
+
     def is_bound(self, request: Request) -> bool:
         """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
         kind = self.class_of(request)
@@ -475,7 +518,9 @@
         server.used += 1
         self.changed[server] = None
         self.out += 1
-        self.retry_tokens -= 1.0 if request.attempts else 0.0
+        self.retry_tokens -= 1.0 if self.retry_costs(request) else 0.0
+        self.traffic.count(self.now_us)
+        self.subset = max(self.least_subset, SPREAD * len(self.order) * self.traffic.part())
         slow_us = max(self.half_aim_us(request.event.class_index), 2 * request.event.cost_us)
         request.attempts.append(Attempt(server, self.now_us, slow_us))
         request.out += 1
@@ -512,7 +557,9 @@
                 self.changed[server] = None
             elif attempt.holds:
                 self.wake(attempt.sent_us + max(patience_us, 2 * late_us), "late", request.event.request)
-        if request.out == 1 and self.buffer is None and self.settings.second_copies:
+        # hazard: where all are slow, copies are what makes them so
+        useful = self.buffer is None and (self.all.count < FEW or self.all.slowness < FULL_LOAD)
+        if request.out == 1 and useful and self.settings.second_copies:
             self.try_send(request)
 
     def on_attempt_ended(self, event: api.AttemptEnded) -> None:
@@ -561,6 +608,8 @@
                 self.servers.pop(entry.id, None)
                 continue
             if server is None or server.entry.started_us != entry.started_us:
+                if entry.zone in self.zones:  # its past tells little of what starts anew
+                    self.zones[entry.zone].faults /= 2
                 server = Server(entry)  # a new process: nothing the former one earned or lost is kept
                 # all sidecars hear of a start within moments: their first sends must not come as one burst
                 gap_us = self.cold_gap_us(server, min(latency.careful_us() for latency in self.latency))
@@ -582,7 +631,11 @@
             server.size = max(SMALLEST_SIZE, server.entry.weight / mean) if mean > 0.0 else 1.0
         if ready and not self.order:
             self.window.slots = max(SMALLEST_WINDOW, SLOTS_EACH * len(ready) / count)
-        self.least = min(1.0, len(ready) / count)
+        # hazard: slow answers of a few bad upstreams would shut out all the others, of which many sidecars have most
+        self.is_one_of_many = count >= MANY and 2 * len(ready) >= count
+        self.least = float(len(ready)) if self.is_one_of_many else min(1.0, len(ready) / count)
+        if self.is_one_of_many:
+            self.window.slots = max(self.least, self.window.slots)
         start = len(ready) * (self.settings.self_index % count) // count
         for server in self.order:
             server.place = -1
@@ -591,8 +644,8 @@
         self.changed = dict.fromkeys(self.order)
         for place, server in enumerate(self.order):
             server.place, server.look_us, server.shut_us = place, 0, 0
-        self.home = self.settings.zone if self.settings.cross_zone_fee > 0.0 and self.least == 1.0 else -1
-        self.subset = max(SUBSET, 2.0 * SUBSET * len(ready) / count)
+        self.home = self.settings.zone if self.settings.cross_zone_fee > 0.0 and len(ready) >= count else -1
+        self.subset = self.least_subset = max(SUBSET, 2.0 * SUBSET * len(ready) / count)
 
     def on_settings(self, settings: api.Settings) -> None:
         """Takes on new settings between two events; what has been learned and what is out stays."""
@@ -608,8 +661,7 @@
         for request in self.requests.values():  # hazard: one that waits would be judged by another's share
             tenant = request.event.tenant
             request.event.tenant = moved[tenant] if tenant < len(moved) else len(places)
-        self.allowed_per_s = max(1.0, sum(t.allowance_per_s for t in settings.tenants))
-        self.least_each = min(1.0, KEPT_IN_HAND / settings.instances)
+        self.traffic = Traffic(sum(t.allowance_per_s for t in settings.tenants), settings.instances, self.now_us)
         self.rank()
 
     def view(self) -> list[api.UpstreamView]:
--- /dev/null
+++ b/ironscale/crowd.py
@@ -0,0 +1,65 @@
+"""What one of many sidecars can know of the rest: its part of all traffic, and what upstreams have in common. Pure.
+
+With 40 sidecars each meets most upstreams seldom. What holds for one of a kind or zone holds for its like, and what
+this sidecar sends, beside what the tenants of the whole fleet are allowed, tells how much of the load is its own.
+"""
+
+import math
+
+RATE_MEMORY_US = 5_000_000
+FAULT_HALVES_US = 5_000_000  # hazard: what is drawn no more shows no more, and would be left out for good
+FEW = 8  # answers of a kind that tell nothing yet
+MOST_FAVOUR = 8.0
+STEP = 0.1  # of the share of faults
+
+
+class Traffic:
+    """This sidecar's sends beside those of all."""
+
+    def __init__(self, allowed_per_s: float, instances: int, now_us: int) -> None:
+        self.allowed_per_s, self.instances = allowed_per_s, instances  # the whole fleet's; 0 = not told
+        self.sends_per_s, self.counted_us = allowed_per_s / instances, now_us
+
+    def count(self, now_us: int) -> None:
+        faded = math.exp((self.counted_us - now_us) / RATE_MEMORY_US)
+        self.sends_per_s, self.counted_us = self.sends_per_s * faded + 1e6 / RATE_MEMORY_US, now_us
+
+    def part(self) -> float:
+        """Of 1, about this sidecar's. Half by number, half by what it sends: hazard: by sends alone the parts of all
+        would come to more than 1 in an overload, and a quiet sidecar would have none when its traffic comes."""
+        by_number = 1.0 / self.instances
+        return min(1.0, (by_number + self.sends_per_s / self.allowed_per_s) / 2) if self.allowed_per_s else by_number
+
+
+class Common:
+    """How upstreams of one kind, those in one zone, or all of them, answer."""
+
+    def __init__(self) -> None:
+        self.slowness = 0.0  # smoothed, in slow times
+        self.count = 0
+        self.faults = 0.0  # smoothed share of the attempts that failed, as of `ended_us`
+        self.ended_us = 0
+        self.told = 0.0
+
+    def add(self, slowness: float) -> None:
+        self.count += 1
+        self.slowness += (slowness - self.slowness) * max(1 / 16, 1 / self.count)
+
+    def end(self, now_us: int, is_fault: bool, weight: float) -> bool:
+        """True where so much has changed since it last was that all that share it are to be looked at anew."""
+        faults = self.faults_at(now_us)
+        self.faults, self.ended_us = faults + (is_fault - faults) * weight, now_us
+        changed = abs(self.faults - self.told) > STEP
+        if changed:
+            self.told = self.faults
+        return changed
+
+    def faults_at(self, now_us: int) -> float:
+        faded: float = 0.5 ** min(30.0, (now_us - self.ended_us) / FAULT_HALVES_US)
+        return self.faults * faded
+
+    def favour(self, all_slowness: float) -> float:
+        """Of a kind, beside all: the square of how much quicker it answers."""
+        if self.count < FEW or not self.slowness:
+            return 1.0
+        return min(MOST_FAVOUR, max(1 / MOST_FAVOUR, (all_slowness / self.slowness) ** 2))
