--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -186,7 +186,7 @@
         self.ask_list_at(now_us + int(self.random.random() * self.list_turn_us()))
 
     def list_turn_us(self) -> int:
-        """Discovery has a turn for each of many in so long; at most half of the time that it may go unasked."""
+        """Discovery has a turn for each of many in so long; at most half of the time it may go unasked."""
         s = self.settings
         return min(CALL_US * s.instances, s.ask_within_us // 2) if s.instances >= MANY else 0
 
