An upstream's own faults count for half at once and last twice as long

Cause: judge() gave a fault a quarter and let it fade within 5 s, before the next try of the same upstream.

Change: half for a fault, a quarter back for a good answer, 10 s; capped, so that a bad one is still tried now and then.

--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -11,7 +11,7 @@
 
 from ironscale import interface as api
 from ironscale import trust
-from ironscale.crowd import FAULT_HALVES_US, FEW, Common, Traffic
+from ironscale.crowd import FEW, OWN_HALVES_US, Common, Traffic
 from ironscale.places import Places
 
 RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
@@ -24,6 +24,7 @@
 MANY = 20  # sidecars, from which on one's own answers are too few to judge all by
 KEPT_BY_MANY = 4.0  # in place of KEPT_IN_HAND, by each one's part of the traffic
 SPREAD = 4.0  # of an upstream's load, what comes from this sidecar is a part in so many at most
+MOST_FAULTS = 0.75  # that count: (1 - this) ** 3 is SMALLEST_WINDOW
 WELL = 0.3  # share of faults, under which nearness counts
 LEAST_FAVOUR = 1e-4  # hazard: a weight of 0 would mean no try at all, and a refusal in its place
 FAR = 1e-3  # weight of what is not idle and in this zone, where crossing zones costs
@@ -76,7 +77,7 @@
         self.used = 0  # slots taken by this sidecar's sends
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
-        self.common = Common()  # its own answers alone
+        self.common = Common(OWN_HALVES_US)  # its own answers alone
         self.favour = 1.0  # as last looked at
         self.failing = False  # its last answer was a fault
         self.least_us = 0  # the quickest of its answers: how far it is; 0 = none yet
@@ -333,7 +334,9 @@
             if zone.end(self.now_us, outcome is not api.Outcome.OK, 1 / 8):
                 alike = (other for other in self.order if other.entry.zone == server.entry.zone)
                 self.changed.update(dict.fromkeys(alike))
-            server.common.end(self.now_us, outcome is not api.Outcome.OK, 1 / 4)
+            # hazard: met every few seconds, an upstream that fails at random would never be found out
+            is_fault = outcome is not api.Outcome.OK
+            server.common.end(self.now_us, is_fault, 1 / 2 if is_fault else 1 / 4)
         if outcome in INSTANT_FAULTS:
             # hazard: what fails at once would draw ever more; but one in ten must not close them all, nor
             # those that turn away though they have room the sidecar: how full others are, their slots tell
@@ -452,7 +455,7 @@
         """What is known beyond its slots. Hazard: what fails at once is idle, and would draw the most."""
         # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
         near = server.entry.zone == self.home and server.used == 0
-        own, kind = server.common.faults_at(self.now_us), self.kinds.get(server.entry.kind)
+        own, kind = min(MOST_FAULTS, server.common.faults_at(self.now_us)), self.kinds.get(server.entry.kind)
         zone = self.zones.get(server.entry.zone)
         shared = zone.faults_at(self.now_us) if zone is not None else 0.0
         favour = ((1.0 - own) * (1.0 - shared)) ** 3
@@ -474,7 +477,7 @@
             self.warming.pop(server, None)
         again_us = window.rest_until_us if window.slots < 1.0 and window.rest_until_us > now_us else 0
         if server.favour < FAR / 2 and not again_us:  # hazard: what is never drawn is never thought better of
-            again_us = now_us + FAULT_HALVES_US // 2
+            again_us = now_us + OWN_HALVES_US // 8
         if is_cold and server.next_cold_us > now_us:
             cold_us = min(server.next_cold_us, max(now_us + 1, self.warm_at_us(server)))
             again_us = min(again_us, cold_us) if again_us else cold_us
--- a/ironscale/crowd.py
+++ b/ironscale/crowd.py
@@ -8,6 +8,7 @@
 
 RATE_MEMORY_US = 5_000_000
 FAULT_HALVES_US = 5_000_000  # hazard: what is drawn no more shows no more, and would be left out for good
+OWN_HALVES_US = 10_000_000  # of one upstream, as it is met more seldom than its like
 FEW = 8  # answers of a kind that tell nothing yet
 MOST_FAVOUR = 8.0
 STEP = 0.1  # of the share of faults
@@ -39,7 +40,8 @@
 class Common:
     """How upstreams of one kind, those in one zone, or all of them, answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, halves_us: int = FAULT_HALVES_US) -> None:
+        self.halves_us = halves_us
         self.slowness = 0.0  # smoothed, in slow times
         self.count = 0
         self.faults = 0.0  # smoothed share of the attempts that failed, as of `ended_us`
@@ -60,7 +62,7 @@
         return changed
 
     def faults_at(self, now_us: int) -> float:
-        faded: float = 0.5 ** min(30.0, (now_us - self.ended_us) / FAULT_HALVES_US)
+        faded: float = 0.5 ** min(30.0, (now_us - self.ended_us) / self.halves_us)
         return self.faults * faded
 
     def favour(self, all_slowness: float) -> float:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -145,6 +145,18 @@
     assert drawn[bad] < sum(drawn[ident] for ident in near) / len(near) / 2
 
 
+def test_one_error_is_remembered_where_an_upstream_is_met_every_few_seconds() -> None:
+    """A good one's errors are one in thousands; two in five of a bad one's, and the next try is seconds away."""
+    world = many()
+    bad = world.balancer.servers[104]
+    before = world.balancer.favour(bad)
+    bad.common.end(world.now_us, True, 1 / 2)
+    world.advance(3 * SECOND_US)
+    bad.common.end(world.now_us, False, 1 / 4)
+    world.advance(3 * SECOND_US)
+    assert world.balancer.favour(bad) < before / 2
+
+
 def test_slow_answers_of_some_do_not_close_one_of_many_sidecars() -> None:
     world = many(20.0)
     for _ in range(40):
