--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -572,8 +572,9 @@
                 self.changed[server] = None
             elif attempt.holds:
                 self.wake(attempt.sent_us + max(patience_us, 2 * late_us), "late", request.event.request)
-        # hazard: where all are slow, copies are what makes them so
-        useful = self.buffer is None and (self.all.count < FEW or self.all.slowness < FULL_LOAD)
+        # hazard: where all are slow, copies are what makes them so, and those of many sidecars come together
+        calm = LEAST_LOAD if self.is_one_of_many else FULL_LOAD
+        useful = self.buffer is None and (self.all.count < FEW or self.all.slowness < calm)
         if request.out == 1 and useful and self.settings.second_copies:
             self.try_send(request)
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -37,7 +37,7 @@
 def many(rate_per_s: float = 0.0, count: int = 60, **changes: object) -> World:
     """One of 40 sidecars before 60 upstreams in four zones, the fleet allowed 1,000 requests a second; after ten
     seconds in which it has sent so many."""
-    world = World(settings(instances=40, tenants=[Tenant("north", 1000.0, 1.0)], **changes))
+    world = World(settings(**{"instances": 40, "tenants": [Tenant("north", 1000.0, 1.0)], **changes}))
     world.tell_list([Upstream(100 + i, zone=i % 4, kind=i % 3, cell=i % 4) for i in range(count)])
     out: deque[tuple[int, int]] = deque()
     for _ in range(int(10 * rate_per_s)):
@@ -187,8 +187,8 @@
 
 
 def test_copies_are_left_out_while_all_answer_slowly() -> None:
-    def copies(answer_us: int) -> int:
-        world = many(20.0)
+    def copies(answer_us: int, instances: int = 40) -> int:
+        world = many(20.0, instances=instances)
         for _ in range(40):
             world.advance(50_000)
             end(world, world.arrive(READ), 0, Outcome.OK, answer_us)
@@ -196,7 +196,8 @@
         world.advance(160_000)
         return len(world.sends(request)) - 1
 
-    assert (copies(20_000), copies(250_000)) == (1, 0)
+    assert (copies(20_000), copies(75_000), copies(250_000)) == (1, 0, 0)
+    assert (copies(20_000, 5), copies(75_000, 5), copies(250_000, 5)) == (1, 1, 0)
 
 
 def test_the_parts_grow_smoothly() -> None:
