--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -184,7 +184,8 @@
         self.lessons: list[api.Lessons] = []  # recalled; they wait for the list
         self.has_list = False  # from discovery, not one as last known
         # hazard: all of many start together, and discovery goes on working at calls that have waited too long
-        self.ask_list_at(now_us + int(self.random.random() * self.list_turn_us()))
+        turn_us = self.list_turn_us()
+        self.ask_list_at(now_us + (self.random.randrange(turn_us) if turn_us else 0))
 
     def list_turn_us(self) -> int:
         """Discovery has a turn for each of many in so long; at most half of the time it may go unasked."""
