An upstream that failed and has come back is used within seconds again

With the order of draws as it was, an upstream that had failed got 5 of the last 200 sends, 30 wanted.

Cause: its own faults, kept for 10 s since 'count for half at once', outlast the 8 s of the test; they had passed by another order of draws.

Change: 5 s, as before that commit.

--- a/ironscale/crowd.py
+++ b/ironscale/crowd.py
@@ -8,7 +8,7 @@
 
 RATE_MEMORY_US = 5_000_000
 FAULT_HALVES_US = 5_000_000  # hazard: what is drawn no more shows no more, and would be left out for good
-OWN_HALVES_US = 10_000_000  # of one upstream, as it is met more seldom than its like
+OWN_HALVES_US = 5_000_000  # of one upstream, as it is met more seldom than its like
 FEW = 8  # answers of a kind that tell nothing yet
 MOST_FAVOUR = 8.0
 STEP = 0.1  # of the share of faults
