Read again: cold upstreams of the first list are paced; a recalled window stays open

A probe of 40 sidecars that start beside a cold upstream: all 40 might send to it at once, where its gap is 9.6 s (rule 4). And recall_times() put the window of one of many at 12 slots, under the floor of one for each of 60 upstreams, so that learned state closed it again.

Change: new processes are paced after rank(); the usual window is worked out in one place, usual_slots(), for both uses. Two tests, both failing before. Simpler: Common held two things that no user shared, and a time that was the same for all; it is Slowness (kinds, all) and Faults (zones, each upstream) now. A test that repeated the formula it was for goes by figures.

--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -11,7 +11,7 @@
 
 from ironscale import interface as api
 from ironscale import trust
-from ironscale.crowd import FEW, OWN_HALVES_US, Common, Traffic
+from ironscale.crowd import FAULT_HALVES_US, Faults, Slowness, Traffic
 from ironscale.places import Places
 
 RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
@@ -29,7 +29,7 @@
 LEAST_FAVOUR = 1e-4  # hazard: a weight of 0 would mean no try at all, and a refusal in its place
 FAR = 1e-3  # weight of what is not idle and in this zone, where crossing zones costs
 SUBSET = 3.0  # free slots that a draw chooses among, in upstreams of mean size
-COST_NOTHING = (api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)  # nobody
+COST_NOTHING = (api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)  # of any upstream's work
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 INSTANT_FAULTS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.ERROR, api.Outcome.RESET)
 SHOWS_NOTHING = (api.Outcome.CANCELLED, api.Outcome.NOT_SENT)  # of the upstream
@@ -77,7 +77,7 @@
         self.used = 0  # slots taken by this sidecar's sends
         self.window = Window(f"upstream {entry.id}", 1.0)  # one slot, as in the paper
         self.busy = 1.0  # as it last reported; not known counts as busy
-        self.common = Common(OWN_HALVES_US)  # its own answers alone
+        self.faults = Faults()
         self.favour = 1.0  # as last looked at
         self.failing = False  # its last answer was a fault
         self.least_us = 0  # the quickest of its answers: how far it is; 0 = none yet
@@ -166,9 +166,9 @@
         self.opening: list[tuple[int, int, Server]] = []  # when to look again, by time; a heap
         self.shut: list[tuple[int, int, Server]] = []  # until when a slot is shut by time alone; a heap
         self.traffic = Traffic(sum(t.allowance_per_s for t in settings.tenants), settings.instances, now_us)
-        self.all = Common()
-        self.kinds: dict[int, Common] = {}
-        self.zones: dict[int, Common] = {}
+        self.slowness = Slowness()  # of all answers
+        self.kinds: dict[int, Slowness] = {}
+        self.zones: dict[int, Faults] = {}
         self.home = -1  # a zone, if what is not idle there counts less
         self.subset = self.least_subset = SUBSET
         self.retry_tokens = RETRIES_KEPT
@@ -328,16 +328,14 @@
             server.confirmed_us = self.confirmed_us = self.now_us
             if server.lesson is not None:
                 self.test(server, outcome, elapsed_us)
-        kind = self.kinds.setdefault(server.entry.kind, Common())
-        zone = self.zones.setdefault(server.entry.zone, Common())
         if outcome is not None and outcome not in SHOWS_NOTHING:
+            is_fault = outcome is not api.Outcome.OK
             # hazard: each of a lost zone's upstreams would be found out anew, at the price of a request each
-            if zone.end(self.now_us, outcome is not api.Outcome.OK, 1 / 8):
+            if self.zones.setdefault(server.entry.zone, Faults()).end(self.now_us, is_fault, 1 / 8):
                 alike = (other for other in self.order if other.entry.zone == server.entry.zone)
                 self.changed.update(dict.fromkeys(alike))
             # hazard: met every few seconds, an upstream that fails at random would never be found out
-            is_fault = outcome is not api.Outcome.OK
-            server.common.end(self.now_us, is_fault, 1 / 2 if is_fault else 1 / 4)
+            server.faults.end(self.now_us, is_fault, 1 / 2 if is_fault else 1 / 4)
         if outcome in INSTANT_FAULTS:
             # hazard: what fails at once would draw ever more; but one in ten must not close them all, nor
             # those that turn away though they have room the sidecar: how full others are, their slots tell
@@ -365,8 +363,8 @@
             if step > 0.0 or self.window.slots < need:
                 self.window.move(GROWTH / 2 * step, self.least, need)
             attempt.slowness = slowness
-            kind.add(slowness)
-            self.all.add(slowness)
+            for shared in (self.slowness, self.kinds.setdefault(server.entry.kind, Slowness())):
+                shared.add(slowness)
         # hazard: beside answers of seconds, short rests leave a choked upstream crowded
         busy_us = min(max(elapsed_us, latency.mean_us), attempt.slow_us)
         for window in (server.window, self.window):
@@ -400,7 +398,7 @@
     def cold_gap_us(self, server: Server, work_us: float) -> int:
         """Rule 4: how long after a send the next may follow, so that all sidecars together send half the
         multiple that a cold upstream bears. A request's work is taken as the time of a usual answer, as if
-        the upstream had one core."""
+        the upstream had one core; at most as what its part of all that tenants are allowed leaves for one."""
         s, warmth, traffic = self.settings, self.warmth(server), self.traffic
         if traffic.allowed_per_s:  # hazard: answers' times are mostly the way and the queue, also elsewhere
             work_us = min(work_us, 1e6 * len(self.order) / traffic.allowed_per_s)
@@ -456,11 +454,11 @@
         """What is known beyond its slots. Hazard: what fails at once is idle, and would draw the most."""
         # hazard: with more sidecars than upstreams what we leave idle is busy, and a zone is overrun
         near = server.entry.zone == self.home and server.used == 0
-        own, kind = min(MOST_FAULTS, server.common.faults_at(self.now_us)), self.kinds.get(server.entry.kind)
-        zone = self.zones.get(server.entry.zone)
-        shared = zone.faults_at(self.now_us) if zone is not None else 0.0
+        kind, zone = self.kinds.get(server.entry.kind), self.zones.get(server.entry.zone)
+        own = min(MOST_FAULTS, server.faults.share(self.now_us))
+        shared = zone.share(self.now_us) if zone is not None else 0.0
         favour = ((1.0 - own) * (1.0 - shared)) ** 3
-        favour *= kind.favour(self.all.slowness) if kind is not None else 1.0
+        favour *= kind.favour(self.slowness) if kind is not None else 1.0
         return max(LEAST_FAVOUR, favour) * (1.0 if near and max(own, shared) < WELL else FAR)
 
     def look_at(self, server: Server) -> None:
@@ -478,7 +476,7 @@
             self.warming.pop(server, None)
         again_us = window.rest_until_us if window.slots < 1.0 and window.rest_until_us > now_us else 0
         if server.favour < FAR / 2 and not again_us:  # hazard: what is never drawn is never thought better of
-            again_us = now_us + OWN_HALVES_US // 8
+            again_us = now_us + FAULT_HALVES_US // 8
         if is_cold and server.next_cold_us > now_us:
             cold_us = min(server.next_cold_us, max(now_us + 1, self.warm_at_us(server)))
             again_us = min(again_us, cold_us) if again_us else cold_us
@@ -498,9 +496,9 @@
         s, sent = self.settings, len(request.attempts)
         if request.done or request.streaming or self.now_us >= request.event.due_us or sent >= s.max_attempts:
             return False
-        # hazard: reissues and copies feed the overload that they answer
         if request.out > 0 and not s.second_copies:
             return False
+        # hazard: reissues and copies feed the overload that they answer
         if self.retry_costs(request) and self.retry_tokens < 1.0:
             return False
         first, kind = request.first_that_may_have_run(), self.class_of(request)
@@ -575,7 +573,7 @@
                 self.wake(attempt.sent_us + max(patience_us, 2 * late_us), "late", request.event.request)
         # hazard: where all are slow, copies are what makes them so, and those of many sidecars come together
         calm = LEAST_LOAD if self.is_one_of_many else FULL_LOAD
-        useful = self.buffer is None and (self.all.count < FEW or self.all.slowness < calm)
+        useful = self.buffer is None and not self.slowness.exceeds(calm)
         if request.out == 1 and useful and self.settings.second_copies:
             self.try_send(request)
 
@@ -617,7 +615,7 @@
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
-        old = self.servers
+        old, new = self.servers, list[Server]()
         # hazard: under rolling deploys what is gone would pile up; its outstanding attempts still hold it
         self.servers = dict(old) if event.kind is api.ListKind.DELTA else {}
         for entry in event.upstreams:
@@ -627,15 +625,17 @@
                 continue
             if server is None or server.entry.started_us != entry.started_us:
                 if entry.zone in self.zones:  # its past tells little of what starts anew
-                    self.zones[entry.zone].faults /= 2
+                    self.zones[entry.zone].last /= 2
                 server = Server(entry)  # a new process: nothing the former one earned or lost is kept
-                # all sidecars hear of a start within moments: their first sends must not come as one burst
-                gap_us = self.cold_gap_us(server, min(latency.careful_us() for latency in self.latency))
-                server.next_cold_us = self.now_us + int(gap_us * self.random.random())
+                new.append(server)
             server.entry = entry
             self.servers[entry.id] = server
         self.has_list = self.has_list or event.kind is not api.ListKind.CACHED
         self.rank()
+        for server in new:
+            # all sidecars hear of a start within moments: their first sends must not come as one burst
+            gap_us = self.cold_gap_us(server, min(latency.careful_us() for latency in self.latency))
+            server.next_cold_us = self.now_us + int(gap_us * self.random.random())
         self.apply_lessons()
 
     def rank(self) -> None:
@@ -647,12 +647,12 @@
         mean = sum(server.entry.weight for server in ready) / max(1, len(ready))
         for server in ready:
             server.size = max(SMALLEST_SIZE, server.entry.weight / mean) if mean > 0.0 else 1.0
-        if ready and not self.order:
-            self.window.slots = max(SMALLEST_WINDOW, SLOTS_EACH * len(ready) / count)
         # hazard: slow answers of a few bad upstreams would shut one of many sidecars out from all the others
         self.is_one_of_many = count >= MANY and 2 * len(ready) >= count
         self.least = float(len(ready)) if self.is_one_of_many else min(1.0, len(ready) / count)
-        if self.is_one_of_many:
+        if ready and not self.order:
+            self.window.slots = self.usual_slots(len(ready))
+        elif self.is_one_of_many:
             self.window.slots = max(self.least, self.window.slots)
         start = len(ready) * (self.settings.self_index % count) // count
         for server in self.order:
@@ -665,6 +665,11 @@
         self.home = self.settings.zone if self.settings.cross_zone_fee > 0.0 and len(ready) >= count else -1
         self.subset = self.least_subset = max(SUBSET, 2.0 * SUBSET * len(ready) / count)
 
+    def usual_slots(self, ready: int) -> float:
+        """Of this sidecar, for all its sends, before anything is learned."""
+        usual = max(SMALLEST_WINDOW, SLOTS_EACH * ready / self.settings.instances)
+        return max(self.least, usual) if self.is_one_of_many else usual
+
     def on_settings(self, settings: api.Settings) -> None:
         """Takes on new settings between two events; what has been learned and what is out stays."""
         old, self.settings = self.settings, settings
@@ -759,7 +764,7 @@
         if self.confirmed_us == 0 and lessons.slots > 0.0:
             # hazard: a shut one is self-fulfilling, an open one a burst: the usual to twice that
             share = trust.share(self.now_us - lessons.confirmed_us, trust.SIDECAR_HALVES_US)
-            usual = max(SMALLEST_WINDOW, SLOTS_EACH * count / self.settings.instances)
+            usual = self.usual_slots(count)
             self.window.slots = trust.between(usual, min(max(lessons.slots, usual), 2 * usual), share)
 
     def believe(self, server: Server, whole: api.UpstreamLesson, lesson: api.UpstreamLesson) -> None:
--- a/ironscale/crowd.py
+++ b/ironscale/crowd.py
@@ -8,7 +8,6 @@
 
 RATE_MEMORY_US = 5_000_000
 FAULT_HALVES_US = 5_000_000  # hazard: what is drawn no more shows no more, and would be left out for good
-OWN_HALVES_US = 5_000_000  # of one upstream, as it is met more seldom than its like
 FEW = 8  # answers of a kind that tell nothing yet
 MOST_FAVOUR = 8.0
 STEP = 0.1  # of the share of faults
@@ -37,36 +36,44 @@
         return min(1.0, (by_number + self.sends_per_s / self.allowed_per_s) / 2)
 
 
-class Common:
-    """How upstreams of one kind, those in one zone, or all of them, answer."""
+class Slowness:
+    """How slowly the upstreams of one kind, or all, answer: smoothed, in slow times."""
 
-    def __init__(self, halves_us: int = FAULT_HALVES_US) -> None:
-        self.halves_us = halves_us
-        self.slowness = 0.0  # smoothed, in slow times
+    def __init__(self) -> None:
+        self.mean = 0.0
         self.count = 0
-        self.faults = 0.0  # smoothed share of the attempts that failed, as of `ended_us`
-        self.ended_us = 0
-        self.told = 0.0
 
     def add(self, slowness: float) -> None:
         self.count += 1
-        self.slowness += (slowness - self.slowness) * max(1 / 16, 1 / self.count)
+        self.mean += (slowness - self.mean) * max(1 / 16, 1 / self.count)
+
+    def exceeds(self, limit: float) -> bool:
+        return self.count >= FEW and self.mean >= limit
+
+    def favour(self, of_all: "Slowness") -> float:
+        """Of a kind, beside all: the square of how much quicker it answers."""
+        if self.count < FEW or not self.mean:
+            return 1.0
+        return min(MOST_FAVOUR, max(1 / MOST_FAVOUR, (of_all.mean / self.mean) ** 2))
+
+
+class Faults:
+    """The share of attempts that fail, at one upstream or in one zone: smoothed, fading with time."""
+
+    def __init__(self) -> None:
+        self.last = 0.0  # as of `ended_us`
+        self.ended_us = 0
+        self.told = 0.0
 
     def end(self, now_us: int, is_fault: bool, weight: float) -> bool:
         """True where so much has changed that all that share it are to be looked at anew."""
-        faults = self.faults_at(now_us)
-        self.faults, self.ended_us = faults + (is_fault - faults) * weight, now_us
-        changed = abs(self.faults - self.told) > STEP
+        share = self.share(now_us)
+        self.last, self.ended_us = share + (is_fault - share) * weight, now_us
+        changed = abs(self.last - self.told) > STEP
         if changed:
-            self.told = self.faults
+            self.told = self.last
         return changed
 
-    def faults_at(self, now_us: int) -> float:
-        faded: float = 0.5 ** min(30.0, (now_us - self.ended_us) / self.halves_us)
-        return self.faults * faded
-
-    def favour(self, all_slowness: float) -> float:
-        """Of a kind, beside all: the square of how much quicker it answers."""
-        if self.count < FEW or not self.slowness:
-            return 1.0
-        return min(MOST_FAVOUR, max(1 / MOST_FAVOUR, (all_slowness / self.slowness) ** 2))
+    def share(self, now_us: int) -> float:
+        faded: float = 0.5 ** min(30.0, (now_us - self.ended_us) / FAULT_HALVES_US)
+        return self.last * faded
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -4,12 +4,13 @@
 
 import heapq
 from collections import Counter, deque
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
 
 from ironscale.balance import Balancer
-from ironscale.crowd import FAULT_HALVES_US, Common, Traffic
+from ironscale.crowd import FAULT_HALVES_US, Faults, Slowness, Traffic
 from ironscale.interface import (
     Action,
     Event,
@@ -77,21 +78,22 @@
 
 
 def test_faults_fade_with_time() -> None:
-    common = Common()
+    faults = Faults()
     for _ in range(40):
-        common.end(START_US, True, 1 / 8)
-    assert common.faults_at(START_US) > 0.95
-    assert common.faults_at(START_US + FAULT_HALVES_US) == pytest.approx(0.5, rel=0.05)
-    assert common.faults_at(START_US + 100 * FAULT_HALVES_US) < 1e-6
+        faults.end(START_US, True, 1 / 8)
+    assert faults.share(START_US) > 0.95
+    assert faults.share(START_US + FAULT_HALVES_US) == pytest.approx(0.5, rel=0.05)
+    assert faults.share(START_US + 100 * FAULT_HALVES_US) < 1e-6
 
 
 def test_a_kind_that_answers_twice_as_slowly_has_a_quarter_of_the_favour() -> None:
-    slow, few = Common(), Common()
+    slow, few, usual = Slowness(), Slowness(), Slowness()
     for _ in range(40):
         slow.add(1.0)
+        usual.add(0.5)
     few.add(8.0)
-    assert slow.favour(0.5) == pytest.approx(0.25)
-    assert few.favour(0.5) == 1.0
+    assert slow.favour(usual) == pytest.approx(0.25)
+    assert few.favour(usual) == 1.0
 
 
 def test_a_zone_that_takes_no_connection_is_left_after_a_few_tries_and_not_after_one_for_each() -> None:
@@ -150,9 +152,9 @@
     world = many()
     bad = world.balancer.servers[104]
     before = world.balancer.favour(bad)
-    bad.common.end(world.now_us, True, 1 / 2)
+    bad.faults.end(world.now_us, True, 1 / 2)
     world.advance(3 * SECOND_US)
-    bad.common.end(world.now_us, False, 1 / 4)
+    bad.faults.end(world.now_us, False, 1 / 4)
     world.advance(3 * SECOND_US)
     assert world.balancer.favour(bad) < before / 2
 
@@ -174,16 +176,14 @@
 
 
 def test_cold_upstreams_get_by_the_fleets_allowance_and_not_by_how_slow_all_are() -> None:
-    """Answers of half a second, and still a request each 20 s at 40 sidecars, not each 200 s."""
-    world = many(20.0)
-    for _ in range(40):
-        end(world, world.arrive(READ), 0, Outcome.OK, 500_000)
-    cold = Upstream(900, started_us=world.now_us)
-    world.tell_list([cold])
+    """1,000 requests a second on 60 upstreams: 16.7 each, a fifth of it cold, five quarters of that from all 40
+    sidecars; an even part is one request in 9.6 s. Answers of 5 s would make it 800 s."""
+    world = many()
+    world.tell_list([*world.known.values(), Upstream(900, started_us=world.now_us)])
     server = world.balancer.servers[900]
-    gap_us = world.balancer.cold_gap_us(server, 500_000)
-    budget_per_s = world.balancer.traffic.part() * 0.2 * 1.25 * 1000.0 / len(world.balancer.order)
-    assert gap_us == pytest.approx(min(1e6 / budget_per_s, 500_000 / world.balancer.traffic.part() / 0.25), rel=0.01)
+    gaps = [world.balancer.cold_gap_us(server, work_us) for work_us in (500_000, 5_000_000)]
+    assert gaps[0] == gaps[1] == pytest.approx(9_600_000, rel=0.05)
+    assert world.balancer.cold_gap_us(server, 10_000) == pytest.approx(1_600_000, rel=0.05)
 
 
 def test_copies_are_left_out_while_all_answer_slowly() -> None:
@@ -254,3 +254,24 @@
     balancer = Balancer(settings(instances=5, list_on_request=True, ask_within_us=10 * SECOND_US), 7, START_US)
     actions = balancer.handle(START_US, UpstreamsUpdated(ListKind.CACHED, [Upstream(100)]))
     assert [action.at_us for action in actions if isinstance(action, SetTimer)] == [START_US + 1]
+
+
+def test_forty_that_start_beside_cold_upstreams_do_not_send_to_one_of_them_at_once() -> None:
+    """Rule 4: their first sends are spread over the gap by which each is paced, also in the first list of all."""
+    waits = []
+    for number in range(40):
+        world = World(settings(instances=40, self_index=number, tenants=[Tenant("north", 1000.0, 1.0)]), number)
+        cold = [Upstream(900 + i, started_us=world.now_us) for i in range(6)]
+        world.tell_list([Upstream(100 + i) for i in range(54)] + cold)
+        waits.append(world.balancer.servers[900].next_cold_us - world.now_us)
+    gap_us = world.balancer.cold_gap_us(world.balancer.servers[900], 150_000)
+    assert max(waits) <= gap_us and sum(wait < gap_us / 4 for wait in waits) < 20, (gap_us, sorted(waits))
+
+
+def test_what_was_learned_closes_one_of_many_no_further_than_slow_answers_do() -> None:
+    world = many(20.0)
+    lessons = replace(world.balancer.learned(), slots=1.0)
+    newcomer = Balancer(world.settings, 8, world.now_us)
+    newcomer.recall(world.now_us, lessons)
+    newcomer.handle(world.now_us, UpstreamsUpdated(ListKind.FULL, list(world.known.values())))
+    assert newcomer.window.slots >= 60.0
