Two tests wait on states: a pause's end by the timeline, connections that are kept for use

Laps in it (a probe, not kept) showed 14.0 s in each of its two waits for one connection at most at the upstream, and 0.05 s in all else: two connections may be kept for the listed upstream, where a request met the first at its rest, and a kept one goes only after 13.5 s without use. With Pool.leave left out for one that is gone it fails.

test_a_pause_holds_all_and_lets_go_of_all allowed its second mark 1 ms: what is late in the first mark is missing from the difference. It goes by the timeline's own times; and a stand-in's fault no longer comes up to 1 ms early, as the loop's timers count whole milliseconds. With a pause that holds nothing it fails.

--- a/ironscale/standins/site.py
+++ b/ironscale/standins/site.py
@@ -314,7 +314,9 @@
         self.tell({"mark": what, "at_us": at_us, "upstream": upstream, "of": of})
 
     async def until(self, at_us: int) -> None:
-        await asyncio.sleep(max(0.0, (self.start_us + at_us - now_us()) / 1e6))
+        """Not before that time: the loop's timers count whole milliseconds, and fire up to one early."""
+        while (left_us := self.start_us + at_us - now_us()) > 0:
+            await asyncio.sleep(left_us / 1e6)
 
     async def befall(self, fault: dict[str, Any]) -> None:
         struck = [self.upstreams[i] for i in fault["upstreams"]]
--- a/tests/load/test_site.py
+++ b/tests/load/test_site.py
@@ -81,12 +81,12 @@
     async def test() -> None:
         scene = await Scene(fault("pause", 0, 400_000), work_us=1_000).start()
         await until(lambda: scene.happened("pause"))
-        start_us = time.monotonic()
         old, new = await asyncio.gather(scene.ask("a-0-0"), scene.ask("a-1-0"))
         assert (old.body, new.body) == (b"a-0-0", b"a-1-0")
-        assert scene.happened("pause ends") and time.monotonic() - start_us > 0.2
+        assert scene.happened("pause ends")  # held till then: an answer before it would find no such mark
+        # by the timeline and not by the other mark, which comes late where the loop has no CPU
         marks = {t["mark"]: t["at_us"] for t in scene.told if "mark" in t}
-        assert marks["pause ends"] - marks["pause"] >= 400_000 - 1_000
+        assert marks["pause"] >= 0 and marks["pause ends"] >= 400_000
 
     run(test)
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -508,13 +508,19 @@
                                      | upstream.Attempt | upstream.Pool) for o in gc.get_objects())
             return objects, len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
 
+        def settled() -> bool:
+            """Nothing is out, and the upstream has no connection but those kept for the one that is listed. They may be
+            two, where a request met the first at its rest: one that is waited for is gone only once it expires."""
+            pool, = sidecar.upstreams.pools.values()
+            return not pool.busy and len(peer.writers) == sidecar.upstreams.open == len(pool.idle)
+
         for generation in range(1, 6):
             await churn(generation)
-        await until(lambda: len(peer.writers) <= 1)
+        await until(settled)
         before = counts()
         for generation in range(6, 40):
             await churn(generation)
-        await until(lambda: len(peer.writers) <= 1)
+        await until(settled)
         objects, descriptors, tasks = counts()
         assert objects <= before[0] + 5 and descriptors <= before[1] + 3 and tasks <= before[2] + 3
         assert len(sidecar.balancer.servers) == len(sidecar.upstreams.pools) == 1
