--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -16,9 +16,12 @@
 from ironscale.agent.difference import difference
 from ironscale.agent.fleet import Fleet
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Plan, Policy, Send, State, Target
+from ironscale.agent.permits import Permits, permit_id
+from ironscale.agent.refusal import Refusal
 from ironscale.agent.store import Configuration, Event, Records, Store, StoreError
 from ironscale.control.frames import FrameError, encode
 from ironscale.control.messages import Command, Report, Result, write
+from ironscale.disruption.model import Budget, Halt, Permit
 
 RETRY_S = 1.0  # after the record could not be written
 REST_SHARE = 1  # an operation rests for so many times what its last round took: thousands report at once
@@ -27,15 +30,6 @@
 AGENT = "agent"  # the actor of what the agent does by itself
 
 
-class Refusal(Exception):
-    """A mutation that is turned away with nothing done: a stable code, one line, what to know about it."""
-
-    def __init__(self, code: str, text: str, **details: Any) -> None:
-        super().__init__(text)
-        self.code = code
-        self.details = details
-
-
 @dataclass(slots=True)
 class Live:
     """An open operation in memory: what the record has, and what has come in since."""
@@ -48,6 +42,7 @@
     answers: deque[tuple[str, str, str, str]] = field(default_factory=deque)  # name, command, status, detail
     superseded: dict[str, int] = field(default_factory=dict)
     stalled: str = ""  # why it can't go on at present
+    waits: str = ""  # for room in a budget, or for the end of a halt
     index: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -68,8 +63,10 @@
 
 class Engine:
     def __init__(self, store: Store, fleet: Fleet, now_ms: Callable[[], int],
-                 log: Callable[[str], None]) -> None:
+                 log: Callable[[str], None], budgets: Sequence[Budget] = ()) -> None:
         self.store, self.fleet, self.now_ms, self.log = store, fleet, now_ms, log
+        self.permits = Permits(budgets, store, fleet, now_ms, log)
+        self.permits.room, self.permits.notify, self.permits.question = self.room, self.notify, self.inspect
         self.live: dict[int, Live] = {}
         self.overlays: dict[int, dict[str, Any]] = {0: {}}
         self.tasks: asyncio.TaskGroup | None = None
@@ -87,17 +84,20 @@
     # The record at the start
 
     async def load(self) -> None:
-        def work(records: Records) -> tuple[list[tuple[Operation, list[Target]]], dict[int, dict[str, Any]]]:
+        def work(records: Records) -> tuple[list[tuple[Operation, list[Target]]], dict[int, dict[str, Any]],
+                                            list[Permit], Halt | None]:
             ops = records.operations(2**62, 10_000, open_only=True)
             wanted = {row.desired for row in records.instances()} | {op.generation for op in ops}
             found = [(op, records.targets(op.id)) for op in sorted(ops, key=lambda op: op.id)]
             wanted |= {target.from_generation for _, targets in found for target in targets}
             kept = {g: records.configuration(g) for g in wanted}
             self.fleet.load(records.instances(), records.alive_ms())
-            return found, {g: c.overlay for g, c in kept.items() if c is not None}
+            overlays = {g: c.overlay for g, c in kept.items() if c is not None}
+            return found, overlays, records.permits(open_only=True), records.halt()
 
-        found, overlays = await self.store.read(work)
+        found, overlays, permits, halt = await self.store.read(work)
         self.overlays.update(overlays)
+        self.permits.load(permits, halt)
         for op, targets in found:
             # hazard: the time without an agent, or a clock set back, must not count against the instances
             targets = [replace(t, sent_ms=self.now_ms()) if t.command else t for t in targets]
@@ -108,6 +108,7 @@
             other.superseded.update({t.name: op.id for t in targets if t.name in other.index})
             other.names = None
             other.changed.set()
+        self.permits.adopt(op, targets)
         live = self.live[op.id] = Live(op, targets)
         if self.tasks is not None:
             self.tasks.create_task(self.drive(live))
@@ -121,6 +122,7 @@
             self.tasks.create_task(self.sweep())
             self.tasks.create_task(self.keep_instances())
             self.tasks.create_task(self.catch_up())
+            self.tasks.create_task(self.permits.run(self.tasks))
 
     # What comes in
 
@@ -128,7 +130,14 @@
         for watcher in self.watchers:
             watcher.set()
 
+    def room(self) -> None:
+        """Operations that wait may go on."""
+        for live in self.live.values():
+            if live.waits:
+                live.changed.set()
+
     def on_changed(self, name: str) -> None:
+        self.permits.see(name)
         for live in self.live.values():
             if name in live.index:
                 if live.names is not None:
@@ -200,6 +209,7 @@
             except TimeoutError:
                 pass
         self.live.pop(live.op.id, None)
+        self.permits.ledger.leave(f"operation {live.op.id}")
         self.notify()
 
     async def round(self, live: Live) -> tuple[bool, int | None]:
@@ -212,7 +222,20 @@
             if names is not None:
                 names.add(name)
             answered[place] = planner.answer(op, answered[place], command, status, detail)
-        plan = planner.advance(op, answered, self.fleet, self.now_ms(), live.superseded, names)
+        before: dict[int, Permit | None] = {}  # permits that this round reserves, as they were
+
+        def may(target: Target) -> str:
+            ident, known = permit_id(op, target), self.permits.ledger.permits
+            former = known.get(ident)
+            problem = "" if op.kind is Kind.UNDRAIN else self.permits.may(op, target, op.phase is Phase.ROLLING_BACK)
+            if known.get(ident) is not former:
+                before[ident] = former
+            return problem
+
+        plan = planner.advance(op, answered, self.fleet, self.now_ms(), live.superseded, names, may)
+        live.waits = plan.waits
+        if not plan.waits:
+            self.permits.ledger.leave(f"operation {op.id}")
         for target in plan.targets:
             answered[target.position] = target
         changed = {after.name: after for before, after in zip(live.targets, answered, strict=True)
@@ -222,6 +245,9 @@
                 live.answers.popleft()
             return False, plan.wake_ms
         desired = self.desired(op, changed.values())
+        ends = plan.phase is not None and plan.phase not in OPEN
+        permits = {ident: self.permits.ledger.permits[ident] for ident in before}
+        permits |= {p.id: p for p in self.permits.settled(op, answered if ends else changed.values(), ends)}
 
         def recorded(new_op: Operation) -> None:
             self.fleet.set_desired(desired)
@@ -230,6 +256,7 @@
             for target in changed.values():
                 live.targets[target.position] = target
             live.op = new_op
+            self.permits.put(permits.values())
             live.changed.set()
             self.notify()
             for send in plan.sends:
@@ -238,14 +265,15 @@
                 self.step("after a send")
 
         try:
-            recorded(await self.record(op, list(changed.values()), plan, desired, recorded))
-        except StoreError:
+            recorded(await self.record(op, list(changed.values()), plan, desired, list(permits.values()), recorded))
+        except Exception as error:
             live.names = None  # what was seen has not been taken in
+            self.permits.restore(before, not (isinstance(error, StoreError) and error.code == "UNKNOWN"))
             raise
         return True, None
 
     async def record(self, op: Operation, changed: list[Target], plan: Plan, desired: list[tuple[str, int]],
-                     late: Callable[[Operation], None]) -> Operation:
+                     permits: list[Permit], late: Callable[[Operation], None]) -> Operation:
         now_ms = self.now_ms()
 
         def work(records: Records) -> Operation:
@@ -257,6 +285,7 @@
                 new = replace(op, phase=plan.phase, note=plan.note, ended_ms=ended_ms)
             records.put_targets(op.id, changed)
             records.set_desired(desired)
+            records.put_permits(permits)
             for target in changed:
                 if target.state is not State.UNDER_WAY:
                     records.audit(now_ms, AGENT, f"{op.kind}", target.name, str(target.state),
@@ -313,6 +342,10 @@
                                         sort_keys=True).encode()).hexdigest()
         if overlay is not None:
             self.check_size(overlay)
+        halt = self.permits.halt
+        if halt is not None and kind is not Kind.UNDRAIN:
+            raise Refusal("HALTED", f"halted by {halt.text}; `ironscale halt --lift` ends that", actor=halt.actor,
+                          reason=halt.reason, atMs=halt.at_ms)
         now_ms = self.now_ms()
         rows = [self.fleet.members[name].row for name in names if name in self.fleet.members]
 
@@ -405,8 +438,9 @@
                     f"{min(both)} among them; wait for it, abort it, or supersede it", operation=op.id,
                     actor=op.actor, atMs=op.created_ms, instances=sorted(both)[:20])
 
-    async def control(self, actor: str, ident: int, action: str) -> Operation:
-        """Pause, resume, abort or roll back an open operation. Again is the same. Raises Refusal."""
+    async def control(self, actor: str, ident: int, action: str, urgent: bool = False) -> Operation:
+        """Pause, resume, abort or roll back an open operation; `urgent`: back without waiting for room in a budget.
+        Again is the same. Raises Refusal."""
         live = self.live.get(ident)
         if live is None:
             found = await self.store.read(lambda records: records.operation(ident))
@@ -419,9 +453,9 @@
                 "pause": (Phase.PAUSED, (Phase.RUNNING,)),
                 "resume": (Phase.RUNNING, (Phase.PAUSED,)),
                 "abort": (Phase.ABORTING, (Phase.RUNNING, Phase.PAUSED)),
-                "rollback": (Phase.ROLLING_BACK, (Phase.RUNNING, Phase.PAUSED, Phase.ABORTING)),
+                "rollback": (Phase.ROLLING_BACK, (Phase.RUNNING, Phase.PAUSED, Phase.ABORTING, Phase.ROLLING_BACK)),
             }[action]
-            if op.phase is wanted:
+            if op.phase is wanted and op.policy.urgent >= urgent:
                 return op
             if op.phase not in allowed:
                 raise Refusal("WRONG_PHASE", f"operation {ident} is {op.phase}; it can't be told to {action}")
@@ -430,10 +464,12 @@
                               f"operation {ident} is a {op.kind}; only a reconfigure rolls back")
             # a resume after failures goes on past them: the operator has seen them
             policy = replace(op.policy, max_failures=len(live.targets)) if action == "resume" else op.policy
+            policy = replace(policy, urgent=policy.urgent or urgent)
             note = f"{action} by {actor}" if wanted is Phase.ROLLING_BACK else ""
 
             def work(records: Records) -> Operation:
-                fence = records.next_fence() if wanted is Phase.ROLLING_BACK else op.fence
+                turns = wanted is Phase.ROLLING_BACK and op.phase is not wanted
+                fence = records.next_fence() if turns else op.fence
                 new = replace(op, phase=wanted, fence=fence, policy=policy, note=note)
                 records.put_operation(new)
                 records.audit(now_ms, actor, action, f"operation {ident}", str(wanted))
@@ -508,6 +544,8 @@
         """A process that came back without what its instance should run gets it, once."""
         while True:
             await asyncio.sleep(CATCH_UP_S)
+            if self.permits.halt is not None:
+                continue
             busy = {name for live in self.live.values() for name in live.index}
             behind: dict[int, list[str]] = {}
             for name, member in self.fleet.members.items():
@@ -530,6 +568,31 @@
                         (n, self.fleet.members[n].row.boot, generation) for n in names)
                     self.log(f"catching up waits: {error}")
 
+    async def forget(self, actor: str, name: str, ended: bool) -> None:
+        """Takes an instance that is no more off the record, and out of all counts. `ended`: the operator's word where
+        its end is not known here. Raises Refusal or StoreError."""
+        seen = self.fleet.seen(name)
+        if seen is None:
+            raise Refusal("NOT_FOUND", f"there is no instance {name!r}; see `ironscale ls`")
+        if any(name in live.index for live in self.live.values()):
+            raise Refusal("CONFLICT", f"{name} is in an open operation; see `ironscale ops`")
+        if seen.supervised or (seen.connected and seen.leased):
+            raise Refusal("CONFLICT", f"{name} is running; stop it first")
+        if not seen.ended and not ended:
+            raise Refusal("CONFLICT", f"{name} is silent, which is not known to be its end; --ended says it for you")
+
+        def work(records: Records) -> None:
+            records.forget_instance(name)
+            records.audit(self.now_ms(), actor, "forget", name, "forgotten", {"word": "" if seen.ended else actor})
+
+        def done(_: None) -> None:
+            self.fleet.forget(name)
+            self.permits.forget(name)
+            self.notify()
+
+        await self.store.write(work, done)
+        done(None)
+
     async def overlay(self, generation: int) -> dict[str, Any]:
         if generation not in self.overlays:
             found = await self.store.read(lambda records: records.configuration(generation))
--- a/ironscale/agent/fleet.py
+++ b/ironscale/agent/fleet.py
@@ -71,6 +71,7 @@
         self.changed: Callable[[str], None] = lambda name: None  # something that operations look at
         self.connected: Callable[[str], None] = lambda name: None  # a process may be told things again
         self.supervised: Callable[[str], str | None] = lambda name: None  # "" or "awaited" if it is
+        self.replacing: Callable[[str], bool] = lambda name: False  # its process is being replaced
         self.ordered: list[str] = []
         self.dirty: set[str] = set()  # to be written to the record
         self.here = machine()
@@ -238,7 +239,7 @@
                 name, row.boot, member.leased, member.link is not None, row.heard_ms, row.generation,
                 report.fence if report else 0, report.ready if report else False,
                 report.draining if report else False, report.open if report else 0, row.ended,
-                supervised is not None, supervised == "awaited", report is not None)
+                supervised is not None, supervised == "awaited", self.replacing(name), report is not None)
         return member.cached
 
     def get(self, name: str, /) -> Seen | None:
@@ -258,6 +259,12 @@
         return {"name": name, "zone": member.row.zone, "state": state_of(seen),
                 "generation": str(member.row.generation), "version": member.row.version}
 
+    def forget(self, name: str) -> None:
+        """One that is no more, as an operator says."""
+        del self.members[name]
+        self.dirty.discard(name)
+        self.ordered = []
+
     def set_desired(self, generations: Iterable[tuple[str, int]]) -> None:
         for name, generation in generations:
             if name in self.members:
--- a/ironscale/agent/model.py
+++ b/ironscale/agent/model.py
@@ -59,6 +59,8 @@
     on_failure: str = "stop"  # start nothing more and end; pause; roll back
     answer_ms: int = 10_000  # an instance has so long to answer, and to show it
     tries: int = 3  # processes of one name that are told; one that restarted has not applied
+    priority: int = 0  # among all that wait for room in a budget
+    urgent: bool = False  # its way back waits for no room
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,7 @@
     ended: str = ""  # how the process is known to have ended: "exit 0", "signal 9" ...; empty = not known
     supervised: bool = False
     restart_awaited: bool = False  # supervised, and to be started again
+    replacing: bool = False  # the supervisor replaces its process
     shown: bool = True  # this process has reported to this agent; else the rest is as the record has it
 
 
@@ -137,3 +140,4 @@
     note: str = ""
     rollback: bool = False  # a new fence is needed before the roll-back can begin
     wake_ms: int | None = None  # look again by then, if nothing happens before
+    waits: str = ""  # what stands in the way of the next target, where that is not the operation's own policy
--- a/ironscale/agent/opening.py
+++ b/ironscale/agent/opening.py
@@ -31,7 +31,7 @@
 
 TABLES = (("counters", sql.COUNTER), ("instances", sql.INSTANCE), ("operations", sql.OPERATION),
           ("targets", sql.TARGET), ("configurations", sql.CONFIGURATION), ("mutations", sql.MUTATION),
-          ("audit", sql.AUDIT), ("tokens", sql.TOKEN))
+          ("audit", sql.AUDIT), ("tokens", sql.TOKEN), ("permits", sql.PERMIT), ("halts", sql.HALT))
 MOVE_S = 600.0  # the longest that a record's way to PostgreSQL may take
 AT_ONCE = 5_000  # rows read at a time
 MOVED = "moved"  # in both: the record has been brought over
--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -154,11 +154,15 @@
     def get(self, name: str, /) -> Seen | None: ...
 
 
+May = Callable[[Target], str]
+
+
 def advance(op: Operation, targets: Sequence[Target], fleet: View, now_ms: int, superseded: Mapping[str, int],
-            changed: Collection[str] | None = None) -> Plan:
+            changed: Collection[str] | None = None, may: May = lambda target: "") -> Plan:
     """The next steps of an open operation. `superseded`: instances that a newer operation has, and its id.
     `changed`: the instances that may show something new since the last look, where that is known; the others are
-    judged only where time alone can change them."""
+    judged only where time alone can change them. `may`: asked before a target is told anything that may take it out of
+    service; empty, or what stands in the way now."""
     plan = Plan()
     if op.phase not in OPEN:
         return plan
@@ -176,9 +180,9 @@
             after = _restart(op, after, seen, now_ms, plan)
         current[index] = after
     if op.phase is Phase.ROLLING_BACK:
-        _roll_back(op, current, fleet, now_ms, plan)
+        _roll_back(op, current, fleet, now_ms, plan, may)
     elif op.phase is Phase.RUNNING:
-        _start(op, current, fleet, now_ms, plan)
+        _start(op, current, fleet, now_ms, plan, may)
     for index, (before, after) in enumerate(zip(targets, current, strict=True)):
         if after is not before and after != before:
             moved = after.state is not before.state and after.state is not State.NO_ANSWER
@@ -213,7 +217,13 @@
                    tries=tries, answered="", restarting=False, from_generation=before)
 
 
-def _start(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan) -> None:
+def _permitted(target: Target, plan: Plan, may: May) -> bool:
+    problem = may(target)
+    plan.waits = plan.waits or problem
+    return not problem
+
+
+def _start(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan, may: May) -> None:
     """Starts what the policy allows: wave by wave, with no more out at a time than it says."""
     policy = op.policy
     failures = sum(t.state in FAILURES for t in targets)
@@ -242,7 +252,7 @@
                 targets[index] = _unheard(target, seen) if seen is not None else replace(
                     target, state=State.NO_ANSWER, detail="not known")
                 out += 1
-            elif (seen.connected or ours) and out < most:
+            elif (seen.connected or ours) and out < most and _permitted(target, plan, may):
                 targets[index] = _tell(op, target, seen, now_ms, plan)
                 out += targets[index].state in OUT
         if any(targets[index].state in (State.NOT_STARTED, State.UNDER_WAY) for index in wave):
@@ -252,8 +262,7 @@
         plan.phase, plan.note = Phase.ABORTING, f"{out} unavailable, {most} allowed"
 
 
-def _roll_back(op: Operation, targets: list[Target], fleet: View, now_ms: int,
-               plan: Plan) -> None:
+def _roll_back(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan, may: May) -> None:
     """Every target that was told something goes back to what it ran; what never was told stays."""
     for index, target in enumerate(targets):
         # a refusal changed nothing; a failure may have
@@ -262,6 +271,8 @@
         if not touched or (target.reverting and not again):
             continue
         seen = fleet.get(target.name)
+        if seen is not None and seen.connected and not _permitted(target, plan, may):
+            continue
         target = replace(target, reverting=True)
         if seen is None or not seen.leased:
             targets[index] = _unheard(target, seen) if seen is not None else target
--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import math
 import time
 from bisect import bisect_right
 from collections import Counter
@@ -17,13 +18,16 @@
 
 from ironscale.agent import tokens as secrets_
 from ironscale.agent.difference import difference
-from ironscale.agent.engine import Engine, Refusal
+from ironscale.agent.engine import Engine
 from ironscale.agent.fleet import state_of
 from ironscale.agent.limits import MOST_PAGE
 from ironscale.agent.model import ON_FAILURE, OPEN, Kind, Operation, Policy, State, Target
+from ironscale.agent.permits import monotonic_ms
+from ironscale.agent.refusal import Refusal
 from ironscale.agent.selectors import SelectorError, selected
 from ironscale.agent.store import Event, Records, TokenRow
 from ironscale.control.messages import Report
+from ironscale.disruption.model import MOST_PRIORITY, Halt, Permit, Phase
 
 MOST_KEY = 200
 WATCH_GAP_S = 0.5
@@ -169,10 +173,11 @@
     p = op.policy
     return {
         "id": op.id, "kind": op.kind.name, "phase": op.phase.name, "open": op.phase in OPEN, "actor": op.actor,
-        "note": op.note, "stalled": live.stalled if live else "", "generation": op.generation,
+        "note": op.note, "stalled": (live.stalled or live.waits) if live else "", "generation": op.generation,
         "fence": op.fence, "createdAt": iso(op.created_ms), "endedAt": iso(op.ended_ms),
         "policy": {"wave": p.wave, "maxUnavailable": p.max_unavailable, "maxFailures": p.max_failures,
-                   "onFailure": p.on_failure.upper(), "answerMs": p.answer_ms, "tries": p.tries},
+                   "onFailure": p.on_failure.upper(), "answerMs": p.answer_ms, "tries": p.tries,
+                   "priority": p.priority, "urgent": p.urgent},
         "counts": counts, "targets": targets,
     }
 
@@ -216,7 +221,7 @@
         "draining": states["draining"] + states["drained"], "silent": states["silent"], "gone": states["gone"],
         "behind": behind, "openOperations": len(engine.live), "version": context.version,
         "startedAt": iso(context.started_ms), "registrations": engine.fleet.registrations,
-        "heartbeats": engine.fleet.beats,
+        "heartbeats": engine.fleet.beats, "halt": halt_object(engine.permits.halt),
     }
 
 
@@ -292,6 +297,50 @@
     return [token_object(row) for row in await engine.store.read(lambda records: records.tokens())]
 
 
+def halt_object(halt: Halt | None) -> dict[str, Any] | None:
+    return None if halt is None else {"actor": halt.actor, "reason": halt.reason, "at": iso(halt.at_ms),
+                                      "liftedAt": iso(halt.lifted_ms), "liftedBy": halt.lifted_by}
+
+
+def permit_object(engine: Engine, permit: Permit) -> dict[str, Any]:
+    ledger = engine.permits.ledger
+    waits = ""
+    if permit.phase is Phase.WAITING:
+        waits = ledger.waits_for(permit, monotonic_ms())
+    elif permit.phase is Phase.RETURNED:
+        waits = ", ".join(f"{key} {ledger.sights[key].why or 'has still to be asked'}" for key in permit.units
+                          if key in ledger.sights)
+    return {"id": permit.id, "key": permit.key, "holder": permit.holder, "units": permit.units,
+            "reason": permit.reason, "priority": permit.priority, "phase": permit.phase.name, "note": permit.note,
+            "createdAt": iso(permit.created_ms), "leaseMs": permit.lease_ms, "waitsFor": waits}
+
+
+async def q_budgets(root: Any, info: Any) -> list[dict[str, Any]]:
+    ledger = need(info, "read").engine.permits.ledger
+    found = []
+    for cell in ledger.all_cells():
+        number, weight = cell.most(), cell.budget.capacity
+        found.append({
+            "name": cell.budget.name, "part": cell.value, "of": str(cell.budget.of), "units": len(cell.units),
+            "most": -1.0 if number == math.inf else number, "mostCapacity": -1.0 if weight is None else weight,
+            "out": round(cell.out, 6), "capacityOut": round(cell.weight_out / cell.weight, 6) if cell.weight else 0.0,
+            "text": ledger.explain(cell) if cell.units else "matches nothing"})
+    return found
+
+
+async def q_permits(root: Any, info: Any, all: bool) -> list[dict[str, Any]]:
+    engine = need(info, "read").engine
+    ended = await engine.store.read(lambda records: records.permits()) if all else []
+    known = engine.permits.ledger.permits
+    found = {p.id: p for p in ended} | known
+    return [permit_object(engine, found[ident]) for ident in sorted(found)]
+
+
+async def q_permit(root: Any, info: Any, id: int) -> dict[str, Any]:
+    engine = need(info, "read").engine
+    return permit_object(engine, await engine.permits.find(id))
+
+
 # Mutations
 
 
@@ -304,10 +353,12 @@
 def read_policy(given: dict[str, Any] | None) -> Policy:
     given = given or {}
     policy = Policy(given.get("wave", 0), given.get("maxUnavailable", 0), given.get("maxFailures", 0),
-                    given.get("onFailure", "STOP").lower(), given.get("answerMs", 10_000))
+                    given.get("onFailure", "STOP").lower(), given.get("answerMs", 10_000),
+                    priority=given.get("priority", 0))
     for name, value, least, most in (
         ("wave", policy.wave, 0, 1_000_000), ("maxUnavailable", policy.max_unavailable, 0, 1_000_000),
         ("maxFailures", policy.max_failures, 0, 1_000_000), ("answerMs", policy.answer_ms, 100, 3_600_000),
+        ("priority", policy.priority, 0, MOST_PRIORITY),
     ):
         if value is None or not least <= value <= most:
             raise error("BAD_INPUT", f"policy.{name}: expected {least} to {most}, got {value}")
@@ -342,14 +393,50 @@
 
 
 def controller(action: str) -> Callable[..., Any]:
-    async def resolve(root: Any, info: Any, operation: int) -> dict[str, Any]:
+    async def resolve(root: Any, info: Any, operation: int, urgent: bool = False) -> dict[str, Any]:
         context = need(info, "operate")
-        op = await context.engine.control(context.caller.name, operation, action)
+        op = await context.engine.control(context.caller.name, operation, action, urgent)
         return operation_object(context.engine, op)
 
     return resolve
 
 
+async def m_take_permit(root: Any, info: Any, input: dict[str, Any]) -> dict[str, Any]:
+    context = need(info, "operate")
+    permits = context.engine.permits
+    return permit_object(context.engine, await permits.take(
+        context.caller.name, input["key"], input["units"], input["reason"] or "", input["priority"] or 0,
+        input["leaseMs"] or 0))
+
+
+async def m_renew_permit(root: Any, info: Any, id: int) -> dict[str, Any]:
+    context = need(info, "operate")
+    return permit_object(context.engine, await context.engine.permits.renew(context.caller.name, id))
+
+
+async def m_give_back_permit(root: Any, info: Any, id: int, force: bool) -> dict[str, Any]:
+    context = need(info, "operate")
+    return permit_object(context.engine, await context.engine.permits.give_back(context.caller.name, id, force))
+
+
+async def m_halt(root: Any, info: Any, reason: str) -> dict[str, Any] | None:
+    context = need(info, "operate")
+    if not reason.isprintable() or len(reason) > MOST_KEY:
+        raise error("BAD_INPUT", f"reason: expected a line of {MOST_KEY} characters at most, got {reason!r:.60}")
+    return halt_object(await context.engine.permits.set_halt(context.caller.name, reason))
+
+
+async def m_lift_halt(root: Any, info: Any) -> dict[str, Any] | None:
+    context = need(info, "operate")
+    return halt_object(await context.engine.permits.lift_halt(context.caller.name))
+
+
+async def m_forget(root: Any, info: Any, name: str, ended: bool) -> bool:
+    context = need(info, "operate")
+    await context.engine.forget(context.caller.name, name, ended)
+    return True
+
+
 async def m_create_token(root: Any, info: Any, name: str, role: str) -> dict[str, Any]:
     context = need(info, "admin")
     if not 0 < len(name) <= 64 or not name.isprintable():
@@ -449,11 +536,14 @@
         "me": q_me, "fleet": q_fleet, "instances": q_instances, "instance": q_instance,
         "operation": q_operation, "operations": q_operations, "configuration": q_configuration,
         "plan": q_plan, "events": q_events, "tokens": q_tokens,
+        "budgets": q_budgets, "permits": q_permits, "permit": q_permit,
     },
     "Mutation": {
         "drain": beginner(Kind.DRAIN), "undrain": beginner(Kind.UNDRAIN), "stop": beginner(Kind.STOP),
         "restart": beginner(Kind.RESTART), "apply": m_apply, "pause": controller("pause"),
         "resume": controller("resume"), "abort": controller("abort"), "rollBack": controller("rollback"),
+        "takePermit": m_take_permit, "renewPermit": m_renew_permit, "giveBackPermit": m_give_back_permit,
+        "halt": m_halt, "liftHalt": m_lift_halt, "forget": m_forget,
         "createToken": m_create_token, "revokeToken": m_revoke_token,
     },
 }
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -165,7 +165,7 @@
         await self.first_tokens(store)
         self.fleet = fleet = Fleet(int(section.lease_s * 1000), int(section.heartbeat_s * 1000),
                                    section.most_instances, self.now_ms)
-        self.engine = engine = Engine(store, fleet, self.now_ms, self.log)
+        self.engine = engine = Engine(store, fleet, self.now_ms, self.log, section.budgets)
         await engine.load()
         links = Links(fleet, self.admits, engine.on_result, self.log)
         links.on_denied = self.on_denied
--- a/ironscale/agent/sql.py
+++ b/ironscale/agent/sql.py
@@ -15,6 +15,8 @@
 
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Policy, State, Target
 from ironscale.agent.store import Configuration, Event, InstanceRow, TokenRow
+from ironscale.disruption.model import Halt, Permit
+from ironscale.disruption.model import Phase as PermitPhase
 from ironscale.record.sql import typed
 
 ROWS_AT_ONCE = 500  # of one INSERT: 15 values each, and PostgreSQL takes 65,535 parameters, SQLite 32,766
@@ -50,6 +52,8 @@
 CONFIGURATION = ("generation", "overlay", "actor", "at_ms", "operation")
 COUNTER = ("name", "value")
 MUTATION = ("actor", "key", "fingerprint", "operation", "at_ms")
+PERMIT = ("id", "holder", "key", "open", "ended_ms", "body")
+HALT = tuple(f.name for f in fields(Halt))
 AUDIT = ("id", "at_ms", "actor", "action", "subject", "result", "detail")
 
 
@@ -62,6 +66,8 @@
 PUT_OPERATION = _upsert("id", ("policy", "fence", "phase", "note", "ended_ms"))
 PUT_TARGETS = _upsert("operation, name", (c for c in TARGET if c not in ("operation", "name")))
 PUT_COUNTER = _upsert("name", ("value",))
+PUT_PERMIT = _upsert("id", PERMIT[1:])
+PUT_HALT = _upsert("id", HALT[1:])
 PUT_TOKEN = _upsert("name", TOKEN[1:])
 
 
@@ -228,6 +234,45 @@
     def _last_event(self) -> int:
         return self._number("SELECT coalesce(max(id), 0) FROM @audit")
 
+    def next_permit(self) -> int:
+        return self.count("permit")
+
+    @staticmethod
+    def _permit(row: tuple[Any, ...]) -> Permit:
+        return Permit.unpacked(row[0], row[1], row[2], json.loads(row[5]))
+
+    def permits(self, open_only: bool = False) -> list[Permit]:
+        rows = self._columns("permits", PERMIT, "WHERE open >= %s ORDER BY id", (int(open_only),))
+        return [self._permit(row) for row in rows]
+
+    def permit_of(self, holder: str, key: str) -> Permit | None:
+        rows = self._columns("permits", PERMIT, "WHERE holder = %s AND key = %s", (holder, key))
+        return self._permit(rows[0]) if rows else None
+
+    def put_permits(self, permits: Iterable[Permit]) -> None:
+        over, kept = [], []
+        for permit in permits:
+            is_open = permit.phase not in (PermitPhase.ENDED, PermitPhase.WITHDRAWN)
+            if permit.operation and not is_open:
+                over.append(permit.id)
+            else:
+                kept.append((permit.id, permit.holder, permit.key, is_open, permit.ended_ms,
+                             json.dumps(permit.packed())))
+        self.insert("permits", PERMIT, kept, PUT_PERMIT)
+        for start in range(0, len(over), ROWS_AT_ONCE):
+            part = over[start:start + ROWS_AT_ONCE]
+            self.sql(f"DELETE FROM @permits WHERE id IN ({', '.join(['%s'] * len(part))})", part)
+
+    def prune_permits(self, before_ms: int) -> None:
+        self.sql("DELETE FROM @permits WHERE open = 0 AND ended_ms < %s", (before_ms,))
+
+    def halt(self) -> Halt | None:
+        rows = self._columns("halts", HALT, "WHERE lifted_ms = 0 ORDER BY id DESC LIMIT 1")
+        return Halt(*rows[0]) if rows else None
+
+    def put_halt(self, halt: Halt) -> None:
+        self.insert("halts", HALT, [tuple(getattr(halt, name) for name in HALT)], PUT_HALT)
+
     def tokens(self) -> list[TokenRow]:
         return [TokenRow(*row) for row in self._columns("tokens", TOKEN, "ORDER BY name")]
 
@@ -276,6 +321,15 @@
             holder {TEXT} NOT NULL, place {TEXT} NOT NULL, until_ms {INTEGER} NOT NULL)""",
         "INSERT INTO agent_owner (one, epoch, sequence, holder, place, until_ms) VALUES (1, 0, 0, '', '', 0)",
     ),
+    (
+        """CREATE TABLE agent_permits (
+            id {INTEGER} NOT NULL PRIMARY KEY, holder {TEXT} NOT NULL, key {TEXT} NOT NULL, open {INTEGER} NOT NULL,
+            ended_ms {INTEGER} NOT NULL, body {TEXT} NOT NULL)""",
+        "CREATE UNIQUE INDEX agent_permits_by_key ON agent_permits (holder, key)",
+        """CREATE TABLE agent_halts (
+            id {INTEGER} NOT NULL PRIMARY KEY, actor {TEXT} NOT NULL, reason {TEXT} NOT NULL,
+            at_ms {INTEGER} NOT NULL, lifted_ms {INTEGER} NOT NULL, lifted_by {TEXT} NOT NULL)""",
+    ),
 )
 SCHEMA = len(MIGRATIONS)
 
--- a/ironscale/agent/sqlite.py
+++ b/ironscale/agent/sqlite.py
@@ -52,8 +52,19 @@
         name TEXT PRIMARY KEY, role TEXT NOT NULL, digest TEXT NOT NULL, created_ms INTEGER NOT NULL,
         revoked_ms INTEGER NOT NULL) WITHOUT ROWID;
     """,
+    """
+    CREATE TABLE permits (
+        id INTEGER PRIMARY KEY, holder TEXT NOT NULL, key TEXT NOT NULL, open INTEGER NOT NULL,
+        ended_ms INTEGER NOT NULL, body TEXT NOT NULL);
+    CREATE UNIQUE INDEX permits_by_key ON permits (holder, key);
+    CREATE TABLE halts (
+        id INTEGER PRIMARY KEY, actor TEXT NOT NULL, reason TEXT NOT NULL, at_ms INTEGER NOT NULL,
+        lifted_ms INTEGER NOT NULL, lifted_by TEXT NOT NULL);
+    """,
 )
 SCHEMA = len(MIGRATIONS)
+
+
 def connect(path: Path, opener: Opener | None = None) -> apsw.Connection:
     """Opens the file and brings its schema up to this program's. Raises StoreError."""
     opener = opener or Opener(path, migrate, busy_ms=BUSY_MS)
--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -115,6 +115,7 @@
                                             f"got {name} twice")
                 self.members[name] = Supervised(service, index, name, base)
         fleet.supervised = self.supervised
+        fleet.replacing = lambda name: name in self.members and self.members[name].replacing
 
     @staticmethod
     def read_base(service: Service) -> dict[str, Any]:
--- a/ironscale/cli/client.py
+++ b/ironscale/cli/client.py
@@ -81,10 +81,15 @@
     def mutate(self, query: str, input_: dict[str, Any], within_s: float = 30.0) -> dict[str, Any]:
         """A mutation, told again by the same idempotency key where its answer was lost: its effect comes once."""
         keyed = {**input_, "idempotencyKey": input_.get("idempotencyKey") or uuid.uuid4().hex}
+        return self.again(query, f"look with `ironscale ops`, or repeat with --key {keyed['idempotencyKey']}", within_s,
+                          input=keyed)
+
+    def again(self, query: str, advice: str, within_s: float = 30.0, **variables: Any) -> dict[str, Any]:
+        """A mutation that is the same if it comes twice, told again where its answer was lost."""
         deadline_s = time.monotonic() + within_s
         while True:
             try:
-                return self.read(self.client.post(self.url, json={"query": query, "variables": {"input": keyed}}))
+                return self.read(self.client.post(self.url, json={"query": query, "variables": variables}))
             except httpx.ConnectError as error:
                 # never sent, if this is the first try; after that the key makes it one
                 problem: Exception = error
@@ -92,7 +97,7 @@
                 problem = error
             if time.monotonic() >= deadline_s:
                 fail(Exit.NO_AGENT, f"no answer from {self.url} ({problem}): whether it was begun is not known; "
-                     f"look with `ironscale ops`, or repeat with --key {keyed['idempotencyKey']}")
+                     f"{advice}")
             time.sleep(0.3)
 
     def stream(self, query: str, **variables: Any) -> Iterator[dict[str, Any]]:
--- a/ironscale/cli/common.py
+++ b/ironscale/cli/common.py
@@ -61,6 +61,8 @@
                      help="Failed targets that are borne."),
         click.option("--on-failure", type=click.Choice(["stop", "pause", "rollback"]), default="stop",
                      show_default=True, help="What happens past them."),
+        click.option("--priority", type=click.IntRange(0, 9), default=0, show_default=True,
+                     help="Among all that wait for room in a budget."),
         click.option("--answer-timeout", "answer_s", type=click.FloatRange(0.1, 3600), default=10.0,
                      show_default=True, help="Seconds that an instance has to answer and to show it."),
     ):
@@ -68,10 +70,11 @@
     return function
 
 
-def policy_input(wave: int, max_unavailable: int, max_failures: int, on_failure: str, answer_s: float
-                 ) -> dict[str, Any]:
+def policy_input(wave: int, max_unavailable: int, max_failures: int, on_failure: str, answer_s: float,
+                 priority: int) -> dict[str, Any]:
     return {"wave": wave, "maxUnavailable": max_unavailable, "maxFailures": max_failures,
-            "onFailure": on_failure.upper(), "answerMs": int(answer_s * 1000)}
+            "onFailure": on_failure.upper(), "answerMs": int(answer_s * 1000),
+            "priority": priority}
 
 
 def api_for(address: str | None, token_file: Path | None, data: Path) -> Api:
--- a/ironscale/cli/main.py
+++ b/ironscale/cli/main.py
@@ -12,6 +12,7 @@
 from ironscale.cli.learned import learned
 from ironscale.cli.load import load
 from ironscale.cli.output import CliError, Exit, err
+from ironscale.cli.permit import budgets, forget, halt, permit
 from ironscale.cli.record import record
 
 
@@ -37,7 +38,8 @@
 
 for command in (instances.ls, instances.show, instances.drain, instances.undrain, instances.stop, instances.restart,
                 rollout.apply, rollout.rollout, rollout.ops, rollout.events, processes.agent, processes.sidecar,
-                processes.token, processes.config, learned, load, record, graphql, demo, completion):
+                processes.token, processes.config, permit, budgets, halt, forget, learned, load, record, graphql, demo,
+                completion):
     main.add_command(command)
 
 
--- a/ironscale/cli/output.py
+++ b/ironscale/cli/output.py
@@ -41,7 +41,8 @@
 
 CODES = {"CONFLICT": Exit.CONFLICT, "FORBIDDEN": Exit.DENIED, "UNAUTHENTICATED": Exit.DENIED,
          "BAD_INPUT": Exit.USAGE, "BAD_REQUEST": Exit.USAGE, "NOT_FOUND": Exit.USAGE, "NO_TARGETS": Exit.USAGE,
-         "KEY_REUSED": Exit.CONFLICT, "ENDED": Exit.CONFLICT, "WRONG_PHASE": Exit.CONFLICT,
+         "KEY_REUSED": Exit.CONFLICT, "HALTED": Exit.CONFLICT, "FULL": Exit.CONFLICT,
+         "ENDED": Exit.CONFLICT, "WRONG_PHASE": Exit.CONFLICT,
          "STORE_UNKNOWN": Exit.NO_AGENT,  # as with no agent: what became of it is to be asked
          "NO_ANSWER": Exit.PARTIAL, "REFUSED": Exit.PARTIAL}
 
@@ -69,7 +70,8 @@
 STYLES = {"ready": "green", "applied": "green", "succeeded": "green", "served": "green",
           "silent": "red", "gone": "red", "failed": "red", "refused": "red", "no answer": "red", "partial": "red",
           "drained": "yellow", "draining": "yellow", "not ready": "yellow", "under way": "cyan", "running": "cyan",
-          "paused": "yellow", "rolling back": "yellow", "rolled back": "yellow", "superseded": "yellow"}
+          "paused": "yellow", "held": "cyan", "waiting": "yellow", "unknown": "red",
+          "returned": "yellow", "rolling back": "yellow", "rolled back": "yellow", "superseded": "yellow"}
 
 
 def word(name: str) -> str:
--- a/ironscale/cli/rollout.py
+++ b/ironscale/cli/rollout.py
@@ -51,8 +51,8 @@
 @api_options
 @output_option
 def apply(file: str, selector: str, expect: int | None, yes: bool, wave: int, max_unavailable: int, max_failures: int,
-          on_failure: str, answer_s: float, timeout_s: float, no_wait: bool, key: str, supersede: bool, output: str,
-          address: str | None, token_file: Path | None, data: Path) -> None:
+          on_failure: str, answer_s: float, priority: int, timeout_s: float, no_wait: bool, key: str, supersede: bool,
+          output: str, address: str | None, token_file: Path | None, data: Path) -> None:
     """Roll out FILE (- is standard input): a JSON merge patch on every instance's own configuration."""
     overlay = read_overlay(file)
     api = api_for(address, token_file, data)
@@ -68,7 +68,7 @@
             fail(Exit.USAGE, "expected --yes where nobody can be asked")
         if not click.confirm("Roll it out?", err=True):
             raise SystemExit(Exit.STOPPED)
-    policy = policy_input(wave, max_unavailable, max_failures, on_failure, answer_s)
+    policy = policy_input(wave, max_unavailable, max_failures, on_failure, answer_s, priority)
     op = api.mutate(OPERATION + "mutation($input: ApplyInput!) { apply(input: $input) { ...Op } }", {
         "selector": selector, "overlay": overlay, "policy": policy, "idempotencyKey": key, "supersede": supersede,
         "expectGeneration": plan["generation"] if expect is None else expect})["apply"]
--- a/ironscale/disruption/ledger.py
+++ b/ironscale/disruption/ledger.py
@@ -145,6 +145,17 @@
         """Whether any budget counts this unit."""
         return bool(self.cells_of.get(key))
 
+    def waits_for(self, permit: Permit, now_ms: int) -> str:
+        waiter = self.waiters.get(name_of(permit))
+        place = waiter.place(now_ms) if waiter is not None else (0, self.order + 1)
+        return self.stands_in_the_way(permit.units, name_of(permit), place, now_ms)
+
+    def all_cells(self) -> list[Cell]:
+        """Also of budgets that match nothing."""
+        empty = [Cell(budget, "") for budget in self.budgets
+                 if not any(cell.budget is budget for cell in self.cells.values())]
+        return sorted([*self.cells.values(), *empty], key=lambda cell: (cell.budget.name, cell.value))
+
     def _adds(self, units: Iterable[str]) -> dict[Cell, tuple[float, float]]:
         """What each cell would count more. A unit that is known to be out adds nothing: it can be mended at any time.
         One that is silent, or that a permit covers already, counts, and is not known to be out: it adds nothing, and
@@ -173,12 +184,13 @@
                 raise Impossible(f"budget {cell.title}: expected {self._limit(cell)} at most, got {number:g} units "
                                  f"at once; ask for them one after the other")
 
-    def stands_in_the_way(self, units: Iterable[str], waiter: str, place: tuple[int, int], now_ms: int) -> str:
+    def stands_in_the_way(self, units: Iterable[str], waiter: str, place: tuple[int, int], now_ms: int,
+                          is_way_back: bool = False) -> str:
         """Why these can't go out now; empty = they can."""
         adds = self._adds(units)
         if not adds:
             return ""
-        if self.halted:
+        if self.halted and not is_way_back:
             return f"halted by {self.halted}"
         for cell, (number, weight) in adds.items():
             if not cell.has_room(number, weight):
@@ -238,7 +250,7 @@
         for key, share in before.items():
             if key in self.sights:
                 self._count(key, share, self.out(key))
-        if permit.phase is not Phase.WAITING:
+        if permit.phase is not Phase.WAITING and not permit.operation:  # an operation waits on for its next target
             self.waiters.pop(name_of(permit), None)
 
     def wait(self, name: str, priority: int, units: Iterable[str], now_ms: int) -> Waiter:
@@ -254,13 +266,13 @@
     def leave(self, name: str) -> None:
         self.waiters.pop(name, None)
 
-    def reserve(self, permit: Permit, now_ms: int, waiter: str = "") -> str:
-        """Counts a permit as held if there is room; else says what stands in the way, and it waits in its turn."""
-        waiter = waiter or name_of(permit)
+    def reserve(self, permit: Permit, now_ms: int, is_way_back: bool = False) -> str:
+        """Counts a permit as held if there is room; else says what stands in the way, and it waits in its turn. A halt
+        stops no way back."""
+        waiter = name_of(permit)
         mine = self.wait(waiter, permit.priority, permit.units, now_ms)
-        problem = self.stands_in_the_way(permit.units, waiter, mine.place(now_ms), now_ms)
+        problem = self.stands_in_the_way(permit.units, waiter, mine.place(now_ms), now_ms, is_way_back)
         if not problem:
-            self.leave(waiter)
             self.put(permit.to(Phase.HELD), now_ms)
         return problem
 
--- a/ironscale/disruption/model.py
+++ b/ironscale/disruption/model.py
@@ -96,8 +96,8 @@
     created_ms: int = 0  # Unix time, for people
     lease_ms: int = 0  # it has to be renewed so often; 0 = it is an operation's, which the record itself holds
     operation: int = 0
-    process: str = ""  # HOST PID TICKS of the holder's process, where that can be looked at
     note: str = ""
+    ended_ms: int = 0  # Unix time
 
     def to(self, phase: Phase, note: str = "") -> Permit:
         return replace(self, phase=phase, note=note)
@@ -106,12 +106,28 @@
         """For the record; `id`, `holder` and `key` have columns of their own."""
         return {"units": list(self.units), "reason": self.reason, "priority": self.priority, "phase": str(self.phase),
                 "created_ms": self.created_ms, "lease_ms": self.lease_ms, "operation": self.operation,
-                "process": self.process, "note": self.note}
+                "note": self.note, "ended_ms": self.ended_ms}
 
     @classmethod
     def unpacked(cls, ident: int, holder: str, key: str, body: dict[str, Any]) -> Permit:
         return cls(ident, key, holder, tuple(body["units"]), body["reason"], body["priority"], Phase(body["phase"]),
-                   body["created_ms"], body["lease_ms"], body["operation"], body["process"], body["note"])
+                   body["created_ms"], body["lease_ms"], body["operation"], body["note"], body["ended_ms"])
+
+
+@dataclass(frozen=True, slots=True)
+class Halt:
+    """Nothing more is taken out, in the whole fleet, until it is lifted."""
+
+    id: int
+    actor: str
+    reason: str
+    at_ms: int
+    lifted_ms: int = 0
+    lifted_by: str = ""
+
+    @property
+    def text(self) -> str:
+        return f"{self.actor}: {self.reason}" if self.reason else self.actor
 
 
 class Impossible(Exception):
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -8,11 +8,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from ironscale.tables import Address, Table, TableError, read_address, read_text, read_toml, text_or_none
 
+if TYPE_CHECKING:
+    from ironscale.disruption.model import Budget
+
 MOST_INSTANCES = 5_000
+MOST_BUDGETS = 200
 MOST_DONORS = 100
 
 
@@ -108,6 +112,7 @@
     heartbeat_s: float = 2.0
     most_instances: int = MOST_INSTANCES
     services: tuple[Service, ...] = ()
+    budgets: tuple[Budget, ...] = ()
     file: str = ""  # for errors that show only with the record at hand
     postgresql: str = ""  # the record: a connection string without a password; empty = SQLite in `data`
     password_file: Path | None = None
@@ -221,6 +226,44 @@
     return stores
 
 
+def _budget(table: Table) -> Budget:
+    from ironscale.disruption.model import ATTRIBUTES, Budget, Of  # a sidecar loads none of it
+
+    patterns = {"names" if name == "name" else name: name for name in ATTRIBUTES}  # `name` is the budget's own
+    where = tuple((name, table.text(key)) for key, name in patterns.items() if key in table.values)
+    budget = Budget(
+        name=table.text("name"), of=Of(table.one_of("of", tuple(str(of) + "s" for of in Of), "sidecars")[:-1]),
+        where=where, each=table.one_of("each", ("", *ATTRIBUTES[1:]), ""),
+        number=table.whole("number", 1, 1_000_000) if "number" in table.values else None,
+        share=table.number("share", 0.0001, 1.0, None, "a share") if "share" in table.values else None,
+        capacity=table.number("capacity", 0.0001, 1.0, None, "a share") if "capacity" in table.values else None)
+    table.asked |= {"number", "share", "capacity", *patterns}
+    table.end()
+    if (budget.number, budget.share, budget.capacity) == (None, None, None):
+        raise OperatorFileError(f"{table.file}: {table.path}: expected number, share or capacity, got none of them")
+    return budget
+
+
+def _budgets(table: Table) -> tuple[Budget, ...]:
+    found = tuple(_budget(entry) for entry in table.tables("budget"))
+    if len(found) > MOST_BUDGETS:
+        raise OperatorFileError(f"{table.file}: {table.at('budget')}: expected {MOST_BUDGETS} at most, got "
+                                f"{len(found)}")
+    names = [budget.name for budget in found]
+    for budget in found:
+        if names.count(budget.name) > 1:
+            raise OperatorFileError(f"{table.file}: {table.at('budget')}: expected names that differ, got "
+                                    f"{budget.name!r} twice")
+        for other in found:
+            same = (budget.of, budget.where, budget.each) == (other.of, other.where, other.each)
+            for limit in ("number", "share", "capacity"):
+                one, two = getattr(budget, limit), getattr(other, limit)
+                if same and None not in (one, two) and one != two:
+                    raise OperatorFileError(f"{table.file}: {table.at('budget')}: expected one {limit} for the same "
+                                            f"units, got {one:g} of {budget.name!r} and {two:g} of {other.name!r}")
+    return found
+
+
 def _agent(table: Table) -> Agent:
     agent = Agent(
         data=table.file_path("data", Path(".ironscale")),
@@ -232,6 +275,7 @@
         heartbeat_s=table.seconds("heartbeat_s", 0.05, 120, 2.0),
         most_instances=table.whole("most_instances", 1, 100_000, MOST_INSTANCES),
         services=tuple(_service(entry) for entry in table.tables("service")),
+        budgets=_budgets(table),
         file=table.file,
         postgresql=table.text("postgresql", ""),
         password_file=table.file_path("password_file") if "password_file" in table.values else None,
--- a/tests/agent/killed_agent.py
+++ b/tests/agent/killed_agent.py
@@ -1,7 +1,7 @@
-"""An agent that kills itself at its Nth step: `python -m tests.agent.killed_agent DATA PORT STEP COUNT [DSN]`.
+"""An agent that kills itself at its Nth step: `python -m tests.agent.killed_agent DATA PORT STEP COUNT MOST [DSN]`.
 
 It begins one rollout by an idempotency key, as an operator who repeats a lost call would, waits for its end and
-prints what the record says of it.
+prints what the record says of it. MOST: a budget of so many out at once, in place of waves; 0 = none.
 """
 
 from __future__ import annotations
@@ -17,12 +17,13 @@
 
 from ironscale.agent.model import OPEN, Kind, Policy
 from ironscale.agent.serve import running
+from ironscale.disruption.model import Budget, Of
 from ironscale.operator_file import Agent as Section
 
 
-async def main(data: Path, port: int, fatal: int, count: int, dsn: str) -> None:
+async def main(data: Path, port: int, fatal: int, count: int, most: int, dsn: str) -> None:
     section = Section(data=data, control=("127.0.0.1", port), api=("127.0.0.1", 0), lease_s=10.0, heartbeat_s=0.1,
-                      postgresql=dsn)
+                      postgresql=dsn, budgets=(Budget("all", Of.SIDECAR, number=most),) if most else ())
     async with running(section) as agent:
         steps = 0
 
@@ -32,11 +33,12 @@
             if steps == fatal:
                 os.kill(os.getpid(), signal.SIGKILL)
 
-        agent.engine.step = step
+        agent.engine.step = agent.engine.permits.step = step
         while sum(m.link is not None and m.report is not None for m in agent.fleet.members.values()) < count:
             await asyncio.sleep(0.01)
         names = sorted(agent.fleet.members)
-        op, _ = await agent.engine.begin("ann", Kind.RECONFIGURE, names, Policy(wave=1), key="k", expect=0,
+        policy = Policy(wave=0 if most else 1)
+        op, _ = await agent.engine.begin("ann", Kind.RECONFIGURE, names, policy, key="k", expect=0,
                                          overlay={"settings": {"instances": 7}})
         while True:
             found = await agent.engine.find(op.id)
@@ -44,9 +46,12 @@
             if found[0].phase not in OPEN:
                 break
             await asyncio.sleep(0.01)
+        while agent.engine.permits.ledger.permits:  # each has its evidence
+            await asyncio.sleep(0.01)
+        left = await agent.engine.store.read(lambda records: records.permits())
         events = await agent.engine.events(0, 500)
         print(json.dumps({
-            "steps": steps, "phase": found[0].phase, "id": op.id,
+            "steps": steps, "left": len(left), "phase": found[0].phase, "id": op.id,
             "targets": {t.name: t.state for t in found[1]},
             "begun": sum(e.result == "begun" for e in events),
             "succeeded": sum(e.result == "succeeded" for e in events),
@@ -55,5 +60,5 @@
 
 
 if __name__ == "__main__":
-    port, fatal, count = map(int, sys.argv[2:5])
-    uvloop.run(main(Path(sys.argv[1]), port, fatal, count, "".join(sys.argv[5:])))
+    port, fatal, count, most = map(int, sys.argv[2:6])
+    uvloop.run(main(Path(sys.argv[1]), port, fatal, count, most, "".join(sys.argv[6:])))
--- a/tests/agent/test_engine.py
+++ b/tests/agent/test_engine.py
@@ -12,8 +12,8 @@
 import pytest
 
 from ironscale.agent import planner
-from ironscale.agent.engine import Refusal
 from ironscale.agent.model import Kind, Phase, Policy, State
+from ironscale.agent.refusal import Refusal
 from ironscale.agent.sqlite import SqliteStore
 from ironscale.agent.store import StoreError
 from ironscale.control.frames import encode
--- a/tests/agent/test_killed.py
+++ b/tests/agent/test_killed.py
@@ -24,19 +24,19 @@
 STEPS = 12
 
 
-async def agent(data: Path, port: int, fatal: int, dsn: str) -> tuple[int, dict[str, Any]]:
+async def agent(data: Path, port: int, fatal: int, dsn: str, most: int) -> tuple[int, dict[str, Any]]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "tests.agent.killed_agent", str(data), str(port), str(fatal), str(COUNT), dsn,
+        sys.executable, "-m", "tests.agent.killed_agent", str(data), str(port), str(fatal), str(COUNT), str(most), dsn,
         cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
     out, err = await process.communicate()
     assert process.returncode in (0, -signal.SIGKILL), err.decode()
     return process.returncode, json.loads(out) if out else {}
 
 
-async def rollout(data: Path, fatal: int, dsn: str = "") -> tuple[int, dict[str, Any], list[list[str]]]:
+async def rollout(data: Path, fatal: int, dsn: str = "", most: int = 0) -> tuple[int, dict[str, Any], list[list[str]]]:
     """With an agent that dies at step `fatal`, and then with one that does not."""
     port = free_port()
-    first = asyncio.create_task(agent(data, port, fatal, dsn))
+    first = asyncio.create_task(agent(data, port, fatal, dsn, most))
     while not (data / "instance.token").exists():
         await asyncio.sleep(0.01)
     token = read_secret(data / "instance.token")
@@ -49,7 +49,7 @@
             ends.callback(task.cancel)
         code, told = await first
         if code:
-            code, told = await agent(data, port, 10**9, dsn)
+            code, told = await agent(data, port, 10**9, dsn, most)
             assert code == 0
             code = -signal.SIGKILL
     for task in tasks:
@@ -59,6 +59,10 @@
 
 def check(fatal: int, code: int, told: dict[str, Any], effects: list[list[str]]) -> None:
     assert (code != 0) is (fatal <= STEPS), (fatal, told)  # the last one lives: every step has been one to die at
+    check_record(told, effects)
+
+
+def check_record(told: dict[str, Any], effects: list[list[str]]) -> None:
     assert told["phase"] == "succeeded", told
     assert told["targets"] == {f"i{n}": "applied" for n in range(COUNT)}
     assert (told["id"], told["begun"], told["succeeded"], told["applied"]) == (1, 1, 1, COUNT)
@@ -71,3 +75,14 @@
         check(fatal, *await rollout(tmp_path, fatal))
 
     run(test)
+
+
+@pytest.mark.parametrize("fatal", range(1, 20))  # 16 to 18 steps: two permits may end by one commit or by two
+def test_killed_at_this_step_every_permit_still_ends_and_nothing_is_done_twice(fatal: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        code, told, effects = await rollout(tmp_path, fatal, most=1)
+        assert code != 0 or fatal > 16, (fatal, told)
+        check_record(told, effects)
+        assert told["left"] == 0
+
+    run(test)
--- /dev/null
+++ b/tests/agent/test_permits.py
@@ -0,0 +1,248 @@
+"""Budgets at the agent: operations, scripts and a halt meet in them, and what is out stays within at every moment."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.agent.model import Kind, Phase, Policy
+from ironscale.agent.refusal import Refusal
+from ironscale.disruption.model import Budget, Of
+from ironscale.disruption.model import Phase as PermitPhase
+from ironscale.operator_file import OperatorFileError, parse
+from tests.agent.scene import AgentScene, run, scene, until
+
+TWO = Budget("all", Of.SIDECAR, number=2)
+
+
+class Watched(AgentScene):
+    """Looks at the instances' own truth at each of their effects."""
+
+    most = 0
+
+    def watch(self) -> None:
+        for instance in self.instances.values():
+            def look(what: str, instance: Any = instance) -> None:
+                out = sum(i.draining for i in self.instances.values()) + (what == "drain" and not instance.draining)
+                self.most = max(self.most, out)
+
+            instance.before_effect = look
+
+
+@asynccontextmanager
+async def fleet(data: Path, count: int, *budgets: Budget, **changes: Any) -> AsyncIterator[Watched]:
+    async with scene(data, budgets=budgets, **changes) as found:
+        found.__class__ = Watched
+        assert isinstance(found, Watched)
+        await found.start_many(count)
+        found.watch()
+        await until(lambda: all(s.out == 0.0 for s in found.engine.permits.ledger.sights.values()))
+        yield found
+
+
+async def undrain(found: Watched) -> None:
+    """Again until all serve: who has lost its connection just then is not told."""
+    while any(i.draining for i in found.instances.values()):
+        await found.end(await found.begin(Kind.UNDRAIN, list(found.instances), supersede=True))
+        await asyncio.sleep(0.02)
+
+
+def counted(found: AgentScene) -> int:
+    return len(found.engine.permits.counted())
+
+
+def test_two_operations_and_a_script_share_one_budget(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 6, TWO) as found:
+            engine, names = found.engine, list(found.instances)
+            # in one step of the loop: whoever is first, no more than two are given
+            _, _, permit = await asyncio.gather(
+                found.begin(Kind.DRAIN, names[:3]), found.begin(Kind.DRAIN, names[3:], actor="bob"),
+                engine.permits.take("script", "k", [f"sidecar/{names[5]}"], "disk", 0, 60_000))
+
+            def held() -> bool:
+                known = engine.permits.ledger.permits.get(permit.id)
+                return known is not None and known.phase is PermitPhase.HELD
+
+            await until(lambda: sum(i.draining for i in found.instances.values()) + held() == 2)
+            await until(lambda: any(live.waits for live in engine.live.values()))
+            assert found.most <= 2 and counted(found) == 2
+            await undrain(found)  # what is out comes back, and those that waited have their turn
+            await until(lambda: sum(i.draining for i in found.instances.values()) + held() == 2 or not engine.live)
+            if held():
+                await engine.permits.give_back("script", permit.id, False)
+            for ident in list(engine.live):
+                await engine.control("ann", ident, "abort")
+            await undrain(found)
+            if permit.id in engine.permits.ledger.permits:
+                await engine.permits.give_back("script", permit.id, False)
+            await until(lambda: counted(found) == 0)
+            assert found.most <= 2
+
+    run(test)
+
+
+def test_a_permit_ends_by_what_is_seen_after_its_return_and_not_by_a_word(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, Budget("all", Of.SIDECAR, number=1)) as found:
+            permits, name = found.engine.permits, "i0000"
+            held = await permits.take("ann", "k", [f"sidecar/{name}"], "", 0, 60_000)
+            assert held.phase is PermitPhase.HELD
+            assert await permits.take("ann", "k", [f"sidecar/{name}"], "", 0, 60_000) == held
+            with pytest.raises(Refusal, match="was used for other units"):
+                await permits.take("ann", "k", ["sidecar/i0001"], "", 0, 60_000)
+            waiting = await permits.take("bob", "k", ["sidecar/i0001"], "", 0, 60_000)
+            assert waiting.phase is PermitPhase.WAITING
+            found.instances[name].draining = True  # its holder takes it out, by a way of his own, and is gone at once
+            returned = await permits.give_back("ann", held.id, False)
+            assert returned.phase is PermitPhase.RETURNED
+            assert await permits.give_back("ann", held.id, False) == returned
+            with pytest.raises(Refusal, match="take a new one"):
+                await permits.renew("ann", held.id)
+            await until(lambda: permits.ledger.sights[f"sidecar/{name}"].why == "drained")
+            assert permits.ledger.permits[waiting.id].phase is PermitPhase.WAITING
+            found.instances[name].draining = False
+            await until(lambda: permits.ledger.permits[waiting.id].phase is PermitPhase.HELD)
+            assert held.id not in permits.ledger.permits
+
+    run(test)
+
+
+def test_a_lapsed_lease_is_not_known_and_not_free(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, Budget("all", Of.SIDECAR, number=1)) as found:
+            permits = found.engine.permits
+            held = await permits.take("ann", "k", ["sidecar/i0000"], "", 0, 500)
+            waiting = await permits.take("bob", "k", ["sidecar/i0001"], "", 0, 60_000)
+            await until(lambda: permits.ledger.permits[held.id].phase is PermitPhase.UNKNOWN)
+            assert permits.ledger.permits[waiting.id].phase is PermitPhase.WAITING
+            assert (await permits.renew("ann", held.id)).phase is PermitPhase.HELD  # it was slow, and is there
+            await until(lambda: permits.ledger.permits[held.id].phase is PermitPhase.UNKNOWN)
+            with pytest.raises(Refusal, match="is ann's, not bob's"):
+                await permits.give_back("bob", held.id, False)
+            await permits.give_back("bob", held.id, True)  # who knows that its holder has died
+            await until(lambda: permits.ledger.permits[waiting.id].phase is PermitPhase.HELD)
+
+    run(test)
+
+
+def test_a_halt_holds_everything_survives_the_agent_and_lets_ways_back_through(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 4, TWO) as found:
+            engine = found.engine
+            op = await found.begin(policy=Policy(wave=1))
+            for instance in found.instances.values():
+                instance.before_effect = lambda what: None
+            await engine.permits.set_halt("ann", "errors rise")
+            told = sum(bool(i.effects) for i in found.instances.values())
+            await until(lambda: engine.live[op].waits == "halted by ann: errors rise")
+            with pytest.raises(Refusal, match="halted by ann: errors rise"):
+                await found.begin(Kind.DRAIN)
+            assert sum(bool(i.effects) for i in found.instances.values()) <= told + 1  # one may have been under way
+            assert (await engine.permits.set_halt("bob", "too")).actor == "ann"
+        async with fleet(tmp_path, 4, TWO) as found:
+            engine = found.engine
+            await until(lambda: engine.live[op].waits == "halted by ann: errors rise")
+            await engine.control("ann", op, "rollback")
+            assert (await found.end(op))[0].phase is Phase.ROLLED_BACK
+            lifted = await engine.permits.lift_halt("bob")
+            assert lifted is not None and (lifted.actor, lifted.lifted_by) == ("ann", "bob")
+            again = await found.begin(expect=1, overlay={"settings": {"instances": 3}})
+            assert (await found.end(again))[0].phase is Phase.SUCCEEDED
+
+    run(test)
+
+
+def test_unplanned_losses_stop_a_release_of_others_until_they_are_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 5, TWO) as found:
+            engine = found.engine
+            for name in ("i0003", "i0004"):
+                found.cut(name)
+                found.kill(name)
+            await until(lambda: engine.permits.ledger.cells["all", ""].out == 2.0)
+            op = await found.begin(names=["i0000", "i0001"])
+            await until(lambda: "i0003" in engine.live[op].waits and "i0004" in engine.live[op].waits)
+            assert not found.instances["i0000"].effects
+            for name in ("i0003", "i0004"):
+                found.start(name)
+            assert (await found.end(op))[0].phase is Phase.SUCCEEDED
+
+    run(test)
+
+
+def test_what_is_no_more_is_forgotten_by_a_hand_and_counts_no_longer(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, Budget("all", Of.SIDECAR, number=1)) as found:
+            engine = found.engine
+            with pytest.raises(Refusal, match="is running"):
+                await engine.forget("ann", "i0000", False)
+            found.kill("i0000")
+            await until(lambda: engine.permits.ledger.sights["sidecar/i0000"].out == 1.0)
+            with pytest.raises(Refusal, match="--ended says it for you"):
+                await engine.forget("ann", "i0000", False)
+            await engine.forget("ann", "i0000", True)
+            assert engine.permits.ledger.cells["all", ""].out == 0.0
+            assert (await found.end(await found.begin(names=["i0001"])))[0].phase is Phase.SUCCEEDED
+
+    run(test)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_operators_never_have_more_out_than_is_allowed(tmp_path: Path, seed: int) -> None:
+    """Drains, undrains, permits, kills of connections and a new agent, drawn by seed."""
+    async def test() -> None:
+        rng = random.Random(seed)
+        names = [f"i{n:04}" for n in range(6)]
+        for _ in range(2):
+            async with fleet(tmp_path, 6, TWO, lease_s=0.6) as found:
+                engine = found.engine
+                for _ in range(25):
+                    await asyncio.sleep(rng.random() * 0.06)
+                    some = rng.sample(names, rng.randint(1, 3))
+                    try:
+                        match rng.randrange(5):
+                            case 0 | 1:
+                                await found.begin(Kind.DRAIN, some, supersede=True)
+                            case 2:
+                                await found.begin(Kind.UNDRAIN, some, supersede=True)
+                            case 3:
+                                found.cut(rng.choice(names))
+                            case 4:
+                                await engine.permits.take("s", str(rng.random()), [f"sidecar/{some[0]}"], "", 0, 500)
+                    except (Refusal, AssertionError):
+                        pass
+                    assert found.most <= 2, f"seed {seed}"
+                assert found.most > 0
+                for permit in list(engine.permits.ledger.permits.values()):
+                    if not permit.operation:
+                        await engine.permits.give_back("s", permit.id, False)
+                for ident in list(engine.live):
+                    await engine.control("ann", ident, "abort")
+                await undrain(found)
+                await until(lambda engine=engine: not engine.permits.counted())  # type: ignore[misc]
+
+    run(test)
+
+
+@pytest.mark.parametrize(("text", "wrong"), [
+    ('name = "a"\nnumber = 0', "number: expected a whole number from 1 to 1000000, got 0"),
+    ('name = "a"\nshare = 1.5', "share: expected a share from 0.0001 to 1, got 1.5"),
+    ('name = "a"', "expected number, share or capacity, got none of them"),
+    ('name = "a"\nnumber = 1\nzones = "x"', "agent.budget[0].zones: expected one of"),
+    ('name = "a"\nof = "things"\nnumber = 1', "of: expected one of sidecars, upstreams, got 'things'"),
+    ('name = "a"\nnumber = 1\n[[agent.budget]]\nname = "a"\nnumber = 1', "expected names that differ, got 'a' twice"),
+    ('name = "a"\nnumber = 1\n[[agent.budget]]\nname = "b"\nnumber = 2',
+     "expected one number for the same units, got 1 of 'a' and 2 of 'b'"),
+])
+def test_a_budget_that_cannot_be_used_is_told_in_one_line(tmp_path: Path, text: str, wrong: str) -> None:
+    with pytest.raises(OperatorFileError) as found:
+        parse(f"[agent]\n[[agent.budget]]\n{text}\n", "f.toml", tmp_path)
+    assert str(found.value).startswith("f.toml: agent.budget") and wrong in str(found.value)
+    assert "\n" not in str(found.value)
