Waves of a release go on by service measured, beside the untouched part at the same moment

The need: a release went on because its instances answered "applied"; one that shows only under load, or in one class, went through the fleet. A breach is what `--on-failure` says: end, pause or go back. Too little seen is told as such, waited for, and then a breach or no hindrance, by `--unsure`.

--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -15,6 +15,7 @@
 from ironscale.agent import planner
 from ironscale.agent.difference import difference
 from ironscale.agent.fleet import Fleet
+from ironscale.agent.gates import Gate
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Plan, Policy, Send, State, Target
 from ironscale.agent.permits import Permits, permit_id
 from ironscale.agent.refusal import Refusal
@@ -23,6 +24,7 @@
 from ironscale.control.frames import FrameError, encode
 from ironscale.control.messages import Command, Report, Result, write
 from ironscale.disruption.model import Budget, Halt, Permit
+from ironscale.disruption.releases import Word
 
 RETRY_S = 1.0  # after the record could not be written
 REST_SHARE = 1  # an operation rests for so many times what its last round took: thousands report at once
@@ -43,7 +45,8 @@
     answers: deque[tuple[str, str, str, str]] = field(default_factory=deque)  # name, command, status, detail
     superseded: dict[str, int] = field(default_factory=dict)
     stalled: str = ""  # why it can't go on at present
-    waits: str = ""  # for room in a budget, or for the end of a halt
+    waits: str = ""  # for room in a budget, for the end of a halt, or for what a wave serves
+    gate: Gate = field(default_factory=Gate)
     index: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -236,7 +239,11 @@
                 before[ident] = former
             return problem
 
-        plan = planner.advance(op, answered, self.fleet, self.now_ms(), live.superseded, names, may)
+        def passes(targets: Sequence[Target], first: int) -> tuple[str, bool]:
+            found = live.gate.verdict(op.policy, targets, first, self.fleet, clock_ms())
+            return ("", False) if found.word is Word.GO else (found.text, found.word is Word.BREACH)
+
+        plan = planner.advance(op, answered, self.fleet, self.now_ms(), live.superseded, names, may, passes)
         live.waits = plan.waits
         if not plan.waits:
             self.permits.ledger.leave(f"operation {op.id}")
--- a/ironscale/agent/model.py
+++ b/ironscale/agent/model.py
@@ -61,6 +61,12 @@
     tries: int = 3  # processes of one name that are told; one that restarted has not applied
     priority: int = 0  # among all that wait for room in a budget
     urgent: bool = False  # its way back waits for no room
+    canary: int = 0  # targets of the first wave, before those of `wave` each; 0 = as the others
+    gate: bool = False  # the next wave begins by the service that is measured, `gates.py`
+    soak_ms: int = 0
+    soak_most_ms: int = 60_000
+    margin: float = 0.02  # of answers of a class, refused or failed, more than where nothing was changed
+    unsure: str = "halt"  # or "go", where not enough was seen by then
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,4 +146,5 @@
     note: str = ""
     rollback: bool = False  # a new fence is needed before the roll-back can begin
     wake_ms: int | None = None  # look again by then, if nothing happens before
+    soaks: bool = False  # it waits for what is measured
     waits: str = ""  # what stands in the way of the next target, where that is not the operation's own policy
--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import replace
+from itertools import pairwise
 from typing import Protocol
 
 from ironscale.agent.model import (
@@ -18,6 +19,7 @@
     Operation,
     Phase,
     Plan,
+    Policy,
     Seen,
     Send,
     State,
@@ -25,6 +27,7 @@
 )
 
 FINAL = (State.REFUSED, State.FAILED, State.SUPERSEDED, State.REVERTED)
+LOOK_MS = 500  # between two looks at what a wave serves
 OUT = (State.UNDER_WAY, State.NO_ANSWER, State.GONE)  # may not be serving
 
 
@@ -157,12 +160,20 @@
 May = Callable[[Target], str]
 
 
+class Passes(Protocol):
+    """Whether the wave that begins at this position may, by what is measured: nothing, what it waits for, or (True)
+    what speaks against it."""
+
+    def __call__(self, targets: Sequence[Target], first: int, /) -> tuple[str, bool]: ...
+
+
 def advance(op: Operation, targets: Sequence[Target], fleet: View, now_ms: int, superseded: Mapping[str, int],
-            changed: Collection[str] | None = None, may: May = lambda target: "") -> Plan:
+            changed: Collection[str] | None = None, may: May = lambda target: "",
+            passes: Passes = lambda targets, first: ("", False)) -> Plan:
     """The next steps of an open operation. `superseded`: instances that a newer operation has, and its id.
     `changed`: the instances that may show something new since the last look, where that is known; the others are
     judged only where time alone can change them. `may`: asked before a target is told anything that may take it out of
-    service; empty, or what stands in the way now."""
+    service; empty, or what stands in the way now. `passes`: asked before each wave but the first."""
     plan = Plan()
     if op.phase not in OPEN:
         return plan
@@ -182,7 +193,7 @@
     if op.phase is Phase.ROLLING_BACK:
         _roll_back(op, current, fleet, now_ms, plan, may)
     elif op.phase is Phase.RUNNING:
-        _start(op, current, fleet, now_ms, plan, may)
+        _start(op, current, fleet, now_ms, plan, may, passes)
     for index, (before, after) in enumerate(zip(targets, current, strict=True)):
         if after is not before and after != before:
             moved = after.state is not before.state and after.state is not State.NO_ANSWER
@@ -191,6 +202,8 @@
     if plan.phase is None and not plan.rollback:
         _conclude(op, current, plan)
     due = [t.sent_ms + op.policy.answer_ms for t in current if t.state is State.UNDER_WAY]
+    if plan.soaks:
+        due.append(now_ms + LOOK_MS)
     plan.wake_ms = max(now_ms + 1, min(due)) if due else None
     return plan
 
@@ -223,24 +236,25 @@
     return not problem
 
 
-def _start(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan, may: May) -> None:
+def _start(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan, may: May,
+           passes: Passes) -> None:
     """Starts what the policy allows: wave by wave, with no more out at a time than it says."""
     policy = op.policy
     failures = sum(t.state in FAILURES for t in targets)
     if failures > policy.max_failures:
-        text = f"{failures} failed, {policy.max_failures} allowed"
-        if policy.on_failure == "rollback" and op.kind is Kind.RECONFIGURE:
-            plan.rollback, plan.note = True, text
-        elif policy.on_failure == "pause":
-            plan.phase, plan.note = Phase.PAUSED, text
-        else:
-            plan.phase, plan.note = Phase.ABORTING, text
+        _breach(op, plan, f"{failures} failed, {policy.max_failures} allowed")
         return
-    size = policy.wave or len(targets)
     out = sum(t.state in OUT for t in targets)
     most = policy.max_unavailable or len(targets)
-    for first in range(0, len(targets), size):
-        wave = range(first, min(first + size, len(targets)))
+    for wave in _waves(policy, len(targets)):
+        if policy.gate and wave[0] and all(targets[index].state is State.NOT_STARTED for index in wave):
+            text, speaks_against = passes(targets, wave[0])
+            if speaks_against:
+                _breach(op, plan, text)
+                return
+            if text:
+                plan.waits, plan.soaks = text, True
+                return
         for index in wave:
             target = targets[index]
             if target.state is not State.NOT_STARTED:
@@ -262,6 +276,22 @@
         plan.phase, plan.note = Phase.ABORTING, f"{out} unavailable, {most} allowed"
 
 
+def _waves(policy: Policy, count: int) -> list[range]:
+    """Positions of each wave, the canary's first."""
+    size = policy.wave or count
+    starts = [0, *range(policy.canary or size, count, size)]
+    return [range(start, end) for start, end in pairwise([*starts, count]) if start < end]
+
+
+def _breach(op: Operation, plan: Plan, text: str) -> None:
+    """More has failed than is borne, or what is measured speaks against going on."""
+    plan.note = text
+    if op.policy.on_failure == "rollback" and op.kind is Kind.RECONFIGURE:
+        plan.rollback = True
+    else:
+        plan.phase = Phase.PAUSED if op.policy.on_failure == "pause" else Phase.ABORTING
+
+
 def _roll_back(op: Operation, targets: list[Target], fleet: View, now_ms: int, plan: Plan, may: May) -> None:
     """Every target that was told something goes back to what it ran; what never was told stays."""
     for index, target in enumerate(targets):
--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -361,11 +361,15 @@
     given = given or {}
     policy = Policy(given.get("wave", 0), given.get("maxUnavailable", 0), given.get("maxFailures", 0),
                     given.get("onFailure", "STOP").lower(), given.get("answerMs", 10_000),
-                    priority=given.get("priority", 0))
+                    priority=given.get("priority", 0), canary=given.get("canary", 0), gate=given.get("gate", False),
+                    soak_ms=given.get("soakMs", 0), soak_most_ms=given.get("soakMostMs", 60_000),
+                    margin=given.get("margin", 0.02), unsure=given.get("unsure", "HALT").lower())
     for name, value, least, most in (
         ("wave", policy.wave, 0, 1_000_000), ("maxUnavailable", policy.max_unavailable, 0, 1_000_000),
         ("maxFailures", policy.max_failures, 0, 1_000_000), ("answerMs", policy.answer_ms, 100, 3_600_000),
-        ("priority", policy.priority, 0, MOST_PRIORITY),
+        ("priority", policy.priority, 0, MOST_PRIORITY), ("canary", policy.canary, 0, 1_000_000),
+        ("soakMs", policy.soak_ms, 0, 3_600_000), ("soakMostMs", policy.soak_most_ms, policy.soak_ms, 86_400_000),
+        ("margin", policy.margin, 0.0, 1.0),
     ):
         if value is None or not least <= value <= most:
             raise error("BAD_INPUT", f"policy.{name}: expected {least} to {most}, got {value}")
--- a/ironscale/cli/common.py
+++ b/ironscale/cli/common.py
@@ -61,6 +61,16 @@
                      help="Failed targets that are borne."),
         click.option("--on-failure", type=click.Choice(["stop", "pause", "rollback"]), default="stop",
                      show_default=True, help="What happens past them."),
+        click.option("--gate", is_flag=True, help="The next wave begins only if those of before serve as well as the "
+                     "untouched part of the fleet does meanwhile."),
+        click.option("--canary", type=click.IntRange(0), default=0, help="Targets of the first wave."),
+        click.option("--soak", "soak_s", type=click.FloatRange(0, 3600), default=0.0, show_default=True,
+                     help="Seconds that a wave is looked at, at least."),
+        click.option("--soak-most", "soak_most_s", type=click.FloatRange(0, 86400), default=60.0, show_default=True,
+                     help="Seconds after which too little seen is a breach; with --unsure go, no hindrance."),
+        click.option("--margin", type=click.FloatRange(0, 1), default=0.02, show_default=True,
+                     help="Share of answers by which the changed part may be worse."),
+        click.option("--unsure", type=click.Choice(["halt", "go"]), default="halt", show_default=True),
         click.option("--priority", type=click.IntRange(0, 9), default=0, show_default=True,
                      help="Among all that wait for room in a budget."),
         click.option("--answer-timeout", "answer_s", type=click.FloatRange(0.1, 3600), default=10.0,
@@ -70,11 +80,16 @@
     return function
 
 
-def policy_input(wave: int, max_unavailable: int, max_failures: int, on_failure: str, answer_s: float,
-                 priority: int) -> dict[str, Any]:
-    return {"wave": wave, "maxUnavailable": max_unavailable, "maxFailures": max_failures,
-            "onFailure": on_failure.upper(), "answerMs": int(answer_s * 1000),
-            "priority": priority}
+def policy_input(given: dict[str, Any]) -> dict[str, Any]:
+    """Of what `policy_options` gave; it is taken out."""
+    def taken(name: str) -> Any:
+        return given.pop(name)
+
+    return {"wave": taken("wave"), "maxUnavailable": taken("max_unavailable"), "maxFailures": taken("max_failures"),
+            "onFailure": taken("on_failure").upper(), "answerMs": int(taken("answer_s") * 1000),
+            "priority": taken("priority"), "canary": taken("canary"), "gate": taken("gate"),
+            "soakMs": int(taken("soak_s") * 1000), "soakMostMs": int(taken("soak_most_s") * 1000),
+            "margin": taken("margin"), "unsure": taken("unsure").upper()}
 
 
 def api_for(address: str | None, token_file: Path | None, data: Path) -> Api:
--- a/ironscale/cli/instances.py
+++ b/ironscale/cli/instances.py
@@ -150,14 +150,13 @@
     @wait_options
     @api_options
     @output_option
-    def command(names: tuple[str, ...], selector: str, wave: int, max_unavailable: int, max_failures: int,
-                on_failure: str, answer_s: float, priority: int, timeout_s: float, no_wait: bool, key: str,
-                supersede: bool, output: str, address: str | None, token_file: Path | None, data: Path) -> None:
+    def command(names: tuple[str, ...], selector: str, timeout_s: float, no_wait: bool, key: str, supersede: bool,
+                output: str, address: str | None, token_file: Path | None, data: Path, **policy_given: Any) -> None:
         wanted = selector_of(names, selector)
         if not wanted:
             fail(Exit.USAGE, f"expected a NAME or --selector; `ironscale {name} '*'` means all of them")
         api = api_for(address, token_file, data)
-        policy = policy_input(wave, max_unavailable, max_failures, on_failure, answer_s, priority)
+        policy = policy_input(policy_given)
         op = api.mutate(OPERATION + "mutation($input: OperationInput!) { %s(input: $input) { ...Op } }"  # noqa: UP031
                         % name, {"selector": wanted, "policy": policy, "idempotencyKey": key,
                                  "supersede": supersede})[name]
--- a/ironscale/cli/rollout.py
+++ b/ironscale/cli/rollout.py
@@ -50,9 +50,9 @@
 @wait_options
 @api_options
 @output_option
-def apply(file: str, selector: str, expect: int | None, yes: bool, wave: int, max_unavailable: int, max_failures: int,
-          on_failure: str, answer_s: float, priority: int, timeout_s: float, no_wait: bool, key: str, supersede: bool,
-          output: str, address: str | None, token_file: Path | None, data: Path) -> None:
+def apply(file: str, selector: str, expect: int | None, yes: bool, timeout_s: float, no_wait: bool, key: str,
+          supersede: bool, output: str, address: str | None, token_file: Path | None, data: Path,
+          **policy_given: Any) -> None:
     """Roll out FILE (- is standard input): a JSON merge patch on every instance's own configuration."""
     overlay = read_overlay(file)
     api = api_for(address, token_file, data)
@@ -68,7 +68,7 @@
             fail(Exit.USAGE, "expected --yes where nobody can be asked")
         if not click.confirm("Roll it out?", err=True):
             raise SystemExit(Exit.STOPPED)
-    policy = policy_input(wave, max_unavailable, max_failures, on_failure, answer_s, priority)
+    policy = policy_input(policy_given)
     op = api.mutate(OPERATION + "mutation($input: ApplyInput!) { apply(input: $input) { ...Op } }", {
         "selector": selector, "overlay": overlay, "policy": policy, "idempotencyKey": key, "supersede": supersede,
         "expectGeneration": plan["generation"] if expect is None else expect})["apply"]
@@ -105,11 +105,15 @@
 def steering(name: str, field: str, help_: str) -> click.Command:
     @click.command(name, help=help_)
     @click.argument("operation", type=int)
+    @click.option("--urgent", is_flag=True, hidden=field != "rollBack", help="Without waiting for room in a budget.")
     @api_options
     @output_option
-    def command(operation: int, output: str, address: str | None, token_file: Path | None, data: Path) -> None:
-        api = api_for(address, token_file, data)
-        op = api.call(OPERATION + "mutation($id: Int!) { %s(operation: $id) { ...Op } }" % field,  # noqa: UP031
+    def command(operation: int, urgent: bool, output: str, address: str | None, token_file: Path | None, data: Path
+                ) -> None:
+        if urgent and field != "rollBack":
+            fail(Exit.USAGE, f"expected --urgent with `ironscale rollout rollback` alone, got it with {name}")
+        api, more = api_for(address, token_file, data), ", urgent: true" if urgent else ""
+        op = api.call(OPERATION + "mutation($id: Int!) { %s(operation: $id%s) { ...Op } }" % (field, more),  # noqa: UP031
                       id=operation)[field]
         if output == "json":
             print_json(op)
--- a/ironscale/control/light.py
+++ b/ironscale/control/light.py
@@ -25,6 +25,7 @@
         self.open = 0
         self.ended = False
         self.ready = True
+        self.counts = ClassCounts("view", 0, 0, 0)
         self.effects: list[str] = []
         self.before_effect: Callable[[str], None] = lambda what: None  # a script may refuse, or end the process
         self.client: Client | None = None
@@ -32,7 +33,7 @@
 
     def report(self, control_s: float) -> Report:
         return Report(self.generation, self.fence, self.ready and not self.draining, self.draining, self.open, 0, 10,
-                      10, 0, 0, [ClassCounts("view", 0, 0, 0)], {}, 0.0, control_s, 0, 0)
+                      10, 0, 0, [self.counts], {}, 0.0, control_s, 0, 0)
 
     def upstreams(self) -> list[dict[str, Any]]:
         return [{"name": f"node-{i}", "state": "ready", "slots": 1.0, "used": 0, "resting": False, "cold": False,
--- /dev/null
+++ b/tests/agent/test_gates.py
@@ -0,0 +1,84 @@
+"""A release's next wave begins by the service that is measured, beside the untouched part at the same moment."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from ironscale.agent.model import Phase, Policy, State
+from ironscale.agent.planner import _waves
+from ironscale.control.light import LightInstance
+from ironscale.control.messages import ClassCounts
+from tests.agent.scene import AgentScene, run, scene, until
+
+GATED = Policy(wave=2, canary=1, gate=True, on_failure="rollback", soak_most_ms=20_000)
+
+
+async def traffic(found: AgentScene, failing: Callable[[LightInstance], float], rate: int = 200) -> None:
+    """So many answers to each instance every 20 ms."""
+    rng = random.Random(1)
+    while True:
+        for instance in found.instances.values():
+            failed = sum(rng.random() < failing(instance) for _ in range(rate))
+            old = instance.counts
+            instance.counts = ClassCounts("view", old.served + rate - failed, 0, old.failed + failed)
+        await asyncio.sleep(0.02)
+
+
+def effects(found: AgentScene) -> int:
+    return sum(bool(instance.effects) for instance in found.instances.values())
+
+
+def test_a_release_that_fails_under_load_stops_at_its_canary_and_goes_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as found:
+            await found.start_many(6)
+            load = asyncio.create_task(traffic(found, lambda i: 0.2 if i.generation else 0.01))
+            op = await found.begin(policy=GATED)
+            ended, targets = await found.end(op)
+            load.cancel()
+            assert ended.phase is Phase.ROLLED_BACK and ended.note.startswith("class view: "), ended
+            assert [t.state for t in targets].count(State.REVERTED) == 1 and effects(found) == 1
+
+    run(test)
+
+
+def test_a_good_release_goes_on_through_an_hour_that_is_bad_for_all(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as found:
+            await found.start_many(6)
+            load = asyncio.create_task(traffic(found, lambda i: 0.1))
+            ended, _ = await found.end(await found.begin(policy=GATED))
+            load.cancel()
+            assert ended.phase is Phase.SUCCEEDED and effects(found) == 6
+
+    run(test)
+
+
+def test_without_traffic_it_waits_says_so_and_ends_by_its_rule(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path) as found:
+            await found.start_many(3)
+            op = await found.begin(policy=Policy(wave=1, gate=True, on_failure="pause", soak_most_ms=600))
+            await until(lambda: found.engine.live[op].waits.startswith("not enough seen of class view (0 answers"))
+            await until(lambda: found.engine.live[op].op.phase is Phase.PAUSED)
+            assert found.engine.live[op].op.note.startswith("not enough seen") and effects(found) == 1
+            await found.engine.control("ann", op, "abort")
+            await found.end(op)
+            again = await found.begin(policy=Policy(wave=1, gate=True, soak_most_ms=600, unsure="go"), expect=1,
+                                      overlay={"settings": {"instances": 3}})
+            assert (await found.end(again))[0].phase is Phase.SUCCEEDED
+
+    run(test)
+
+
+@pytest.mark.parametrize(("wave", "canary", "count", "sizes"), [
+    (0, 0, 5, [5]), (2, 0, 5, [2, 2, 1]), (2, 1, 5, [1, 2, 2]), (0, 1, 5, [1, 4]), (10, 3, 2, [2]), (1, 7, 5, [5])])
+def test_waves_have_the_canary_first_and_leave_nobody_out(wave: int, canary: int, count: int, sizes: list[int]) -> None:
+    found = _waves(Policy(wave=wave, canary=canary), count)
+    assert [len(part) for part in found] == sizes
+    assert [place for part in found for place in part] == list(range(count))
