--- a/ironscale/cli/client.py
+++ b/ironscale/cli/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import time
@@ -28,7 +29,8 @@
     token_file: Path | None
     data: Path
 
-    def url(self) -> str:
+    def urls(self) -> list[str]:
+        """Several, with commas, are agents of one record: whichever leads. Raises CliError."""
         address = self.address or os.environ.get("IRONSCALE_AGENT")
         if not address:
             try:
@@ -36,9 +38,9 @@
             except OSError:
                 fail(Exit.NO_AGENT, f"no agent: {self.data}/address is not there; start one with `ironscale agent`, "
                      "or name it with --agent URL")
-        if not address.startswith(("http://", "https://")):
-            address = f"http://{address}"
-        return address.rstrip("/") + "/graphql"
+        found = [one.strip() for one in address.split(",") if one.strip()]
+        return [f"{one if one.startswith(('http://', 'https://')) else f'http://{one}'}".rstrip("/") + "/graphql"
+                for one in found]
 
     def token(self) -> str:
         path = self.token_file or (Path(os.environ["IRONSCALE_TOKEN_FILE"])
@@ -72,20 +74,38 @@
     """GraphQL calls, and errors as exit codes."""
 
     def __init__(self, where: Where) -> None:
-        self.url = where.url()
+        self.where = where
+        self.urls = where.urls()
+        self.url = self.urls[0]
         self.client = httpx.Client(headers={"Authorization": f"Bearer {where.token()}",
                                             "Accept": "application/graphql-response+json"},
                                    timeout=CALL_S, trust_env=False)
 
     def post(self, query: str, variables: dict[str, Any]) -> httpx.Response:
-        """At the agent that leads, if the one that was asked knows it. Raises httpx errors."""
-        answer = self.client.post(self.url, json={"query": query, "variables": variables})
+        """At the agent that leads, if the one that was asked knows it; where nobody listens, at the next. Raises httpx
+        errors."""
+        for _ in range(len(self.urls)):
+            try:
+                answer = self.client.post(self.url, json={"query": query, "variables": variables})
+                break
+            except httpx.ConnectError as error:
+                problem = error
+                self.turn()
+        else:
+            raise problem
         leader = leader_of(answer)
         if leader and leader != self.url:
             self.url = leader
             answer = self.client.post(self.url, json={"query": query, "variables": variables})
         return answer
 
+    def turn(self) -> None:
+        """To the next agent; the folder may name another address since the agent was started again."""
+        with contextlib.suppress(CliError):
+            self.urls = self.where.urls()
+        place = self.urls.index(self.url) if self.url in self.urls else -1
+        self.url = self.urls[(place + 1) % len(self.urls)]
+
     def call(self, query: str, **variables: Any) -> dict[str, Any]:
         """One call. Raises CliError."""
         try:
