--- a/ironscale/disruption/ledger.py
+++ b/ironscale/disruption/ledger.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
@@ -33,6 +34,7 @@
     weight: float = 0.0
     out: float = 0.0  # units
     weight_out: float = 0.0
+    which: dict[str, None] = field(default_factory=dict)  # of its units, those that are out, in part at least
 
     def most(self) -> float:
         """Units that may be out at once."""
@@ -138,6 +140,10 @@
         for cell in self.cells_of[key]:
             cell.out += after - before
             cell.weight_out += (after - before) * weight
+            if after > 0.0:
+                cell.which[key] = None
+            else:
+                cell.which.pop(key, None)
 
     # Room
 
@@ -192,9 +198,8 @@
             return ""
         if self.halted and not is_way_back:
             return f"halted by {self.halted}"
-        for cell, (number, weight) in adds.items():
-            if not cell.has_room(number, weight):
-                return self.explain(cell)
+        if not self._fit(adds):
+            return next(self.explain(cell) for cell, more in adds.items() if not cell.has_room(*more))
         # hazard: small requests would keep passing a large one, which never finds all its room at once
         for other in self.waiters.values():
             if other.name != waiter and other.place(now_ms) < place and not other.cells.isdisjoint(adds):
@@ -202,10 +207,9 @@
         return ""
 
     def explain(self, cell: Cell) -> str:
-        out = [(key, self.out(key)) for key in sorted(cell.units)]
-        named = [f"{key.partition('/')[2]} {self.why(key)}" for key, share in out if share > 0.0]
-        more = f" and {len(named) - NAMED} more" if len(named) > NAMED else ""
-        listed = f" ({', '.join(named[:NAMED])}{more})" if named else ""
+        named = [f"{key.partition('/')[2]} {self.why(key)}" for key in heapq.nsmallest(NAMED, cell.which)]
+        more = f" and {len(cell.which) - NAMED} more" if len(cell.which) > NAMED else ""
+        listed = f" ({', '.join(named)}{more})" if named else ""
         return f"budget {cell.title}: {cell.out:.4g} out of {self._limit(cell)} at most{listed}"
 
     @staticmethod
@@ -283,10 +287,28 @@
             self.put(permit.to(Phase.WITHDRAWN), now_ms)
 
     def grants(self, now_ms: int) -> list[Permit]:
-        """Those that waited and have room now, reserved, in their order."""
-        waiting = [p for p in self.permits.values() if p.phase is Phase.WAITING]
-        order = {p.id: self.wait(name_of(p), p.priority, p.units, now_ms).place(now_ms) for p in waiting}
-        return [self.permits[p.id] for p in sorted(waiting, key=lambda p: order[p.id]) if not self.reserve(p, now_ms)]
+        """Those that waited and have room now, reserved, in their order. One look at each that waits: whoever finds no
+        room holds back, in all its cells, those behind it."""
+        for permit in self.permits.values():
+            if permit.phase is Phase.WAITING:
+                self.wait(name_of(permit), permit.priority, permit.units, now_ms)
+        waiting = {name_of(p): p for p in self.permits.values() if p.phase is Phase.WAITING}
+        taken: set[Cell] = set()
+        granted = []
+        for waiter in sorted(self.waiters.values(), key=lambda waiter: waiter.place(now_ms)):
+            found = waiting.get(waiter.name)  # None: an operation, which asks by itself
+            adds = self._adds(found.units) if found is not None else {}
+            if found is None or (adds and (self.halted or not taken.isdisjoint(adds) or not self._fit(adds))):
+                taken |= waiter.cells
+                continue
+            held = found.to(Phase.HELD)
+            self.put(held, now_ms)
+            granted.append(held)
+        return granted
+
+    @staticmethod
+    def _fit(adds: dict[Cell, tuple[float, float]]) -> bool:
+        return all(cell.has_room(number, weight) for cell, (number, weight) in adds.items())
 
     def renew(self, ident: int, now_ms: int) -> Permit:
         """Its holder is there. One whose lease had run out is held again: its units have counted all the time."""
