Budgets of upstreams by what sidecars see, merged by majority and to the safe side

A budget `of = "upstreams"` matched nothing so far. The agent now asks up to nine sidecars a second, of every zone in turn, by the `inspect` that there is; an entry also tells zone, kind, cell, weight, start and warmth (the decisions' view gives the share now and not only "cold"). Merged (ironscale/disruption/evidence.py, pure): a quarter that says out counts as out, half makes it known; who sees most ill where others don't is left out; too few answers make all unknown; cold ones count by what they can't do yet; evidence is as old as the question that most have answered. Told to drain and then unlisted is gone for good, unlisted without a word counts until `ironscale forget upstream/NAME`.

Tests: liars under a quarter, 20 seeds; a permit on an upstream that drains, comes back cold and is warm; losses; a real sidecar's entries.

--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -21,9 +21,10 @@
 from ironscale.agent.refusal import Refusal
 from ironscale.agent.store import Configuration, Event, Records, Store, StoreError
 from ironscale.agent.terms import Owner, clock_ms
+from ironscale.agent.watching import Watching
 from ironscale.control.frames import FrameError, encode
 from ironscale.control.messages import Command, Report, Result, write
-from ironscale.disruption.model import Budget, Halt, Permit
+from ironscale.disruption.model import Budget, Halt, Of, Permit
 from ironscale.disruption.releases import Word
 
 RETRY_S = 1.0  # after the record could not be written
@@ -71,6 +72,7 @@
         self.store, self.fleet, self.now_ms, self.log = store, fleet, now_ms, log
         self.permits = Permits(budgets, store, fleet, now_ms, log)
         self.permits.room, self.permits.notify, self.permits.question = self.room, self.notify, self.inspect
+        self.watching = Watching(self.permits.ledger, fleet, self.upstreams_of, log, self.permits.wake.set)
         self.live: dict[int, Live] = {}
         self.overlays: dict[int, dict[str, Any]] = {0: {}}
         self.tasks: asyncio.TaskGroup | None = None
@@ -130,6 +132,7 @@
             self.tasks.create_task(self.keep_instances())
             self.tasks.create_task(self.catch_up())
             self.tasks.create_task(self.permits.run(self.tasks))
+            self.tasks.create_task(self.watching.run())
 
     # What comes in
 
@@ -526,6 +529,9 @@
         finally:
             del self.questions[ident]
 
+    async def upstreams_of(self, name: str, timeout_s: float) -> list[dict[str, Any]]:
+        return (await self.inspect(name, timeout_s)).upstreams
+
     @staticmethod
     def on_inspected(question: _Question, result: Result) -> None:
         if question.future.done():
@@ -594,6 +600,9 @@
     async def forget(self, actor: str, name: str, ended: bool) -> None:
         """Takes an instance that is no more off the record, and out of all counts. `ended`: the operator's word where
         its end is not known here. Raises Refusal or StoreError."""
+        if name in self.permits.ledger.sights and name.startswith(f"{Of.UPSTREAM}/"):
+            await self.forget_upstream(actor, name)
+            return
         seen = self.fleet.seen(name)
         if seen is None:
             raise Refusal("NOT_FOUND", f"there is no instance {name!r}; see `ironscale ls`")
@@ -616,6 +625,14 @@
         await self.store.write(work, done)
         done(None)
 
+    async def forget_upstream(self, actor: str, key: str) -> None:
+        if not self.permits.ledger.sights[key].why.startswith("not listed"):
+            raise Refusal("CONFLICT", f"{key} is on sidecars' lists; it can be forgotten once it is gone there")
+        await self.store.write(lambda records: records.audit(self.now_ms(), actor, "forget", key, "forgotten"))
+        self.permits.ledger.forget(key)
+        self.permits.wake.set()
+        self.notify()
+
     async def overlay(self, generation: int) -> dict[str, Any]:
         if generation not in self.overlays:
             found = await self.store.read(lambda records: records.configuration(generation))
--- a/ironscale/agent/permits.py
+++ b/ironscale/agent/permits.py
@@ -358,7 +358,9 @@
                 continue
             self.room()
             for key in self.ledger.asks():
-                self.ask(tasks, key.partition("/")[2])
+                sort, _, name = key.partition("/")
+                if sort == Of.SIDECAR:  # what sidecars see of upstreams is asked for all the time
+                    self.ask(tasks, name)
             await asyncio.sleep(0.01)  # thousands of reports at once are one decision
 
     async def decide(self) -> None:
--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -772,7 +772,7 @@
     def view(self) -> list[api.UpstreamView]:
         """Each upstream as it stands now."""
         return [api.UpstreamView(i, s.entry.state, s.window.slots, s.used, s.window.open(self.now_us) == 0,
-                                 self.warmth(s) < 1.0, s.failing, s.mute > 1, s.least_us)
+                                 self.warmth(s), s.failing, s.mute > 1, s.least_us)
                 for i, s in self.servers.items()]
 
     def learned(self, idents: Iterable[int] | None = None) -> api.Lessons:
--- a/ironscale/control/instance.py
+++ b/ironscale/control/instance.py
@@ -10,6 +10,7 @@
 from ironscale import interface as api
 from ironscale.control.messages import ClassCounts, Report
 from ironscale.net.config import ConfigError
+from ironscale.net.discovery import Directory
 from ironscale.net.sidecar import NeedsRestart, Sidecar
 
 # What each instance has of its own: a patch for many can't set it.
@@ -43,6 +44,14 @@
     def stop(self) -> None: ...
 
 
+def listed(entry: api.Upstream, directory: Directory) -> dict[str, Any]:
+    """What the list says of an upstream, by the names that the configuration has for numbers."""
+    zones, kinds = list(directory.zones), list(directory.kinds)
+    return {"zone": zones[entry.zone] if entry.zone < len(zones) else "",
+            "kind": kinds[entry.kind] if entry.kind < len(kinds) else "", "group": str(entry.cell),
+            "weight": entry.weight, "startedUs": entry.started_us}
+
+
 def check_overlay(overlay: Mapping[str, Any]) -> None:
     """Raises Refused where a patch for many sets what each has of its own."""
     for key in OWN_KEYS:
@@ -91,9 +100,11 @@
         )
 
     def upstreams(self) -> list[dict[str, Any]]:
-        pools = self.sidecar.upstreams.pools
+        pools, directory = self.sidecar.upstreams.pools, self.sidecar.config.directory
+        servers = self.sidecar.balancer.servers
         return [{
             "name": pools[view.id].member.name if view.id in pools else str(view.id),
+            **listed(servers[view.id].entry, directory), "warmth": round(view.warmth, 4),
             "state": view.state.value, "slots": round(view.slots, 3), "used": view.used,
             "resting": view.resting, "cold": view.cold, "failing": view.failing, "mute": view.mute,
             "leastMs": round(view.least_us / 1000, 3),
--- a/ironscale/control/light.py
+++ b/ironscale/control/light.py
@@ -24,6 +24,7 @@
         self.draining = False
         self.open = 0
         self.ended = False
+        self.nodes: Callable[[], list[dict[str, Any]]] | None = None  # what a script has it see
         self.ready = True
         self.counts = ClassCounts("view", 0, 0, 0)
         self.effects: list[str] = []
@@ -36,6 +37,8 @@
                       10, 0, 0, [self.counts], {}, 0.0, control_s, 0, 0)
 
     def upstreams(self) -> list[dict[str, Any]]:
+        if self.nodes is not None:
+            return self.nodes()
         return [{"name": f"node-{i}", "state": "ready", "slots": 1.0, "used": 0, "resting": False, "cold": False,
                  "failing": False, "mute": False, "leastMs": 1.0} for i in range(10)]
 
--- a/ironscale/stage/run.py
+++ b/ironscale/stage/run.py
@@ -260,7 +260,7 @@
                 ident = told["takePermit"]["id"]
                 if told["takePermit"]["phase"] in ("HELD", "UNKNOWN"):
                     break
-            if self.ending:
+            if self.ending and ident:  # hazard: one whose answer was lost may be held, and would never be given back
                 break
             await asyncio.sleep(0.1)
         held = await self.call(RENEW, {"id": ident}) if ident else None
--- /dev/null
+++ b/tests/agent/test_watching.py
@@ -0,0 +1,107 @@
+"""Budgets of upstreams at the agent, by what its instances see of them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.agent import watching
+from ironscale.agent.refusal import Refusal
+from ironscale.disruption import ledger
+from ironscale.disruption.model import Budget, Of, Phase
+from tests.agent.scene import AgentScene, run, scene, until
+from tests.sockets import Scene
+from tests.sockets import run as run_sockets
+
+ONE = Budget("nodes", Of.UPSTREAM, number=1)
+
+
+class Nodes:
+    """The truth of some upstreams, as all instances see it; `states` says otherwise of some."""
+
+    def __init__(self, found: AgentScene, count: int = 4) -> None:
+        self.states: dict[str, str] = {f"n{i}": "ready" for i in range(count)}
+        self.warmth: dict[str, float] = {}
+        for instance in found.instances.values():
+            instance.nodes = self.entries
+
+    def entries(self) -> list[dict[str, Any]]:
+        return [{"name": name, "state": state, "slots": 1.0, "used": 0, "resting": False, "cold": False,
+                 "failing": False, "mute": False, "leastMs": 1.0, "zone": "a", "kind": "k", "group": "1", "weight": 1.0,
+                 "startedUs": 0, "warmth": self.warmth.get(name, 1.0)} for name, state in self.states.items()]
+
+
+@pytest.fixture
+def soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watching, "EVERY_S", 0.02)
+    monkeypatch.setitem(ledger.SETTLES_MS, Of.UPSTREAM, 100)
+
+
+@pytest.mark.usefixtures("soon")
+def test_one_upstream_at_a_time_goes_out_and_the_next_once_most_have_seen_it_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, budgets=(ONE,)) as found:
+            await found.start_many(5)
+            nodes, permits = Nodes(found), found.engine.permits
+            await until(lambda: [s.out for s in permits.ledger.sights.values()].count(0.0) == 9)
+            first = await permits.take("ann", "a", ["upstream/n0"], "disk", 0, 60_000)
+            second = await permits.take("bob", "b", ["upstream/n1"], "", 0, 60_000)
+            assert (first.phase, second.phase) == (Phase.HELD, Phase.WAITING)
+            nodes.states["n0"] = "draining"
+            await until(lambda: permits.ledger.sights["upstream/n0"].why == "draining by 5 of 5")
+            await permits.give_back("ann", first.id, False)
+            nodes.states["n0"], nodes.warmth["n0"] = "ready", 0.4  # back, and cold: so much of it is still out
+            await until(lambda: permits.ledger.sights["upstream/n0"].why == "cold, 40%")
+            assert permits.ledger.permits[second.id].phase is Phase.WAITING
+            nodes.warmth.clear()
+            await until(lambda: permits.ledger.permits[second.id].phase is Phase.HELD)
+            assert first.id not in permits.ledger.permits
+
+    run(test)
+
+
+@pytest.mark.usefixtures("soon")
+def test_upstreams_lost_and_replaced_count_until_they_are_known_to_have_gone(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with scene(tmp_path, budgets=(ONE,)) as found:
+            await found.start_many(4)
+            nodes, engine = Nodes(found), found.engine
+            sights = engine.permits.ledger.sights
+            await until(lambda: "upstream/n3" in sights and sights["upstream/n3"].out == 0.0)
+            nodes.states["n0"] = "draining"  # told to go, then gone: none any more
+            await until(lambda: sights["upstream/n0"].out == 1.0)
+            del nodes.states["n0"]
+            await until(lambda: "upstream/n0" not in sights)
+            del nodes.states["n1"]  # gone without being told
+            await until(lambda: sights["upstream/n1"].why == "not listed by 4 of 4")
+            assert (await engine.permits.take("ann", "k", ["upstream/n2"], "", 0, 60_000)).phase is Phase.WAITING
+            with pytest.raises(Refusal, match="it can be forgotten once it is gone there"):
+                await engine.forget("ann", "upstream/n3", False)
+            await engine.forget("ann", "upstream/n1", False)
+            await until(lambda: any(p.phase is Phase.HELD for p in engine.permits.ledger.permits.values()))
+            for name in list(found.instances):
+                found.kill(name)
+            await until(lambda: all(s.out == 1.0 and not s.known for s in sights.values() if s.unit.of is Of.UPSTREAM))
+
+    run(test)
+
+
+def test_a_real_sidecar_tells_what_an_agent_needs_of_each_upstream() -> None:
+    from ironscale.control.instance import SidecarInstance
+    from ironscale.disruption.evidence import ought
+    from ironscale.standins.upstream import Peer
+
+    async def test() -> None:
+        peer = await Peer().start()
+        entries = [peer.entry("s-1", weight=2.0),
+                   peer.entry("s-2", lifecycle="draining", zone="b", hostPort="127.0.0.1:9")]
+        made = await Scene().start(*entries)
+        instance = SidecarInstance(made.sidecar, lambda: None)
+        found = {str(e["name"]): ought(str(e["name"]), e) for e in instance.upstreams()}
+        assert {name: (look.why, look.unit.zone, look.unit.kind, look.unit.group, look.unit.weight)
+                for name, look in found.items()} == {"s-1": ("", "a", "large", "1", 2.0),
+                                                     "s-2": ("draining", "b", "large", "1", 1.0)}
+
+    run_sockets(test)
--- /dev/null
+++ b/tests/disruption/test_evidence.py
@@ -0,0 +1,100 @@
+"""What several sidecars see of the upstreams, made one: liars, the cut off and the few are told from what is out."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from ironscale.disruption.evidence import Look, View, merged, ought
+from ironscale.disruption.model import Of, Sight, Unit
+
+NAMES = [f"n{i}" for i in range(12)]
+
+
+def view(who: int, asked_ms: int = 100, why: dict[str, str] | None = None, warmth: dict[str, float] | None = None,
+         without: tuple[str, ...] = ()) -> View:
+    return View(f"s{who}", asked_ms, {
+        name: Look(Unit(Of.UPSTREAM, name, zone="a"), (why or {}).get(name, ""), (warmth or {}).get(name, 1.0), "1")
+        for name in NAMES if name not in without})
+
+
+def seen(views: list[View], connected: int = 9, known: tuple[Unit, ...] = ()) -> dict[str, Sight]:
+    return {sight.unit.name: sight for sight in merged(views, connected, known)}
+
+
+def test_one_liar_takes_nobody_out_and_a_quarter_does_to_the_safe_side() -> None:
+    lies = {"n0": "failing"}
+    found = seen([view(0, why=lies), *(view(n) for n in range(1, 8))])
+    assert found["n0"].out == 0.0
+    found = seen([view(n, why=lies if n < 2 else None) for n in range(8)])
+    assert (found["n0"].out, found["n0"].known, found["n0"].why) == (1.0, False, "failing by 2 of 8")
+    found = seen([view(n, why=lies if n < 5 else None) for n in range(8)])
+    assert (found["n0"].out, found["n0"].known) == (1.0, True)
+    assert all(sight.out == 0.0 for name, sight in found.items() if name != "n0")
+
+
+def test_a_sidecar_that_sees_most_ill_is_ill_itself() -> None:
+    cut = dict.fromkeys(NAMES, "no answer")
+    found = seen([view(0, why=cut), view(1, why=cut), *(view(n) for n in range(2, 8))])
+    assert all(sight.out == 0.0 for sight in found.values())
+    found = seen([view(n, why=cut) for n in range(5)])  # all see so: so it is
+    assert all(sight.out == 1.0 and sight.known for sight in found.values())
+
+
+def test_too_few_that_answer_make_everything_unknown_and_nothing_well() -> None:
+    units = tuple(Unit(Of.UPSTREAM, name) for name in NAMES)
+    for views in ([], [view(0)], [view(0), view(1)]):
+        found = seen(views, 9, units)
+        assert all((sight.out, sight.known) == (1.0, False) for sight in found.values()) and len(found) == 12
+    assert all(sight.out == 0.0 for sight in seen([view(0)], connected=1).values())
+
+
+def test_cold_ones_are_out_by_what_they_cannot_do_yet() -> None:
+    found = seen([view(n, warmth={"n3": share}) for n, share in enumerate((0.2, 0.3, 0.9))])
+    assert found["n3"].out == pytest.approx(0.7) and found["n3"].why == "cold, 30%" and found["n3"].known
+
+
+def test_what_no_list_names_is_out_for_certain() -> None:
+    found = seen([view(n, without=("n1",)) for n in range(4)], known=(Unit(Of.UPSTREAM, "n1"),))
+    assert (found["n1"].out, found["n1"].known, found["n1"].why) == (1.0, True, "not listed by 4 of 4")
+
+
+def test_evidence_is_as_old_as_the_question_that_most_have_answered() -> None:
+    views = [view(n, asked_ms) for n, asked_ms in enumerate((900, 800, 700, 300, 200))]
+    assert seen(views)["n0"].asked_ms == 700  # three of five were asked then or later
+    assert seen([view(0, 900), view(1, 800, why={"n0": "x"}), view(2, 700), view(3, 300), view(4, 200)])[
+        "n0"].asked_ms == 300
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_with_fewer_liars_than_a_quarter_nothing_well_is_out_and_nothing_out_is_well(seed: int) -> None:
+    rng = random.Random(seed)
+    out = set(rng.sample(NAMES, rng.randint(0, 3)))
+    count = rng.randint(8, 30)
+    liars = set(rng.sample(range(count), min(count // 5, (count - 1) // 4)))
+
+    def word(number: int, name: str) -> str:
+        return ("ill" if rng.random() < 0.5 else "") if number in liars else "draining" if name in out else ""
+
+    # liars agree on nothing; each name is lied about by fewer than a quarter
+    views = [view(n, rng.randrange(1_000), {name: word(n, name) for name in NAMES}) for n in range(count)]
+    found = seen(views, count)
+    assert {name for name, sight in found.items() if sight.out} >= out
+    assert all(found[name].known for name in out)
+    assert all(found[name].out == 0.0 for name in NAMES if name not in out), f"seed {seed}"
+
+
+def test_an_entry_that_cannot_be_used_is_an_error_and_not_a_guess() -> None:
+    good: dict[str, Any] = {"state": "ready", "zone": "a", "kind": "k", "group": "1", "weight": 1.0, "warmth": 0.5,
+                            "mute": False, "failing": True, "resting": False, "startedUs": 7}
+    assert ought("n", good) == Look(Unit(Of.UPSTREAM, "n", zone="a", kind="k", group="1"), "", 0.5, "7")
+    assert ought("n", {**good, "resting": True}).why == "failing"
+    assert ought("n", {**good, "mute": True}).why == "no answer"
+    assert ought("n", {**good, "state": "draining"}).why == "draining"
+    for key in good:
+        with pytest.raises(KeyError):
+            ought("n", {name: value for name, value in good.items() if name != key})
+    with pytest.raises(ValueError):
+        ought("n", {**good, "warmth": "much"})
