Two guards that no test held: a welcome of a former term, a halt before its commit

Broken on purpose, both went through every test. Now tests/control/test_several_agents.py has an instance meet a leader whose term is over, a follower that names a stranger, and an agent that accepts and says nothing; and a permit asked for while a halt is being written waits. Each fails with its guard out.

--- a/tests/agent/test_permits.py
+++ b/tests/agent/test_permits.py
@@ -159,6 +159,22 @@
     run(test)
 
 
+def test_a_halt_holds_from_the_moment_it_is_asked_for_and_not_from_its_commit(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, TWO) as found:
+            permits = found.engine.permits
+            halting = asyncio.create_task(permits.set_halt("ann", "now"))
+            await asyncio.sleep(0)  # it has been asked for, and its commit is under way
+            assert permits.halt is None
+            permit = await permits.take("bob", "k", ["sidecar/i0000"], "", 0, 60_000)
+            assert permit.phase is PermitPhase.WAITING
+            assert (await halting).text == "ann: now"
+            await permits.lift_halt("ann")
+            await until(lambda: permits.ledger.permits[permit.id].phase is PermitPhase.HELD)
+
+    run(test)
+
+
 def test_unplanned_losses_stop_a_release_of_others_until_they_are_back(tmp_path: Path) -> None:
     async def test() -> None:
         async with fleet(tmp_path, 5, TWO) as found:
--- /dev/null
+++ b/tests/control/test_several_agents.py
@@ -0,0 +1,71 @@
+"""An instance with several agents to dial: it turns to who leads, and back to nobody whose term is over."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from ironscale.control.client import NOT_LEADING, Client
+from ironscale.control.light import light, stop
+from ironscale.control.messages import Command, Denied, Hello, Welcome
+from tests.control.test_client import ScriptedAgent
+from tests.sockets import run, until
+
+
+def client_of(*agents: ScriptedAgent) -> Client:
+    addresses = [("127.0.0.1", agent.port) for agent in agents]
+    _, client = light("i0", addresses[0], "t", boot="boot", rng=random.Random(1), others=tuple(addresses[1:]))
+    client.redial.spread_s = 0.01
+    return client
+
+
+def test_a_welcome_of_a_term_below_one_that_it_had_is_not_taken() -> None:
+    """Hazard: a leader that was stopped, and does not know yet that another leads, would have commands for it."""
+
+    async def test() -> None:
+        new, old = await ScriptedAgent(Welcome(5_000, 50, 10, [], 3)).start(), await ScriptedAgent(
+            Welcome(5_000, 50, 10, [], 2)).start()
+        client = client_of(new, old)
+        task = asyncio.create_task(client.run())
+        await until(lambda: client.term == 3 and new.beats())
+        new.stop()
+        await until(lambda: any(isinstance(message, Hello) for message in old.got))
+        old.say(Command("1.0.1", 9, "boot", "drain"))
+        # it has left again, and come again: whatever it was told meanwhile had no effect
+        await until(lambda: sum(isinstance(message, Hello) for message in old.got) >= 3 or old.results())
+        assert not old.results() and not old.beats() and client.term == 3
+        old.greet = Welcome(5_000, 50, 10, [], 4)
+        await until(lambda: client.term == 4 and old.beats())
+        await stop(task)
+        old.stop()
+
+    run(test)
+
+
+def test_it_goes_to_the_agent_that_is_named_only_where_its_own_file_names_that_too() -> None:
+    async def test() -> None:
+        leader, stranger = await ScriptedAgent().start(), await ScriptedAgent().start()
+        follower = await ScriptedAgent().start()
+        follower.greet = Denied(NOT_LEADING, "another agent leads", 0, f"127.0.0.1:{stranger.port}")
+        client = client_of(follower, leader)
+        task = asyncio.create_task(client.run())
+        await until(lambda: leader.beats())
+        assert not stranger.got  # it would have been told the token
+        await stop(task)
+        for agent in (leader, stranger, follower):
+            agent.stop()
+
+    run(test)
+
+
+def test_an_agent_that_accepts_and_says_nothing_is_left_for_the_next() -> None:
+    async def test() -> None:
+        silent, leader = await ScriptedAgent(None).start(), await ScriptedAgent().start()
+        client = client_of(silent, leader)
+        task = asyncio.create_task(client.run())
+        await until(lambda: leader.beats())
+        await stop(task)
+        for agent in (silent, leader):
+            agent.stop()
+
+    run(test)
