The test of a halt before its commit looks before the commit

The record's queue alone kept its first form green with the guard out: what was asked for later was written later. It asks now what would stand in the way while the halt's commit is under way, and fails without the guard.

--- a/tests/agent/test_permits.py
+++ b/tests/agent/test_permits.py
@@ -166,6 +166,8 @@
             halting = asyncio.create_task(permits.set_halt("ann", "now"))
             await asyncio.sleep(0)  # it has been asked for, and its commit is under way
             assert permits.halt is None
+            # hazard: an operation's round would reserve now, and its command be recorded behind the halt
+            assert permits.ledger.stands_in_the_way(("sidecar/i0000",), "x", (0, 0), 0) == "halted by ann: now"
             permit = await permits.take("bob", "k", ["sidecar/i0000"], "", 0, 60_000)
             assert permit.phase is PermitPhase.WAITING
             assert (await halting).text == "ann: now"
