--- a/ironscale/cli/demo.py
+++ b/ironscale/cli/demo.py
@@ -106,7 +106,8 @@
         (self.folder / "app.json").write_text(json.dumps(config), encoding="utf-8")
         (self.folder / "operator.toml").write_text(
             '[agent]\ndata = "data"\ncontrol = "127.0.0.1:0"\napi = "127.0.0.1:0"\nlease_s = 2.0\n'
-            f'heartbeat_s = 0.4\n\n[[agent.service]]\nname = "app"\ncount = {SIDECARS}\nconfig = "app.json"\n'
+            'heartbeat_s = 0.4\n\n[[agent.budget]]\nname = "app"\nnumber = 2\n'
+            f'\n[[agent.service]]\nname = "app"\ncount = {SIDECARS}\nconfig = "app.json"\n'
             'zone = "a"\nstop_s = 4.0\n', encoding="utf-8")
         with open(self.folder / "agent.log", "wb") as log:
             self.agent = subprocess.Popen(
@@ -215,6 +216,35 @@
                                      "policy": {"wave": 2}}, "ApplyInput")
         await self.at(0.85)
         await self.operate("undrain", {"selector": "name=app-2"}, "OperationInput")
+        await self.halted_release()
+
+    async def halted_release(self) -> None:
+        """A canary that soaks, a halt by hand, and the way back."""
+        assert self.api is not None
+        apply = OPERATION + "mutation($input: ApplyInput!) { apply(input: $input) { ...Op } }"
+        op = (await asyncio.to_thread(self.api.mutate, apply, {
+            "overlay": {"settings": {"request-classes": DEMO_SETTINGS["request-classes"]}}, "expectGeneration": 1,
+            "policy": {"canary": 1, "gate": True, "soakMs": 60_000}}))["apply"]
+        query = OPERATION + "query($id: Int!) { operation(id: $id) { ...Op } }"
+
+        async def seen(condition: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+            assert self.api is not None
+            deadline_s = time.monotonic() + 10.0
+            while True:
+                found: dict[str, Any] = (await asyncio.to_thread(self.api.call, query, id=op["id"]))["operation"]
+                if condition(found) or time.monotonic() > deadline_s:
+                    return found
+                await asyncio.sleep(0.05)
+
+        self.tell(line_of(await seen(lambda found: bool(found["stalled"]))))
+        await asyncio.to_thread(self.api.call, 'mutation { halt(reason: "demo") { actor } }')
+        self.tell("halt: nothing more is taken out, anywhere")
+        await asyncio.to_thread(self.api.call, "mutation($id: Int!) { rollBack(operation: $id) { id } }", id=op["id"])
+        ended = await seen(lambda found: not found["open"])
+        self.tell(line_of(ended))
+        await asyncio.to_thread(self.api.call, "mutation { liftHalt { actor } }")
+        if ended["phase"] != "ROLLED_BACK":
+            self.wrong.append(line_of(ended))
 
     async def until(self, condition: Callable[[], bool], text: str) -> None:
         deadline_s = time.monotonic() + 10.0
@@ -349,6 +379,6 @@
 @click.option("--seconds", type=click.FloatRange(10, 600), default=24.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 def demo(seconds: float, seed: int) -> None:
-    """Everything at work on loopback: traffic, a stalled node, a killed sidecar, a drain, a rollout."""
+    """Everything at work on loopback: traffic, a stalled node, a killed sidecar, a drain, a rollout, a halt."""
     with tempfile.TemporaryDirectory(prefix="ironscale-demo-") as folder:
         raise SystemExit(uvloop.run(Demo(Path(folder), seconds, seed).run()))
--- a/tests/cli/test_demo.py
+++ b/tests/cli/test_demo.py
@@ -33,6 +33,7 @@
     assert done.returncode == 0, done.stdout + done.stderr
     assert "executed twice although unsafe: 0" in done.stdout and "all operations succeeded" in done.stdout
     assert "app-1 is back" in done.stdout and "reconfigure to generation 1 succeeded: 4 applied" in done.stdout
+    assert "halt: nothing more is taken out" in done.stdout and "rolled back (rollback by admin): " in done.stdout
     assert not mine(tmp_path) and not list(tmp_path.iterdir())
 
 
