A test of terms waits for no growing pauses between tries

It failed in a fresh clone's run by its 30 s: a try that comes to nothing waits twice as long as the one before.

--- a/tests/control/test_several_agents.py
+++ b/tests/control/test_several_agents.py
@@ -5,6 +5,9 @@
 import asyncio
 import random
 
+import pytest
+
+from ironscale.control import pacing
 from ironscale.control.client import NOT_LEADING, Client
 from ironscale.control.light import light, stop
 from ironscale.control.messages import Command, Denied, Hello, Welcome
@@ -19,6 +22,12 @@
     return client
 
 
+@pytest.fixture(autouse=True)
+def soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Tries that come to nothing wait ever longer, up to this: not what is tested here."""
+    monkeypatch.setattr(pacing, "MOST_S", 0.05)
+
+
 def test_a_welcome_of_a_term_below_one_that_it_had_is_not_taken() -> None:
     """Hazard: a leader that was stopped, and does not know yet that another leads, would have commands for it."""
 
