--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -258,7 +258,8 @@
                     engine.permits.take_halt(await store.read(lambda records: records.halt()))
                     engine.read_ms = clock_ms()
                 except StoreError as error:
-                    if error.code != "LOCKED" and str(error) != said:
+                    # a file that a stopped process holds is told; a lease that another has is what is followed
+                    if ("SQLITE_BUSY" in str(error) or error.code != "LOCKED") and str(error) != said:
                         said = str(error)
                         self.log(f"waits: {error}")
                 self.started(engine)
