A leader stopped in mid-transaction on PostgreSQL is followed within its lease

Checked: with the stand-in's hook the leader was stopped right after its first UPDATE, which holds the row that says whose the record is: it hung in the same place, every time. It asks for no longer than the lease now. The scene of a stopped leader is back, anywhere and in mid-transaction; with the time-out out of the stand-in the second fails.

SQLite: that a process which holds the file keeps all others from leading is shown by a held lock of the test's own: the follower tells SQLITE_BUSY, goes on showing the record, and leads once the lock is gone.

--- a/ironscale/agent/postgres.py
+++ b/ironscale/agent/postgres.py
@@ -217,9 +217,11 @@
                                                 autocommit=True, prepare_threshold=None)
         try:
             with self.watch.over(connection, self.limit_s):
-                # what a server does that we have given up on has an end too, and then the row is free
+                # what a server does that we have given up on has an end too, and then the row is free. Hazard: who is
+                # stopped in mid-transaction would keep the next agent from the row past the end of his lease
+                idle_ms = min(int(2 * self.limit_s * 1000), self.lease_ms)
                 connection.execute(f"SET statement_timeout = {int(self.limit_s * 1000)}")
-                connection.execute(f"SET idle_in_transaction_session_timeout = {int(2 * self.limit_s * 1000)}")
+                connection.execute(f"SET idle_in_transaction_session_timeout = {idle_ms}")
                 connection.execute(f"SET synchronous_commit = {self.access.synchronous_commit}")
                 if self.epoch == 0:
                     self._migrate(connection)
--- a/ironscale/standins/postgres.py
+++ b/ironscale/standins/postgres.py
@@ -3,8 +3,9 @@
 
 What it keeps of the real one: start-up, SCRAM-SHA-256, simple and extended queries, parameter and row formats, error
 fields, transaction status, cancel requests, read-only hosts; READ COMMITTED transactions whose writes wait for
-another's that is open on the same unique value, deadlocks found, a COMMIT that goes on though its client has gone. What
-it does not know is refused with an error. Its script (`Host.hook`, `Host.cut`) stalls, fails and cuts at any place.
+another's that is open on the same unique value, deadlocks found, a COMMIT that goes on though its client has gone, the
+end of a transaction whose client falls silent (`idle_in_transaction_session_timeout`). What it does not know is refused
+with an error. Its script (`Host.hook`, `Host.cut`) stalls, fails and cuts at any place.
 Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol"; RFC 5802 and 7677.
 """
 
@@ -539,7 +540,12 @@
         portals: dict[str, _Portal] = {}
         skipping = False  # after an error, until Sync
         while not session.gone:
-            kind, body = await self.read(wire)
+            limit_ms = int(session.session_settings.get("idle_in_transaction_session_timeout", "0"))
+            try:
+                async with asyncio.timeout(limit_ms / 1000 if limit_ms and session.status != b"I" else None):
+                    kind, body = await self.read(wire)
+            except TimeoutError:
+                raise SqlError("25P03", "terminating connection due to idle-in-transaction timeout", "FATAL") from None
             if kind == b"X":
                 return
             if kind == b"Q":
--- a/tests/agent/test_leading.py
+++ b/tests/agent/test_leading.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+import sqlite3
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -21,7 +22,7 @@
 from ironscale.agent.terms import Term, clock_ms
 from ironscale.control.light import LightInstance, light, stop
 from ironscale.operator_file import read_secret
-from ironscale.standins.postgres import Data, Host
+from ironscale.standins.postgres import Data, Host, Session
 from tests.agent.scene import run
 from tests.deployed import ROOT
 from tests.record.postgres import dsn
@@ -241,7 +242,9 @@
     run(test)
 
 
-def test_a_leader_killed_on_postgresql_is_followed_by_another(tmp_path: Path) -> None:
+@pytest.mark.parametrize("where", ["anywhere", "in mid-transaction"])
+def test_a_leader_stopped_on_postgresql_is_followed_and_finds_its_term_void(tmp_path: Path, where: str) -> None:
+    """In the middle of a transaction it holds the row that says whose the record is: its server ends that by time."""
     async def test() -> None:
         data = Data()
         host = await Host(data).start()
@@ -250,8 +253,22 @@
                 ident = await found.apply("k")
                 check(found, await found.until_ended(ident))
                 leader = await found.leader(seeing=6)
-                os.kill(found.processes[leader].pid, signal.SIGKILL)
+                stopped = asyncio.Event()
+
+                async def stop_it(session: Session, kind: str, after: bool) -> None:
+                    if kind == "update" and after and not stopped.is_set():  # who follows writes nothing
+                        os.kill(found.processes[leader].pid, signal.SIGSTOP)
+                        stopped.set()
+
+                if where == "anywhere":
+                    os.kill(found.processes[leader].pid, signal.SIGSTOP)
+                else:
+                    host.hook = stop_it
+                    await stopped.wait()
                 other = await found.leader(but=leader, seeing=6)
+                os.kill(found.processes[leader].pid, signal.SIGCONT)
+                while "leads no longer" not in found.log(leader):
+                    await asyncio.sleep(0.01)
                 told = await found.ask(other, GO)
                 assert told is not None and told["data"]["fleet"]["ready"] == 6
         finally:
@@ -260,6 +277,30 @@
     run(test)
 
 
+def test_a_sqlite_file_that_a_stopped_process_holds_is_told_and_led_on_once_it_is_free(tmp_path: Path) -> None:
+    """As a leader stopped in mid-commit holds it: nobody can write there, and so nobody leads."""
+    async def test() -> None:
+        async with agents(tmp_path, 2) as found:
+            leader = await found.leader(seeing=6)
+            other = 1 - leader
+            connection = sqlite3.connect(found.record, isolation_level=None, timeout=30)
+            try:
+                connection.execute("BEGIN IMMEDIATE")
+                found.processes[leader].kill()
+                await found.processes[leader].wait()
+                while "SQLITE_BUSY" not in found.log(other):
+                    await asyncio.sleep(0.01)
+                told = await found.ask(other, GO)
+                assert told is not None and not told["data"]["fleet"]["leads"]  # and it goes on showing the record
+                assert told["data"]["fleet"]["instances"] == 6
+                connection.execute("ROLLBACK")
+            finally:
+                connection.close()
+            assert await found.leader(seeing=6) == other
+
+    run(test)
+
+
 # The term itself
 
 
