A permit given back is no longer overwritten by a lapse that was decided before

Seen: a drawn schedule did not come back; its history has permit 3 returned at 6.179 s and unknown at 6.310 s. At fault: Permits.decide read the ledger, wrote, and put what it had read, with give_back's word recorded in between. No count was ever too low by it, but the permit counted for good. The same shape could have ended a permit that an operation had just taken up again, which would have been a count too low.

Mended: one lock over each reading, deciding and writing of permits that were asked for, and an operation takes nothing up whose end is being written.

--- a/ironscale/agent/permits.py
+++ b/ironscale/agent/permits.py
@@ -66,6 +66,9 @@
         self.asked_ms: dict[str, int] = {}  # of an instance, the question whose answer is the newest
         self.asking: dict[str, float] = {}  # when it was asked last
         self.doubt: set[int] = set()  # what became of their last write is not known
+        # hazard: what was decided before another's word came, and is written after it, would undo that word
+        self.lock = asyncio.Lock()
+        self.ending: set[int] = set()  # whose end is being written: an operation may not take them up again meanwhile
         self.step: Callable[[str], None] = lambda where: None  # tests end the process here
 
     # The record
@@ -111,20 +114,26 @@
         key = f"{Of.SIDECAR}/{target.name}"
         ident, now_ms = permit_id(op, target), clock_ms()
         known = self.ledger.permits.get(ident)
+        if ident in self.ending:
+            return f"the end of its former permit for {target.name} is being recorded"
         if known is not None and known.phase is Phase.HELD and (is_way_back or not self.ledger.halted):
             return ""
         if not self.ledger.is_bound(key):
             return f"halted by {self.ledger.halted}" if self.ledger.halted and not is_way_back else ""
         permit = known or Permit(ident, str(target.position), f"operation {op.id}", (key,), str(op.kind),
                                  op.policy.priority, Phase.WAITING, self.now_ms(), 0, op.id)
+        problem = ""
         if is_way_back and op.policy.urgent:
             self.ledger.put(permit.to(Phase.HELD), now_ms)  # an operator's word: it counts, and asks for no room
-            return ""
-        try:
-            self.ledger.check((key,))
-        except Impossible as impossible:
-            return str(impossible)
-        return self.ledger.reserve(permit, now_ms, is_way_back)
+        else:
+            try:
+                self.ledger.check((key,))
+                problem = self.ledger.reserve(permit, now_ms, is_way_back)
+            except Impossible as impossible:
+                problem = str(impossible)
+        if not problem:
+            self.doubt.discard(ident)
+        return problem
 
     def settled(self, op: Operation, targets: Iterable[Target], ends: bool) -> list[Permit]:
         """Permits that these targets need no more, as to be recorded beside them. `ends`: the operation does, and what
@@ -191,8 +200,9 @@
             if made.phase is Phase.WAITING and made.id not in self.ledger.permits:
                 self.put([made])
 
-        made = await self.store.write(work, taken)
-        taken(made)
+        async with self.lock:
+            made = await self.store.write(work, taken)
+            taken(made)
         await self.decide()
         return self.ledger.permits.get(made.id, made)
 
@@ -234,6 +244,10 @@
 
     async def renew(self, holder: str, ident: int) -> Permit:
         """Raises Refusal; ENDED where its units may be somebody else's by now."""
+        async with self.lock:
+            return await self._renew(holder, ident)
+
+    async def _renew(self, holder: str, ident: int) -> Permit:
         permit = await self.own(holder, ident, False)
         if not self.store.term.holds(clock_ms()):
             raise StoreError("AWAY", "the record does not answer, and another agent may lead by now; ask again")
@@ -249,6 +263,10 @@
     async def give_back(self, holder: str, ident: int, force: bool) -> Permit:
         """Its holder's word that he is through; with `force` another's, who knows that the holder can act no more. The
         units count on until they are seen to serve. Again is the same. Raises Refusal or StoreError."""
+        async with self.lock:
+            return await self._give_back(holder, ident, force)
+
+    async def _give_back(self, holder: str, ident: int, force: bool) -> Permit:
         permit = await self.own(holder, ident, force)
         if permit.phase in (Phase.RETURNED, Phase.ENDED, Phase.WITHDRAWN):
             return permit
@@ -365,10 +383,18 @@
 
     async def decide(self) -> None:
         """Lapses, ends and grants, recorded before they are told. Raises StoreError."""
+        async with self.lock:
+            await self._decide()
+
+    async def _decide(self) -> None:
         wall_ms = self.now_ms()
         over = [replace(p, ended_ms=wall_ms) for p in self.ledger.ends()]
         if over:
-            await self.record(over, "agent", str(Phase.ENDED))
+            self.ending = {permit.id for permit in over}
+            try:
+                await self.record(over, "agent", str(Phase.ENDED))
+            finally:
+                self.ending = set()
         lapsed = self.ledger.lapses(clock_ms())
         if lapsed:
             await self.record(lapsed, "agent", str(Phase.UNKNOWN))
@@ -384,6 +410,10 @@
 
     async def resolve(self) -> None:
         """After a write whose outcome was not known: as the record has it, once it takes writes. Raises StoreError."""
+        async with self.lock:
+            await self._resolve()
+
+    async def _resolve(self) -> None:
         if self.doubt:
             doubt, before_ms = set(self.doubt), self.now_ms() - KEPT_MS
 
@@ -393,7 +423,7 @@
 
             open_ = await self.store.write(work)
             recorded = {permit.id: permit for permit in open_}
-            for ident in doubt:
+            for ident in doubt & self.doubt:  # hazard: one that an operation has taken up again since is its round's
                 if ident in recorded:
                     self.put([recorded[ident]])
                 else:
--- a/tests/agent/test_permits.py
+++ b/tests/agent/test_permits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -12,7 +13,9 @@
 import pytest
 
 from ironscale.agent.model import Kind, Phase, Policy
+from ironscale.agent.permits import permit_id
 from ironscale.agent.refusal import Refusal
+from ironscale.agent.store import StoreError
 from ironscale.disruption.model import Budget, Of
 from ironscale.disruption.model import Phase as PermitPhase
 from ironscale.operator_file import OperatorFileError, parse
@@ -78,7 +81,8 @@
             if held():
                 await engine.permits.give_back("script", permit.id, False)
             for ident in list(engine.live):
-                await engine.control("ann", ident, "abort")
+                with contextlib.suppress(Refusal):
+                    await engine.control("ann", ident, "abort")
             await undrain(found)
             if permit.id in engine.permits.ledger.permits:
                 await engine.permits.give_back("script", permit.id, False)
@@ -177,6 +181,146 @@
     run(test)
 
 
+class Gated:
+    """Holds the store's writes, from the next one on, until it is opened; and may say of one that nobody knows."""
+
+    def __init__(self, found: AgentScene) -> None:
+        self.store, self.write = found.engine.store, found.engine.store.write
+        self.open, self.waiting = asyncio.Event(), 0
+        self.store.write = self.gated  # type: ignore[method-assign]
+
+    async def gated(self, work: Any, late: Any = None) -> Any:
+        self.waiting += 1
+        await self.open.wait()
+        return await self.write(work, late)
+
+    def lift(self) -> None:
+        self.store.write = self.write  # type: ignore[method-assign]
+        self.open.set()
+
+
+def test_a_word_that_comes_while_a_decision_is_being_written_is_not_undone_by_it(tmp_path: Path) -> None:
+    """Seen on the stage: a permit was given back, then unknown for good, as its lease had lapsed a moment before."""
+    async def test() -> None:
+        async with fleet(tmp_path, 2, Budget("all", Of.SIDECAR, number=1)) as found:
+            permits = found.engine.permits
+            held = await permits.take("ann", "k", ["sidecar/i0000"], "", 0, 500)
+            gate = Gated(found)
+            giving = asyncio.create_task(permits.give_back("ann", held.id, False))
+            await asyncio.sleep(0.8)  # the lease lapses while that is being written, and is looked at several times
+            gate.lift()
+            assert (await giving).phase is PermitPhase.RETURNED
+            await until(lambda: held.id not in permits.ledger.permits)  # seen to serve, and ended
+            assert (await permits.find(held.id)).phase is PermitPhase.ENDED
+
+    run(test)
+
+
+def test_what_an_operation_reserved_counts_on_while_its_commit_is_not_known(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, Budget("all", Of.SIDECAR, number=1)) as found:
+            permits, store, write = found.engine.permits, found.engine.store, found.engine.store.write
+            rounds: list[str] = []
+            known = asyncio.Event()
+
+            async def broken(work: Any, late: Any = None) -> Any:
+                if "Engine.record" in work.__qualname__ and not known.is_set():
+                    rounds.append(work.__qualname__)
+                    raise StoreError("UNKNOWN", "it broke off at COMMIT")
+                if rounds and not known.is_set():
+                    raise StoreError("AWAY", "not known yet")
+                return await write(work, late)
+
+            store.write = broken  # type: ignore[method-assign]
+            op = await found.begin(names=["i0000"])
+            await until(lambda: rounds)
+            await asyncio.sleep(0)
+            assert found.engine.permits.doubt and not found.instances["i0000"].effects
+            # it may stand: nothing else goes out meanwhile
+            assert permits.ledger.stands_in_the_way(("sidecar/i0001",), "x", (0, 99), 0).startswith("budget all")
+            known.set()
+            assert (await found.end(op))[0].phase is Phase.SUCCEEDED
+            await until(lambda: not permits.doubt and not permits.counted())
+
+    run(test)
+
+
+@pytest.mark.parametrize("stands", [True, False])
+def test_a_reservation_whose_commit_is_not_known_counts_until_the_record_says(tmp_path: Path, stands: bool) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 3, Budget("all", Of.SIDECAR, number=1)) as found:
+            permits, write = found.engine.permits, found.engine.store.write
+            waiting = await permits.take("ann", "a", ["sidecar/i0000"], "", 0, 60_000)
+            other = await permits.take("bob", "b", ["sidecar/i0001"], "", 0, 60_000)
+            assert (waiting.phase, other.phase) == (PermitPhase.HELD, PermitPhase.WAITING)
+            away = [True]
+
+            async def broken(work: Any, late: Any = None) -> Any:
+                if not away[0]:
+                    return await write(work, late)
+                if stands and not known:
+                    await write(work)
+                known.append(1)
+                raise StoreError("UNKNOWN", "it broke off at COMMIT")
+
+            known: list[int] = []
+            returned = waiting.to(PermitPhase.ENDED)
+            permits.put([returned])  # room for the other; whether its grant stands is not known
+            found.engine.store.write = broken  # type: ignore[method-assign]
+            with pytest.raises(StoreError, match="broke off"):
+                await permits.decide()
+            assert permits.ledger.cells["all", ""].out == 1.0 and other.id in permits.doubt
+            assert permits.ledger.stands_in_the_way(("sidecar/i0002",), "x", (0, 99), 0)
+            away[0] = False
+            await until(lambda: other.id not in permits.doubt)
+            if not stands:  # as the record has it, it waits; and is granted again
+                await permits.decide()
+            await until(lambda: permits.ledger.permits[other.id].phase is PermitPhase.HELD)
+
+    run(test)
+
+
+def test_an_operation_takes_no_permit_up_again_whose_end_is_being_written(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 2, TWO) as found:
+            permits = found.engine.permits
+            op = await found.begin(names=["i0000"])
+            ended, targets = await found.end(op)
+            permits.ending = {permit_id(ended, targets[0])}
+            assert permits.may(ended, targets[0], False) == (
+                "the end of its former permit for i0000 is being recorded")
+            permits.ending = set()
+            assert permits.may(ended, targets[0], False) == "" and counted(found) == 1
+            permits.ledger.release(permit_id(ended, targets[0]), 0)
+
+    run(test)
+
+
+def test_an_urgent_way_back_waits_for_no_room_and_counts_all_the_same(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, 4, TWO) as found:
+            engine, names = found.engine, list(found.instances)
+            op = await found.begin(names=names[:2], policy=Policy(on_failure="pause", wave=1))
+            await until(lambda: all(found.instances[name].generation for name in names[:2]) or not engine.live)
+            if op in engine.live:
+                await found.end(op)
+            again = await found.begin(names=names[:2], expect=1, overlay={"settings": {"instances": 3}},
+                                      policy=Policy(canary=1, wave=1, gate=True, soak_ms=60_000))
+            await until(lambda: engine.live[again].waits.startswith("soaks"))
+            for name in names[2:]:  # losses spend the budget, and one more is out by its permit
+                found.cut(name)
+                found.kill(name)
+            await until(lambda: engine.permits.ledger.cells["all", ""].out == 2.0)
+            await engine.control("ann", again, "rollback")
+            await until(lambda: "budget all" in engine.live[again].waits)
+            assert found.instances[names[0]].generation == 2
+            await engine.control("ann", again, "rollback", True)
+            assert (await found.end(again))[0].phase is Phase.ROLLED_BACK
+            assert found.instances[names[0]].generation == 1
+
+    run(test)
+
+
 def test_unplanned_losses_stop_a_release_of_others_until_they_are_back(tmp_path: Path) -> None:
     async def test() -> None:
         async with fleet(tmp_path, 5, TWO) as found:
@@ -242,7 +386,8 @@
                     if not permit.operation:
                         await engine.permits.give_back("s", permit.id, False)
                 for ident in list(engine.live):
-                    await engine.control("ann", ident, "abort")
+                    with contextlib.suppress(Refusal):  # it has ended meanwhile
+                        await engine.control("ann", ident, "abort")
                 await undrain(found)
                 await until(lambda engine=engine: not engine.permits.counted())  # type: ignore[misc]
 
