A sidecar whose lists are pushed opens its watch, and no silent one is waited for past its clock

Ruled out: late watches or lost lines; the sidecar never called the agent at all. Lines at fault: balance.py ask_list_at, which asked only where list_on_request stands. That is right on the simulator's wire, where pushed lists come by themselves; on sockets the address is an agent whose lists come over a connection that somebody has to open. No customer so far was pushed lists.

Now Settings.list_by_watch (net/config.py) says so, a failed call to an agent is repeated within 250 ms, and none waits longer for its first answer than half the grace of a drain, 1 s at most: what the agent has counts as told, also as it comes back. A back-off without ask-within is no loop any more. An answered watch is broken after 3.0 s of silence and not 4.5: an empty line is due every 2 s, and what is missed counts as told 6 s after the last word. After SIGHUP the new address is asked at once even if no watch stands: the back-off was for the old one.

--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -201,7 +201,13 @@
     def list_turn_us(self) -> int:
         """Discovery has a turn for each of many in so long; at most half of the time it may go unasked."""
         s = self.settings
-        return min(CALL_US * s.instances, s.ask_within_us // 2) if self.is_one_of_many else 0
+        is_shared = self.is_one_of_many and s.list_on_request
+        return min(CALL_US * s.instances, s.ask_within_us // 2) if is_shared else 0
+
+    def list_gap_us(self) -> int:
+        """At most so long between two calls for a list. What an agent has been pushed counts as told here, so
+        it is asked again soon."""
+        return max(FIRST_RETRY_US, self.settings.ask_within_us // 2 if self.settings.list_on_request else 0)
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
@@ -679,7 +685,7 @@
         if event.kind is api.ListKind.FAILED:
             # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
             first_us = max(FIRST_RETRY_US, self.list_turn_us())
-            backoff_us = min(first_us << min(self.list_failures, 20), self.settings.ask_within_us // 2)
+            backoff_us = min(first_us << min(self.list_failures, 20), self.list_gap_us())
             self.list_failures += 1
             self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
             return
@@ -848,7 +854,7 @@
             server.least_us = max(lesson.least_us, elapsed_us // 4) if lesson.least_us else 0
 
     def ask_list_at(self, at_us: int) -> None:
-        if self.settings.list_on_request:
+        if self.settings.list_on_request or self.settings.list_by_watch:
             self.ask_list_us = at_us
             self.wake(at_us, "list", 0)
 
@@ -877,7 +883,7 @@
             if what == "list" and 0 < self.ask_list_us <= self.now_us:
                 # asks again if no answer comes: a lost call must not leave us without a list (rule 3)
                 self.actions.append(api.Subscribe(True))
-                self.ask_list_at(self.now_us + max(FIRST_RETRY_US, self.settings.ask_within_us // 2))
+                self.ask_list_at(self.now_us + self.list_gap_us())
             elif what == "late" and ident in self.requests:
                 self.on_late(self.requests[ident])
             elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
--- a/ironscale/interface.py
+++ b/ironscale/interface.py
@@ -112,6 +112,7 @@
     probes: bool = False
     second_copies: bool = False  # two attempts of a request may be out together
     list_on_request: bool = False  # upstream changes come only after Subscribe or FetchList
+    list_by_watch: bool = False  # pushed or not, they come over a connection that Subscribe opens
     ask_within_us: int = 0  # without a subscription, the list must be asked for this often
     cold_share: float = 1.0  # an upstream boots at this share of its capacity or more
     warm_up_us: int = 0  # and is warm after this
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -13,6 +13,9 @@
 
 Address = tuple[str, int]
 LEAST_SOCKETS = 64
+# A shared discovery works at calls in turn; the settings don't say for how long one may wait (3 s at one customer's).
+CALL_US = 4_500_000
+LEAST_ANSWER_US, MOST_ANSWER_US = 250_000, 1_000_000  # of an agent on this machine, which answers at once
 
 
 class ConfigError(Exception):
@@ -29,6 +32,7 @@
     sockets: int  # file descriptors that the process may hold
     settings: Settings
     report_fields: list[str]  # as answers' load reports name them
+    answer_us: int  # discovery answers a call within so long, or it will not
     idle_us: int  # an upstream closes a connection that has been idle for this long
     directory: Directory  # reads discovery's lists with the settings' zone and kind names
     known: Listing  # the list as last known; may be empty or old
@@ -48,6 +52,14 @@
     return [str(name) for name in value] if isinstance(value, list) else []
 
 
+def _answer_us(options: settings.Options) -> int:
+    """Hazard: what an agent on this machine has counts as told, also while it is silent and as soon as it is back."""
+    if options.text("registry-mode") == "on_request":
+        return CALL_US
+    grace_us = options.whole("invariants.drain-grace", "1000000")
+    return min(max(grace_us // 2, LEAST_ANSWER_US), MOST_ANSWER_US)
+
+
 def parse(data: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     """The environment's name and addresses go before those in the file."""
 
@@ -74,8 +86,9 @@
             discovery_in_file=parse_address(in_file, "discovery") if in_file else None,
             seed=int(str(data.get("seed", "0")), 16),
             sockets=sockets,
-            settings=settings.read(options),
+            settings=replace(settings.read(options), list_by_watch=True),
             report_fields=[name for name in options.text("report.names", "").split(",") if name],
+            answer_us=_answer_us(options),
             idle_us=options.whole("bounds.conn-idle", "15000000"),
             directory=directory,
             known=known,
--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -16,9 +16,10 @@
 
 PATH = "/registry/instances"
 CONNECT_S = 2.0
-# An answer is due within one call's time at discovery, later an empty line every 2 s: past this
-# discovery or the way to it is down, though the connection may stay open.
-SILENCE_S = 4.5
+# While nothing changes an empty line comes every 2 s: past this discovery or the way to it is down, though the
+# connection may stay open. What a silent watch misses counts as told 6 s after its last word, drained upstreams
+# may be sent to for half a second more at some customers, and a new call takes its time.
+SILENCE_S = 3.0
 LONGEST_LINE = 16 << 20
 MOVE_AGAIN_S = 0.25
 # A discovery that stays behind our list for this long has begun to count anew; one that lags has caught up.
@@ -95,8 +96,9 @@
     """Carries out `Subscribe` and `FetchList`; each is answered by a list or by `FAILED`."""
 
     def __init__(self, address: tuple[str, int], directory: Directory, generation: int,
-                 on_list: OnList) -> None:
+                 on_list: OnList, answer_s: float) -> None:
         self.address = address
+        self.answer_s = answer_s  # a call that has no answer by then will have none
         self.directory = directory
         self.generation = generation  # of the list as told to `on_list`
         self.on_list = on_list
@@ -127,6 +129,8 @@
         if address != self.address:
             self.address = address
             self.stop_moving()
+            if self.watch is None:  # hazard: the decisions' back-off is for the old address; the new one counts soon
+                self.subscribe()
             self.start_moving()
 
     def start_moving(self) -> None:
@@ -213,7 +217,7 @@
         self.request = (f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
                         "Accept: application/json\r\n\r\n").encode()
         loop = asyncio.get_running_loop()
-        self.silence = loop.call_later(SILENCE_S, self.end)
+        self.silence = loop.call_later(owner.answer_s, self.end)
         self.task = loop.create_task(self.connect())
 
     async def connect(self) -> None:
@@ -235,7 +239,8 @@
             return
         # any byte is a sign of life; silence on an open connection is the only sign of a lost one
         self.silence.cancel()
-        self.silence = asyncio.get_running_loop().call_later(SILENCE_S, self.end)
+        limit_s = SILENCE_S if self.answered else self.owner.answer_s
+        self.silence = asyncio.get_running_loop().call_later(limit_s, self.end)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, ListError, ValueError):
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -201,7 +201,8 @@
         half = max(1, (config.sockets - SPARE_SOCKETS) // 2)
         self.upstreams = Upstreams(self.clock.now_us, config.idle_us, settings.connect_timeout_us, half)
         self.server = Server(self, half, self.clock.now_us)
-        self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list)
+        self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list,
+                                   config.answer_us / 1e6)
         self.requests: dict[int, Request] = {}
         self.by_txn: dict[str, Request] = {}  # those not yet answered
         self.next_request = 1
--- a/ironscale/record/lane.py
+++ b/ironscale/record/lane.py
@@ -39,8 +39,8 @@
     """What holds towards a store. Its doors are one cell: what may have run through one is dropped through another. A
     keyed request that may have run is not refused, though its repeats are: a refusal says that nothing is there."""
     return replace(
-        settings, list_on_request=False, ask_within_us=0, probes=False, weighted=False, report_names=[],
-        second_copies=False, cold_share=1.0, warm_up_us=0, cross_zone_fee=0.0,
+        settings, list_on_request=False, list_by_watch=False, ask_within_us=0, probes=False, weighted=False,
+        report_names=[], second_copies=False, cold_share=1.0, warm_up_us=0, cross_zone_fee=0.0,
         classes=[replace(c, group="cell") if c.effect == "deduplicated" else c for c in settings.classes])
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -23,7 +23,7 @@
 async def watching(fake: FakeDiscovery, generation: int = 41) -> tuple[Discovery, Told]:
     told: Told = []
     discovery = Discovery(("127.0.0.1", fake.port), Directory(["a", "b"], ["large", "small"]), generation,
-                          lambda kind, what: told.append((kind, what)))
+                          lambda kind, what: told.append((kind, what)), answer_s=module.SILENCE_S)
     discovery.subscribe()
     return discovery, told
 
@@ -194,7 +194,7 @@
         server = await asyncio.start_server(whole, "127.0.0.1", 0)
         told: Told = []
         discovery = Discovery(("127.0.0.1", server.sockets[0].getsockname()[1]), Directory([], []), 0,
-                              lambda kind, what: told.append((kind, what)))
+                              lambda kind, what: told.append((kind, what)), answer_s=module.SILENCE_S)
         discovery.fetch()
         await until(lambda: told)
         await until(lambda: not discovery.fetches)
