Nothing is sent for a client that left, after a deadline or a memory, or beside a copy; exits answer all

One poll a send.

A send is decided at once and leaves when its connection is up: past the deadline if the loop had no processor, and past a keyed class's memory-span, when its upstreams have forgotten the first. api.Send.until_us (balance.py) and a look just before the first byte (sidecar.py is_wanted) hold both. An attempt given up on was closed by the loop's next turn, so where second-copies is false a new try could be read while the first was still out: upstream.py drop now shuts it down in place. Seen by the test as BlockingIOError, an open connection, after give_up.

At an exit the sidecar waited 0.65 s and the longest deadline; SIGKILL comes 0.7 s and the deadline after SIGTERM, but counts 3 s at most. One customer's class has 6 s, and X-Remaining may say more than its class: what was open at 3.7 s was lost. At 0.62 s and that all that is open has its one answer (DrainChanged.ends: refused if nothing may have run), half a request has 408, and what comes yet is refused at once. tests/test_sidecar.py expected a close without a word there and now holds the one 408.

SIGHUP ended the process during its imports (0.1 s) and was lost while the configuration was read. It is ignored from the first line on, and heard from before the reading on.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-import contextlib
-import os
 import signal
-import sys
-from collections.abc import AsyncIterator, Callable, Mapping
 
-import uvloop
+# Hazard: it would end the process, and the imports alone take a tenth of a second. The configuration is read later.
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import contextlib  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+from collections.abc import AsyncIterator, Callable, Mapping  # noqa: E402
+
+import uvloop  # noqa: E402
 
-from ironscale.net.config import ConfigError
-from ironscale.net.sidecar import Beside, Sidecar, serve
+from ironscale.net.config import ConfigError  # noqa: E402
+from ironscale.net.sidecar import Beside, Sidecar, serve  # noqa: E402
 
 
 def main(environ: Mapping[str, str] = os.environ) -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # hazard: it would end the process
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         beside, reuse_port = operated(environ)
         uvloop.run(serve(environ, beside, reuse_port))
--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -227,6 +227,9 @@
             self.on_list(event)
         elif isinstance(event, api.DrainChanged):
             self.draining = event.draining
+            for request in [*self.requests.values()] if event.ends else ():
+                if not request.done:
+                    self.finish(request, "draining")
         elif isinstance(event, api.SettingsChanged):
             self.on_settings(event.settings)
         if self.buffer is not None and self.try_send(self.buffer):
@@ -572,10 +575,15 @@
         # hazard: reissues and copies feed the overload that they answer
         if self.retry_costs(request) and self.retry_tokens < 1.0:
             return False
+        until_us = self.until_us(request)
+        return until_us == 0 or self.now_us < until_us
+
+    def until_us(self, request: Request) -> int:
+        """Rule 2: nothing of it may be sent from then on, as upstreams forget; 0 = at any time."""
         first, kind = request.first_that_may_have_run(), self.class_of(request)
         if first is None or kind.effect == "idempotent":
-            return True
-        return kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us
+            return 0
+        return first.sent_us + (kind.memory_us if kind.effect == "deduplicated" else 0)
 
     def retry_costs(self, request: Request) -> bool:
         return bool(request.attempts) and request.attempts[-1].ended not in COST_NOTHING
@@ -606,7 +614,7 @@
         self.traffic.count(self.now_us)
         self.subset = max(self.least_subset, SPREAD * len(self.order) * self.traffic.part())
         slow_us = max(self.half_aim_us(request.event.class_index), 2 * request.event.cost_us)
-        attempt = Attempt(server, self.now_us, slow_us)
+        attempt, until_us = Attempt(server, self.now_us, slow_us), self.until_us(request)
         attempt.paced = self.is_one_of_many and self.warmth(server) < 1.0
         if not attempt.paced:
             self.load.move(self.now_us, 1)
@@ -615,7 +623,7 @@
         timeout_us = request.event.due_us - self.now_us
         if not self.settings.second_copies and self.class_of(request).effect != "at_most_once":
             timeout_us = min(timeout_us, 3 * slow_us)  # hazard: a hung upstream would use up all the time
-        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us))
+        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us, until_us))
         self.wake(self.now_us + slow_us, "late", request.event.request)
         return True
 
--- a/ironscale/interface.py
+++ b/ironscale/interface.py
@@ -215,6 +215,7 @@
     goes on."""
 
     draining: bool
+    ends: bool = False  # the process ends: what was taken has its answer now, whichever it may have
 
 
 @dataclass(slots=True)
@@ -245,6 +246,7 @@
     request: int
     upstream: int
     timeout_us: int = 0  # 0 = until the client quits
+    until_us: int = 0  # no byte of it may leave from then on; 0 = while the request is open
 
 
 @dataclass(slots=True)
--- a/ironscale/learned/teaching.py
+++ b/ironscale/learned/teaching.py
@@ -33,6 +33,13 @@
 LONGEST_AGE_US = 60_000_000  # of a donor's snapshot: more is no answer to "now"
 
 
+def agreed_ages(donors: Sequence[trust.Donor]) -> list[float]:
+    """At which ages kept connections fail, by the donors' median."""
+    weighed = [(donor.ages, donor.weight()) for donor in donors if donor.weight() > 0.0]
+    count = min((len(ages) for ages, _ in weighed), default=0)
+    return [trust.median([(ages[i], weight) for ages, weight in weighed]) for i in range(count)]
+
+
 class Teacher:
     """Answers newcomers with what this sidecar has learned."""
 
@@ -189,7 +196,7 @@
         lessons = trust.agreed(donors, now_us, self.sidecar.config.settings.zone)
         if lessons is None:
             return False
-        self.sidecar.upstreams.ages.recall(trust.agreed_ages(donors), 0)
+        self.sidecar.upstreams.ages.recall(agreed_ages(donors), 0)
         self.sidecar.balancer.recall(now_us, lessons)
         self.learned, self.upstreams = True, len(lessons.upstreams)
         self.sidecar.log(f"learned: taught of {len(lessons.upstreams)} upstreams by {len(donors)} of {len(chosen)}")
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -32,7 +32,9 @@
 MANY_IDLE, MANY = 1 / 3, 1 / 2
 ACCEPTS = 32  # connections accepted before other work has its turn
 UNREAD = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LOOKED_AT = 8  # connections that are asked whether they can make room
+LAST_S = 0.04  # for the last answers to leave, at the end of the process
 SHUT_TRIES, SHUT_WAIT_MS = 64, 20  # to fill the listener's own queue before it is closed
 READY_PATH = b"/health/ready"
 REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
@@ -63,6 +65,7 @@
         self.keep_alive = keep_alive
         self.arrived_us = arrived_us
         self.closed = False  # answered, or the client has gone
+        self.has_left = connection.has_left
         self.fields: dict[bytes, bytes] = {}
         for name, value in headers:
             # what comes twice is empty, as nobody can say which one counts
@@ -100,6 +103,8 @@
         self.reading = False  # a request has begun and is not whole
         self.asked = False  # there has been a request, not only for readiness
         self.final = False  # nothing more is read: it ends with the answers that are owed
+        self.paused = False  # reading, and so the client's end is not told
+        self.ends: select.poll | None = None
         self.since_us = server.now_us()  # silent or idle since then
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -126,7 +131,8 @@
                     self.reject(413)
         if self.transport is not None and not self.transport.is_closing():
             # hazard: a client that does not wait for its answers would fill the memory
-            if self.waiting or self.final:
+            self.paused = bool(self.waiting) or self.final
+            if self.paused:
                 self.transport.pause_reading()
             else:
                 self.transport.resume_reading()
@@ -234,6 +240,20 @@
         except OSError:
             return False
 
+    def has_left(self) -> bool:
+        """Whether the client has ended its side, seen or not; if so, nothing more is owed here. Hazard: the loop may
+        not have read the end yet, and does not while reading is paused, and what waits would be sent on for nobody."""
+        if self.transport is None or self.transport.is_closing():
+            return self.transport is None
+        if self.ends is None:
+            self.ends = select.poll()
+            self.ends.register(self.sock, LEFT)
+        if not any(events & LEFT for _, events in self.ends.poll(0)):
+            return False
+        self.lost()
+        self.transport.close()
+        return True
+
     def close(self) -> None:
         """No request is open on it. One that has begun is told so; one that has come and is not read yet goes on."""
         if not self.final and not self.reading and (self.transport is None or self.has_unread()):
@@ -418,6 +438,8 @@
                 del connections[connection]
                 connection.close()
                 self.settle(connection)
+        for connection in [one for one in self.connections if one.paused and one.is_busy()]:
+            connection.has_left()
         self.accept_again()
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
@@ -473,12 +495,13 @@
         self.probe = None
         return None
 
-    async def stop(self, quiet_s: float, least_s: float, most_s: float, end_s: float) -> None:
+    async def stop(self, quiet_s: float, least_s: float, most_s: float, end_s: float,
+                   at_end: Callable[[], None] = lambda: None) -> None:
         """Stop taking requests, losing none: new connections still come for a while after the signal.
 
         Idle connections are closed first, while a request that crosses the close can still come
         again on a new one; the listener goes once no connection has come for `quiet_s`.
-        By `end_s` all is answered, and what is still open has no whole request on it.
+        At `end_s` what is still open is answered by `at_end`, and what comes from then on at once.
         """
         self.stopping = True
         start_us = self.now_us()
@@ -490,8 +513,14 @@
             if now_us - start_us >= (least_s if quiet else most_s) * 1e6:
                 break
         self.close_listener()
-        while self.connections and self.now_us() - start_us < end_s * 1e6:
-            await asyncio.sleep(0.02)
+        while self.connections and (left_s := end_s - (self.now_us() - start_us) / 1e6) > 0.0:
+            await asyncio.sleep(min(0.02, left_s))
             self.close_idle()
+        at_end()
+        while self.connections and self.now_us() - start_us < (end_s + LAST_S) * 1e6:
+            for connection in list(self.connections):
+                if not connection.is_busy() and not (connection.final and connection.transport is not None):
+                    connection.close()
+            await asyncio.sleep(0.005)
         if self.sweeper is not None:
             self.sweeper.cancel()
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -31,8 +31,10 @@
 MARGIN_US = 8_000
 BACKSTOP_US = 4_000  # past due: the decisions' own timers have surely come by then
 SPARE_SOCKETS = 32  # standard streams, event loop, discovery, listener
-# New connections come for up to 0.4 s after SIGTERM; requests taken by then live 3 s at most.
+# New connections come for up to 0.4 s after SIGTERM. SIGKILL comes as early as 0.7 s and the longest deadline (3 s at
+# most) after it: what clients would wait for longer has its answer by then.
 STOP_LEAST_S, STOP_QUIET_S, STOP_MOST_S = 0.45, 0.2, 0.65
+STOP_END_S, STOP_DEADLINE_S = 0.62, 3.0
 UPSTREAM = re.compile(r"\bupstream (\d+)")
 REMAINING = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
 UNITS_US = {"m": 1000.0, "u": 1.0}
@@ -275,10 +277,15 @@
 
     async def stop(self) -> None:
         longest_s = max(c.deadline_us for c in self.config.settings.classes) / 1e6
-        await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, STOP_MOST_S + longest_s)
+        end_s = STOP_END_S + min(longest_s, STOP_DEADLINE_S)
+        await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, end_s, self.answer_all)
         self.discovery.close()
         self.upstreams.close()
 
+    def answer_all(self) -> None:
+        """The process ends: each open request has its one answer now, and so has what comes yet."""
+        self.tell_all(api.DrainChanged(True, ends=True))
+
     # Events in
 
     def is_open(self, ident: int) -> bool:
@@ -421,17 +428,22 @@
         left_us = request.due_us - now_us
         timeout_us = min(action.timeout_us or left_us, left_us)
         timer: Timer | None = None
-        attempt = Attempt(self.payload(request.exchange, timeout_us), partial(self.is_open, request.ident), lambda *end:
-                          self.on_attempt_end(request, number, action.upstream, now_us, timer, *end))
+        until_us = min(request.due_us, action.until_us or request.due_us)
+        attempt = Attempt(self.payload(request.exchange, timeout_us), partial(self.is_wanted, request, until_us),
+                          lambda *end: self.on_attempt_end(request, number, action.upstream, now_us, timer, *end))
         request.attempts.append(attempt)
         request.out += 1
         over = number >= self.config.settings.max_attempts
-        if pool is None or over or timeout_us <= 0 or not self.is_open(request.ident):
+        if pool is None or over or timeout_us <= 0 or not attempt.wanted():
             attempt.end(api.Outcome.NOT_SENT)
             return
         timer = self.at(now_us + timeout_us, partial(attempt.give_up, api.Outcome.TIMEOUT))
         pool.start(attempt)
 
+    def is_wanted(self, request: Request, until_us: int) -> bool:
+        """Asked just before the first byte of an attempt leaves, which may be long after it was decided."""
+        return self.is_open(request.ident) and self.clock.now_us() < until_us and not request.exchange.has_left()
+
     def payload(self, exchange: Exchange, timeout_us: int) -> bytes:
         parts = [b"%s %s HTTP/1.1\r\n" % (exchange.method, exchange.target)]
         parts += [b"%s: %s\r\n" % h for h in exchange.headers if h[0] not in NOT_PASSED]
@@ -506,8 +518,16 @@
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    running: list[Sidecar] = []
+
+    def reload() -> None:
+        for one in running:
+            one.reload(environ)
+
+    # hazard: the file that is read next may be replaced as it is being read, and nobody would hear of it
+    loop.add_signal_handler(signal.SIGHUP, reload)
     sidecar = Sidecar(load(environ), environ)
-    loop.add_signal_handler(signal.SIGHUP, sidecar.reload, environ)
+    running.append(sidecar)
     await sidecar.start(reuse_port)
     gc.collect()
     gc.freeze()  # what is here stays: the collector need not walk it again
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 from collections.abc import Callable, Sequence
@@ -230,6 +231,10 @@
             self.dropped = self.retired = True
             self.pool.forget(self)
             if self.transport is not None:
+                # hazard: the loop closes it in its next turn, and a new try that is written in this one would be a
+                # second copy beside an attempt that is still out
+                with contextlib.suppress(OSError):
+                    self.sock.shutdown(socket.SHUT_RDWR)
                 self.transport.abort()
 
     def eof_received(self) -> None:
--- a/ironscale/trust.py
+++ b/ironscale/trust.py
@@ -134,10 +134,3 @@
     # the median of lessons, not a mixture: silent with open slots would be nobody's observation
     lesson = next(lesson for lesson, _, _ in found if shown(lesson) == slots)
     return replace(lesson, least_us=int(median(least)) if least else 0, next_cold_us=0, first_hand=False)
-
-
-def agreed_ages(donors: Sequence[Donor]) -> list[float]:
-    """At which ages kept connections fail, by the donors' median."""
-    weighed = [(donor.ages, donor.weight()) for donor in donors if donor.weight() > 0.0]
-    count = min((len(ages) for ages, _ in weighed), default=0)
-    return [median([(ages[i], weight) for ages, weight in weighed]) for i in range(count)]
--- /dev/null
+++ b/tests/ends/test_upstreams.py
@@ -0,0 +1,182 @@
+"""What is owed between the sidecar and an upstream as an attempt ends: no second copy, nothing sent too late."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from ironscale.interface import ListKind, Outcome
+from ironscale.net.upstream import Attempt, Connection, Pool, Upstreams
+from ironscale.standins.discovery import listing
+from ironscale.standins.http import ok
+from ironscale.standins.upstream import Peer, hang, reply, reset
+from tests.ends.test_clients import settled
+from tests.sockets import Scene, run, until
+from tests.test_upstream import GET, members, now_us
+
+
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"nonsense\r\n\r\n"])
+def test_an_attempt_that_is_over_is_over_at_its_upstream_in_the_same_turn(answer: bytes) -> None:
+    """Hazard: the loop closes a connection in its next turn, and a new try that is written in this one is a second copy
+    beside the first. The upstream's end is looked at before the loop runs again."""
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            entry = {"instanceId": "s", "hostPort": f"127.0.0.1:{listener.getsockname()[1]}", "lifecycle": "ready"}
+            upstreams = Upstreams(now_us, 15_000_000, 1_000_000, 10)
+            upstreams.apply(members(entry), True)
+            ends: list[Outcome] = []
+            attempt = Attempt(GET, lambda: True, lambda outcome, _: ends.append(outcome))
+            next(iter(upstreams.pools.values())).start(attempt)
+            accepted = await asyncio.to_thread(listener.accept)
+            await until(lambda: attempt.connection is not None)
+            with accepted[0] as peer:
+                assert attempt.connection is not None
+                if answer:
+                    attempt.connection.data_received(answer)
+                attempt.give_up(Outcome.TIMEOUT)
+                peer.setblocking(False)
+                got = b""
+                while piece := peer.recv(4096):  # BlockingIOError: it is still open
+                    got += piece
+                assert got == GET and len(ends) == 1
+            upstreams.close()
+
+    run(test)
+
+
+class Gate:
+    """Holds connections to upstreams back until it opens, but for the first `passing`."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, passing: int = 0) -> None:
+        self.open = asyncio.Event()
+        self.passing, self.held = passing, 0
+        real = Pool.connect
+
+        async def connect(pool: Pool, attempt: Attempt) -> None:
+            self.passing -= 1
+            if self.passing < 0:
+                self.held += 1
+                await self.open.wait()
+            await real(pool, attempt)
+
+        monkeypatch.setattr(Pool, "connect", connect)
+
+
+@pytest.mark.parametrize(("past_us", "sends"), [(1_190_000, 1), (1_201_000, 0)])
+def test_a_keyed_repeat_leaves_before_its_upstreams_forget(
+        past_us: int, sends: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Decided in time, it waits for a connection; memory-span is 1.2 s from the send that may have run."""
+    async def test() -> None:
+        peers = [await Peer(reset).start(), await Peer(reset).start()]
+        scene = await Scene().start(*(peer.entry(f"s-{i}") for i, peer in enumerate(peers)))
+        gate = Gate(monkeypatch, passing=1)
+        calling = asyncio.create_task(scene.call("mark"))
+        await until(lambda: gate.held)  # the repeat, which the reset has brought about
+        for peer in peers:
+            peer.behave = reply(ok())
+        first = next(iter(scene.sidecar.balancer.requests.values())).attempts[0]
+        scene.sidecar.clock.offset_ns += (first.sent_us + past_us - scene.sidecar.clock.now_us()) * 1000
+        gate.open.set()
+        answer = await calling
+        assert sum(len(peer.got) for peer in peers) == 1 + sends
+        assert answer.status == (200 if sends else 502)  # of a group in a cell: refused would promise too much
+
+    run(test)
+
+
+@pytest.mark.parametrize("lane", ["view", "pay", "mark"])
+def test_nothing_is_sent_after_the_deadline_though_a_connection_comes_up_in_its_turn(
+        lane: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        gate = Gate(monkeypatch)
+        calling = asyncio.create_task(scene.call(lane))
+        await until(lambda: scene.sidecar.upstreams.tasks)
+        request = next(iter(scene.sidecar.requests.values()))
+        # the loop had no processor: the time-out is due as well, and has not been seen yet
+        scene.sidecar.clock.offset_ns += (request.due_us - scene.sidecar.clock.now_us()) * 1000
+        gate.open.set()
+        answer = await calling
+        assert answer.status == 503 and not peer.got  # never sent: refused, whatever the class
+        await settled(scene, peer)
+
+    run(test)
+
+
+@pytest.mark.parametrize("how", ["draining", "replaced", "gone"])
+def test_a_connection_that_comes_up_after_its_upstream_went_carries_nothing(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        await until(lambda: scene.discovery.writers)
+        gate = Gate(monkeypatch)
+        calling = asyncio.create_task(scene.call("pay"))
+        await until(lambda: scene.sidecar.upstreams.tasks)
+        entries = {"draining": [peer.entry("s-1", lifecycle="draining")], "gone": [],
+                   "replaced": [peer.entry("s-2", startedAtMs=5)]}[how]
+        scene.discovery.line(listing(*entries, generation=42))
+        await until(lambda: scene.sidecar.discovery.generation == 42)
+        task = next(iter(scene.sidecar.upstreams.tasks))
+        gate.open.set()
+        await until(task.done)
+        if how == "replaced":  # the new process may be sent to, on a connection of its own
+            assert (await calling).status == 200 and len(peer.got) == 1
+        else:
+            assert (await calling).status == 503 and not peer.got
+        await settled(scene, peer)
+
+    run(test)
+
+
+@pytest.mark.parametrize(("lane", "status"), [("view", 503), ("pay", 502), ("mark", 502)])
+@pytest.mark.parametrize("first", ["answer", "deadline"])
+def test_the_deadline_in_the_turn_of_the_answer_gives_one_answer(lane: str, status: int, first: str) -> None:
+    """Both orders: whichever is handled first is the one answer."""
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        calling = asyncio.create_task(scene.call(lane))
+        await until(lambda: peer.got)
+        request = next(iter(scene.sidecar.requests.values()))
+        connection: Connection = next(iter(next(iter(scene.sidecar.upstreams.pools.values())).busy))
+        scene.sidecar.clock.offset_ns += (request.due_us - scene.sidecar.clock.now_us()) * 1000
+        if first == "answer":
+            connection.data_received(ok())
+            scene.sidecar.timers.fire()
+        else:
+            scene.sidecar.timers.fire()
+            connection.data_received(ok())
+        assert (await calling).status == (200 if first == "answer" else status)
+        await settled(scene, peer)
+        assert len(peer.got) == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("remaining", ["0m", "1m", "7999u", "8m"])
+def test_less_time_than_an_answer_takes_is_refused_and_sent_nowhere(remaining: str) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        assert (await scene.call("pay", remaining=remaining)).status == 503 and not peer.got
+        await settled(scene, peer)
+
+    run(test)
+
+
+def test_a_failed_list_while_a_request_waits_owes_it_still() -> None:
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        calls = [asyncio.create_task(scene.call()) for _ in range(2)]
+        await until(lambda: scene.sidecar.balancer.buffer is not None)
+        scene.sidecar.on_list(ListKind.FAILED, None)
+        peer.behave = reply(ok())
+        peer.answer_held(ok())
+        assert [(await call).status for call in calls] == [200, 200]
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -751,6 +751,7 @@
         writer.write(b"GET / HTTP/1.1\r\n")
         program.process.send_signal(signal.SIGTERM)
         assert await program.process.wait() == 0
+        assert (await read_message(reader)).status == 408  # told in one answer, and no more
         assert await reader.read() == b""
 
     run(test)
