--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -694,8 +694,10 @@
             # doubles with each failure; jittered, as all sidecars fail together; inside ask-within (rule 3)
             first_us = max(FIRST_RETRY_US, self.list_turn_us())
             backoff_us = min(first_us << min(self.list_failures, 20), self.list_gap_us())
+            # hazard: what a silent watch missed counts as told soon, and those of many fell silent together
+            least = 0.0 if self.ask_list_us == 0 and self.is_one_of_many else 0.5
             self.list_failures += 1
-            self.ask_list_at(self.now_us + int(backoff_us * (0.5 + self.random.random() / 2)))
+            self.ask_list_at(self.now_us + int(backoff_us * (least + self.random.random() / 2)))
             return
         if event.kind is not api.ListKind.CACHED:
             self.list_failures = self.ask_list_us = 0
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -19,6 +19,7 @@
 MAX_BODY = 64 << 10
 MAX_HEAD = 64 << 10
 MAX_HEADERS = 100
+MOST_UNREAD = 16 * MAX_BODY  # bytes of answers that a client has not read
 PIECE = 16 << 10  # bytes parsed at a time: no more requests than these hold are kept waiting
 # Who sends no whole request gets an error or a close within so long, here and in the sweep's step less
 # than the 3 s that are owed. A connection without an open request may be closed after 2 s; it is after
@@ -213,7 +214,10 @@
         parts.append(body)
         self.transport.write(b"".join(parts))
         self.current = None
-        if self.waiting:
+        if self.transport.get_write_buffer_size() > MOST_UNREAD:  # hazard: who sends ahead and reads no answer
+            self.lost()
+            self.transport.abort()
+        elif self.waiting:
             asyncio.get_running_loop().call_soon(self.next)
         elif self.final:
             self.transport.close()
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 from ironscale.net.server import ClientConnection
 from ironscale.net.upstream import Pool
 from ironscale.standins.http import ok, read_message
-from ironscale.standins.upstream import Peer, hang
+from ironscale.standins.upstream import Peer, hang, reply
 from tests.sockets import Scene, run, until
 
 
@@ -168,3 +169,29 @@
         writer.close()
 
     run(test)
+
+
+def test_who_sends_ahead_and_reads_no_answer_loses_the_connection_and_nobody_else_does() -> None:
+    """Hazard: each answer is written into memory, for as long as requests come."""
+    async def test() -> None:
+        peer = await Peer(reply(ok(b"x" * 60_000))).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        client = socket.create_connection(("127.0.0.1", scene.port))
+        client.setblocking(False)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await until(lambda: scene.sidecar.server.connections)
+        connection = next(iter(scene.sidecar.server.connections))
+        most = 0
+        for _ in range(1_000):
+            if connection.transport is None:
+                break
+            most = max(most, connection.transport.get_write_buffer_size())
+            with contextlib.suppress(OSError):
+                client.send(scene.request())
+            await asyncio.sleep(0.001)
+        assert connection.transport is None and most <= module.MOST_UNREAD
+        assert (await scene.call()).status == 200
+        await settled(scene, peer)
+        client.close()
+
+    run(test)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -342,6 +342,23 @@
     assert balancer.ask_list_us >= failed_us + 2 * SECOND_US  # half of the turn of 5 s, at least
 
 
+def test_after_a_watch_has_broken_many_open_it_anew_soon_and_not_at_once() -> None:
+    """What a silent watch misses counts as told 6 s after its last word, of which 3 s have passed by then."""
+    waits = []
+    for number in range(200):
+        balancer = Balancer(settings(instances=200, self_index=number, list_on_request=True,
+                                     ask_within_us=10 * SECOND_US), number, START_US)
+        balancer.handle(START_US, UpstreamsUpdated(ListKind.FULL, [Upstream(100)]))
+        balancer.handle(START_US + SECOND_US, UpstreamsUpdated(ListKind.FAILED))
+        waits.append(balancer.ask_list_us - START_US - SECOND_US)
+        balancer.handle(balancer.ask_list_us, TimerFired(0))
+        failed_us = balancer.now_us + SECOND_US
+        balancer.handle(failed_us, UpstreamsUpdated(ListKind.FAILED))  # that call too: now its turn is waited for
+        assert balancer.ask_list_us >= failed_us + 2 * SECOND_US
+    assert max(waits) <= 2_500_000
+    assert all(sum(at <= wait < at + 250_000 for wait in waits) <= 36 for at in range(0, 2_500_000, 250_000))
+
+
 def zone_fails(world: World, zone: int, count: int) -> list[Server]:
     """So many attempts at upstreams of the zone fail, each at another one; those of it that were not tried."""
     inside = [server for server in world.balancer.order if server.entry.zone == zone]
