Stores write nothing for a client that left; more crossings of lists and other customers' settings as tests

The one place of sends to a store did not look at the client's end (record/lane.py); a row was written for a client whose end had come with its request. It looks now, as the sends to upstreams do; the new test in tests/record fails without it. No mend behind the rest: a watch reset again while it is opened anew, new addresses while the old one is alive, silent or gone, once and twice, and settings with all left out that may be.

--- a/ironscale/record/lane.py
+++ b/ironscale/record/lane.py
@@ -99,7 +99,7 @@
         now_us = self.now_us()
         number = self.numbers.get(action.request, 0)
         request = self.host.requests.get(action.request)
-        if request is None or not self.is_open(action.request):
+        if request is None or not self.is_open(action.request) or request.exchange.has_left():
             self.post(api.AttemptEnded(action.request, number, action.upstream, api.Outcome.NOT_SENT))
             return
         self.numbers[action.request] = number + 1
--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -12,10 +12,12 @@
 from ironscale.interface import ListKind, UpstreamState
 from ironscale.net import discovery as module
 from ironscale.net import jsonstream
+from ironscale.net.config import parse
 from ironscale.net.discovery import Directory
 from ironscale.net.jsonstream import BLANK, JsonStream
+from ironscale.net.sidecar import Sidecar
 from ironscale.standins.discovery import FakeDiscovery, listing
-from ironscale.standins.upstream import Peer
+from ironscale.standins.upstream import Peer, reset
 from tests.sockets import Scene, run, until
 from tests.test_discovery import ENTRY, kinds, watching
 
@@ -238,3 +240,75 @@
     found = [member.upstream for member in Directory(["a", "b"], []).read(listing(*entries)).members]
     assert [one.zone for one in found] == [2, 1, 3, 2, 4]
     assert (found[4].cell, found[4].weight, found[4].started_us) == (0, 1.0, 0)
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_a_watch_reset_again_while_it_is_opened_anew_is_opened_anew(mode: dict[str, Any]) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await watched(peer, mode)
+        for count in (2, 3, 4):
+            scene.discovery.writers[-1].transport.abort()
+            await until(lambda count=count: len(scene.discovery.writers) == count)  # type: ignore[misc]
+        scene.discovery.line(listing(peer.entry("s-1", lifecycle="draining"), generation=43))
+        await until(lambda: state(scene) is UpstreamState.DRAINING)
+
+    run(test)
+
+
+@pytest.mark.parametrize("old", ["alive", "silent", "gone"])
+@pytest.mark.parametrize("moves", [1, 2])
+def test_a_new_configuration_while_the_watch_is_down_or_silent_is_followed(old: str, moves: int) -> None:
+    """Also twice in a second; the last address counts, and the drain that it tells is kept."""
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await watched(peer, {})
+        new = [await FakeDiscovery().start() for _ in range(moves)]
+        if old == "gone":
+            scene.discovery.writers[0].transport.abort()
+            await until(lambda: scene.sidecar.discovery.watch is None)
+        for one in new:
+            scene.sidecar.discovery.move(("127.0.0.1", one.port))
+        if old == "silent":
+            watch = scene.sidecar.discovery.watch
+            assert watch is not None
+            watch.fall_silent()
+        await until(lambda: new[-1].writers)
+        new[-1].line(listing(peer.entry("s-1", lifecycle="draining"), generation=43))
+        await until(lambda: state(scene) is UpstreamState.DRAINING)
+        watch = scene.sidecar.discovery.watch
+        assert watch is not None and watch.address[1] == new[-1].port and scene.sidecar.discovery.successor is None
+
+    run(test)
+
+
+def test_settings_with_all_left_out_that_may_be_run_a_sidecar() -> None:
+    """No tenants, no zones, no kinds, no reports, one upstream, one try, no advice: another customer's settings."""
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = Scene()
+        await scene.discovery.start()
+        scene.sidecar = Sidecar(parse({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{scene.discovery.port}",
+            "known": {"generation": 1, "reset": True, "instances": [
+                {"instanceId": "only", "hostPort": f"127.0.0.1:{peer.port}", "lifecycle": "ready"}]},
+            "settings": {
+                "instances": 1, "granularity": 1000, "registry-mode": "pushed",
+                "bounds": {"most-tries": 1, "retry-after": False, "cancel": False, "probes": False,
+                           "second-copies": False, "conn-idle": 100_000},
+                "invariants": {"cold-share": 1.0, "warm-up": 0, "overload-factor": 2.0, "fall": 1_000_000},
+                "request-classes": [
+                    {"name": "a", "aim": 100_000, "deadline": 150_000, "worth": 1, "effect": "idempotent"},
+                    {"name": "b", "aim": 5_000_000, "deadline": 60_000_000, "worth": 1, "effect": "deduplicated"}]},
+        }, {}))
+        scene.port = await scene.sidecar.start()
+        for lane, method, key in (("a", "GET", ""), ("b", "POST", "Idempotency-Key: k\r\n")) * 2:
+            scene.count += 1
+            answer = await scene.raw((f"{method} / HTTP/1.1\r\nHost: x\r\nX-Txn: t{scene.count}\r\nX-Lane: {lane}\r\n"
+                                      f"X-Remaining: 60000m\r\n{key}Content-Length: 0\r\n\r\n").encode())
+            assert answer.status == 200
+        peer.behave = reset
+        refused = await scene.raw(b"GET / HTTP/1.1\r\nHost: x\r\nX-Txn: z\r\nX-Lane: a\r\nX-Remaining: 150m\r\n\r\n")
+        assert refused.status == 503 and "retry-after" not in refused.headers and len(peer.got) == 5
+
+    run(test)
--- a/tests/record/test_lane.py
+++ b/tests/record/test_lane.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import socket
 import statistics
 import time
 from collections import Counter
@@ -118,6 +119,23 @@
     run(test)
 
 
+def test_what_a_client_sent_before_it_left_is_not_written_if_its_end_has_come(tmp_path: Path) -> None:
+    """Both have come before the loop reads either."""
+    async def test() -> None:
+        section = stores(tmp_path, StoreTarget("main", sqlite=tmp_path / "r.db"))
+        async with running(section) as (scene, _, front):
+            with socket.create_connection(("127.0.0.1", scene.port)) as client:
+                client.sendall(asked(scene, "pay"))
+                client.shutdown(socket.SHUT_WR)
+                assert await asyncio.get_running_loop().run_in_executor(None, client.recv, 10) == b""
+            assert (await scene.raw(asked(scene, "pay"))).status == 200
+        found = reader(tmp_path / "r.db")
+        assert [one.request for one in rows(found)] == ["t2"]
+        found.close()
+
+    run(test)
+
+
 def test_off_on_an_error_in_the_file_nothing_is_served() -> None:
     async def test() -> None:
         for classes, text in ((("pay", "nope"), "expected classes of the configuration (view, pay, mark), got 'nope'"),
