A request whose rest lies unread gets no 408 and no reset

Line at fault: ClientConnection.close looked for unread bytes only where nothing had been read yet. Both tests fail without it (408 in place of 200).

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -260,8 +260,9 @@
         return True
 
     def close(self) -> None:
-        """No request is open on it. One that has begun is told so; one that has come and is not read yet goes on."""
-        if not self.final and not self.reading and (self.transport is None or self.has_unread()):
+        """No request is open on it. One that has begun is told so; one that has come and is not read yet, or a part of
+        it, goes on. Hazard: what is closed over unread bytes is reset, and takes a whole request for half of one."""
+        if not self.final and (self.transport is None or self.has_unread()):
             return
         self.final = True
         if self.transport is None:
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -10,7 +10,7 @@
 import select
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -21,6 +21,12 @@
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
 from tests.sockets import Scene, run, until
+from tests.test_shutdown import REQUEST, served, sweep
+
+
+async def close_idle_and_silent(own: module.Server) -> None:
+    for one in list(own.connections):
+        one.close()
 
 
 def closes(client: socket.socket) -> None:
@@ -238,3 +244,22 @@
         client.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("closing", [sweep, close_idle_and_silent])
+def test_the_rest_of_a_request_that_has_come_but_is_not_read_yet_keeps_it_from_a_408(
+        closing: Callable[[module.Server], Awaitable[None]]) -> None:
+    """The process had no processor for so long that the request looks given up on, and its rest lies unread."""
+    async def test() -> None:
+        async with served(asked=False) as (own, client):
+            client.send(REQUEST[:10])
+            await until(lambda: all(one.reading for one in own.connections))
+            for one in own.connections:
+                one.since_us -= 60_000_000
+            client.send(REQUEST[10:])  # from within one step of the loop
+            await closing(own)
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).status == 200
+            writer.close()
+
+    run(test)
