At the last moment of a process what the decisions have lost, or hand on, has its answer too

A request between two lanes (written to a store, on its way to its upstream) or lost by the decisions' error is in nobody's hands as the process ends; its backstop is its deadline, which may lie past SIGKILL. After the decisions' own last answers what is still open fails. The new test (requests of the decisions cleared) fails without it.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -285,6 +285,8 @@
     def answer_all(self) -> None:
         """The process ends: each open request has its one answer now, and so has what comes yet."""
         self.tell_all(api.DrainChanged(True, ends=True))
+        for request in list(self.by_txn.values()):  # between two lanes, or lost by the decisions
+            self.fail(request.ident)
 
     # Events in
 
--- a/tests/ends/test_process.py
+++ b/tests/ends/test_process.py
@@ -67,6 +67,24 @@
     run(test)
 
 
+def test_what_the_decisions_have_lost_is_answered_at_the_last_moment_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sidecar, "STOP_END_S", 0.1)
+    monkeypatch.setattr(sidecar, "STOP_DEADLINE_S", 0.1)
+    monkeypatch.setattr(server, "LAST_S", 5.0)
+
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        reader, _ = await ask(scene.port, scene.request("pay", remaining="60000m"))
+        await until(lambda: peer.got)
+        scene.sidecar.balancer.requests.clear()
+        ending = asyncio.create_task(scene.sidecar.stop())
+        assert (await read_message(reader)).status == 502 and await reader.read() == b""
+        await ending
+
+    run(test)
+
+
 def test_what_comes_at_the_last_moment_is_refused_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """A connection that stays open is used by its client up to the exit."""
     monkeypatch.setattr(sidecar, "STOP_END_S", 0.1)
