--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -22,9 +22,8 @@
 SWEEP_S = 1.0
 BODILESS = frozenset((*range(100, 200), 204, 304))
 # Hazard: a second copy of an answer may come a moment behind the first; on a connection that already
-# carries the next request it would be taken for that one's answer. So each rests between two, and one that has rested
-# for longer is taken first where there is one.
-REST_US, LONG_REST_US = 2_000, 20_000
+# carries the next request it would be taken for that one's answer. So each rests between two.
+REST_US = 2_000
 DEFAULT_CONNECT_S = 1.0
 # How often kept connections of an age fail at their next request: smoothed over about 8 of them, and
 # forgotten over some 20 s. Past UNTRUSTED a new one costs less than the requests that would be lost.
@@ -312,8 +311,7 @@
 
     def start(self, attempt: Attempt) -> None:
         now_us, ages = self.upstreams.now_us(), self.upstreams.ages
-        rested = [c for c in reversed(self.idle) if now_us - c.idle_since_us >= LONG_REST_US]
-        for connection in [*rested, *(c for c in reversed(self.idle) if c not in rested)]:
+        for connection in reversed(self.idle):
             age_us = now_us - connection.idle_since_us
             if age_us < REST_US:
                 continue
