A call to discovery begins early enough that its list is in force 6 s after it had it

Cause: when a watch had fallen silent (3 s) and the call after it failed, the next one waited for the decisions' turn (2.5 to 5 s of many), and one that was accepted and silent was waited for first (3.3 s, then 6.6 s), so what discovery had could be in force only after 7 to 12 s.

Change: net/turns.py, pure, says by when the next call begins: two within 5.5 s of a watch's last word, later ones no more than 5.5 s apart, beside one that still waits (which is kept, and answered is the watch). The first turn of many after a silence is 1.25 s (it was 2.5), the second as long; from then on 2.5 to 5 s after a failure as before, 4.4 to 5.5 s after the begin of one that is silent (it was 5.8 to 11.6). A successor at a new address is given up after 5.25 s, as none begins beside it. Bound on discovery: no sidecar's calls begin within 0.625 s of each other, nor two within 2.5 s after the first two; of 200 no more than 200 in any second after a silence (160 first ones by their turn).

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -12,14 +13,12 @@
 import httptools
 
 from ironscale.interface import ListKind, Upstream, UpstreamState
+from ironscale.net import turns
 from ironscale.net.jsonstream import Blank, JsonStream
 
 PATH = "/registry/instances"
 CONNECT_S = 2.0
-# While nothing changes an empty line comes every 2 s: past this discovery or the way to it is down, though the
-# connection may stay open. What a silent watch misses counts as told 6 s after its last word, drained upstreams
-# may be sent to for half a second more at some customers, and a new call takes its time.
-SILENCE_S = 3.0
+SILENCE_S = turns.SILENCE_S
 MOVE_AGAIN_S = 0.25
 # A discovery that stays behind our list for this long has begun to count anew; one that lags has caught up.
 BEHIND_S = 3.0
@@ -109,10 +108,12 @@
 
 
 class Discovery:
-    """Carries out `Subscribe` and `FetchList`; each is answered by a list or by `FAILED`."""
+    """Carries out `Subscribe` and `FetchList`. A watch that ends is told as `FAILED` and opened anew: as soon as the
+    decisions ask for it, and without them no later than `turns` says; where many share a discovery, then and no
+    sooner."""
 
-    def __init__(self, address: tuple[str, int], directory: Directory, generation: int,
-                 on_list: OnList, answer_s: float, log: Callable[[str], None]) -> None:
+    def __init__(self, address: tuple[str, int], directory: Directory, generation: int, on_list: OnList,
+                 answer_s: float, log: Callable[[str], None], shared: bool = False, seed: int = 0) -> None:
         self.address = address
         self.answer_s = answer_s  # a call that has no answer by then will have none
         self.log = log
@@ -120,6 +121,13 @@
         self.directory = directory
         self.generation = generation  # of the list as told to `on_list`
         self.on_list = on_list
+        self.shared = shared  # by many sidecars: calls are made in turns
+        self.random = random.Random(seed)
+        self.heard_s: float | None = None  # the last word of a watch; None before the first
+        self.begun = 0  # calls since then
+        self.last_s = 0.0  # when the last one began
+        self.again: asyncio.TimerHandle | None = None  # begins the next one
+        self.waiting: set[_Call] = set()  # begun before `watch` and still without a word, which may come yet
         self.watch: _Call | None = None
         self.successor: _Call | None = None  # the watch at a new address, until it has answered
         self.mover: asyncio.TimerHandle | None = None
@@ -127,17 +135,39 @@
 
     def subscribe(self) -> None:
         if self.watch is None:
-            self.watch = self.call_watch()
+            if self.again is None or not self.shared:
+                self.open()
         elif self.watch.answered:
             # the watch already tells every change: nothing is missing
             self.on_list(ListKind.DELTA, Listing(self.generation, False))
         # else the call that is out will be the answer: a second one would wait behind it
 
-    def call_watch(self) -> _Call:
-        return _Call(self, f"{PATH}?watch=1&after={self.generation}")
+    def open(self) -> None:
+        """A new call; one that is out already goes on beside it, as long as its patience lasts."""
+        if self.watch is not None:
+            self.waiting.add(self.watch)
+        self.watch = self.call_watch()
+        self.has_begun(self.watch)
+
+    def has_begun(self, call: _Call) -> None:
+        """The next one begins beside it if it stays without a word."""
+        self.begun += 1
+        self.last_s = call.began_s
+        self.open_at(turns.beside_s(self.heard_s, self.begun, self.last_s, self.random.random()))
+
+    def open_at(self, at_s: float | None) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        self.again = None if at_s is None else asyncio.get_running_loop().call_at(at_s, self.open)
+
+    def call_watch(self, most_s: float = math.inf) -> _Call:
+        return _Call(self, f"{PATH}?watch=1&after={self.generation}", most_s)
 
     def unsubscribe(self) -> None:
         self.stop_moving()
+        self.open_at(None)
+        while self.waiting:
+            self.waiting.pop().close()
         if self.watch is not None:
             watch, self.watch = self.watch, None
             watch.close()
@@ -148,12 +178,12 @@
             self.address = address
             self.stop_moving()
             if self.watch is None:  # hazard: the decisions' back-off is for the old address; the new one counts soon
-                self.subscribe()
+                self.open()
             self.start_moving()
 
     def start_moving(self) -> None:
-        if self.watch is not None and self.watch.address != self.address:
-            self.successor = self.call_watch()
+        if self.watch is not None and self.watch.address != self.address and self.successor is None:
+            self.successor = self.call_watch(turns.SPAN_S - MOVE_AGAIN_S)  # none begins beside it
 
     def stop_moving(self) -> None:
         if self.mover is not None:
@@ -181,11 +211,17 @@
             return
         else:  # alive, and nothing has changed since our list
             listing = Listing(self.generation if call.behind_since_s is None else -1, False)
+        is_first = not call.answered
         call.answered, self.unanswered = True, 0
-        if call is self.successor:
-            assert self.watch is not None
-            self.watch.close()
-            self.watch, self.successor = call, None
+        if call is self.successor or call in self.waiting:
+            self.waiting.discard(call)
+            if self.watch is not None:
+                self.watch.close()
+            self.watch = call
+            if call is self.successor:
+                self.successor = None
+        if is_first and call is self.watch:
+            self.has_word()
         if call is not self.watch and (not listing.full or listing.generation < self.generation):
             return  # a fetched list that a watch has overtaken
         if listing.generation < self.generation:
@@ -205,6 +241,14 @@
         self.generation = listing.generation
         self.on_list(ListKind.FULL if listing.full else ListKind.DELTA, listing)
 
+    def has_word(self) -> None:
+        """The watch tells: what else was begun in its place is not needed."""
+        self.begun = 0
+        self.open_at(None)
+        while self.waiting:
+            self.waiting.pop().close()
+        self.start_moving()  # an older call may have been answered at an address that has moved since
+
     def may_lag(self, call: _Call) -> bool:
         now_s = asyncio.get_running_loop().time()
         if call.behind_since_s is None:
@@ -216,10 +260,18 @@
             self.successor = None
             self.mover = asyncio.get_running_loop().call_later(MOVE_AGAIN_S, self.start_moving)
             return
+        if call in self.waiting:
+            self.waiting.discard(call)
+            return  # another has begun, and its answer or end will be told
         if call is self.watch:
+            if call.answered:
+                self.heard_s = call.heard_s
             self.watch, self.successor = self.successor, None
             if self.watch is not None:
+                self.has_begun(self.watch)
                 return  # its answer, or its end, will be told
+            now_s = asyncio.get_running_loop().time()
+            self.open_at(turns.after_end_s(now_s, self.heard_s, self.begun, self.last_s, self.random.random()))
         elif call in self.fetches:
             self.fetches.discard(call)
             if call.answered:
@@ -232,8 +284,9 @@
 class _Call(asyncio.Protocol):
     """One call to discovery, from connecting to its end."""
 
-    def __init__(self, owner: Discovery, target: str) -> None:
+    def __init__(self, owner: Discovery, target: str, most_s: float = math.inf) -> None:
         self.owner = owner
+        self.most_s = most_s  # that its first word may take
         self.address = owner.address
         self.answered = False
         self.behind_since_s: float | None = None  # since when its lists are older than ours
@@ -245,7 +298,8 @@
         self.request = (f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
                         "Accept: application/json\r\n\r\n").encode()
         loop = asyncio.get_running_loop()
-        self.silence = loop.call_later(owner.patience_s(), self.fall_silent)
+        self.began_s = self.heard_s = loop.time()  # the last byte from there
+        self.silence = loop.call_later(min(owner.patience_s(), most_s), self.fall_silent)
         self.task = loop.create_task(self.connect())
 
     async def connect(self) -> None:
@@ -267,8 +321,11 @@
             return
         # any byte is a sign of life; silence on an open connection is the only sign of a lost one
         self.silence.cancel()
-        limit_s = SILENCE_S if self.answered else self.owner.patience_s()
-        self.silence = asyncio.get_running_loop().call_later(limit_s, self.fall_silent)
+        loop, limit_s = asyncio.get_running_loop(), SILENCE_S
+        if not self.answered:
+            limit_s = min(self.owner.patience_s(), self.most_s)
+        self.heard_s = loop.time()
+        self.silence = loop.call_later(limit_s, self.fall_silent)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -204,7 +204,7 @@
         self.upstreams = Upstreams(self.clock.now_us, config.idle_us, settings.connect_timeout_us, half)
         self.server = Server(self, half, self.clock.now_us)
         self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list,
-                                   config.answer_us / 1e6, self.log)
+                                   config.answer_us / 1e6, self.log, self.balancer.list_turn_us() > 0, config.seed)
         self.requests: dict[int, Request] = {}
         self.by_txn: dict[str, Request] = {}  # those not yet answered
         self.next_request = 1
