Room for discovery, upstreams and readiness goes by the descriptors that the system gives

Cause: connections were bounded by limits.sockets alone. Where RLIMIT_NOFILE is lower, idle clients took the last descriptor while discovery was down, and its return was not heard (asked lists: not in 30 s; pushed: heard, and the upstream not reached, 503).

Change: the lower of the two counts. Where they agree the program held it already (32 are spared).

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 import re
+import resource
 import signal
 import sys
 import time
@@ -188,6 +189,14 @@
     return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) if key else 0
 
 
+def connections_each(sockets: int) -> int:
+    """Most connections of clients, and as many of upstreams, with so many descriptors. Hazard: the system may give
+    fewer than the settings allow; idle clients would take the last of them, and discovery could not be called."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    given = sockets if most == resource.RLIM_INFINITY else min(sockets, most)
+    return max(1, (given - SPARE_SOCKETS) // 2)
+
+
 class Sidecar(Lane):
     def __init__(self, config: Config, environ: Mapping[str, str] | None = None) -> None:
         self.config = config
@@ -200,7 +209,7 @@
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.tenants = {t.name: i for i, t in enumerate(settings.tenants)}
         super().__init__(Balancer(settings, config.seed, self.clock.now_us()), self.clock.now_us)
-        half = max(1, (config.sockets - SPARE_SOCKETS) // 2)
+        half = connections_each(config.sockets)
         self.upstreams = Upstreams(self.clock.now_us, config.idle_us, settings.connect_timeout_us, half)
         self.server = Server(self, half, self.clock.now_us)
         self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list,
@@ -266,7 +275,7 @@
             raise NeedsRestart(fixed)
         # Nothing below can fail: each takes on a value that has been checked.
         self.config, self.generation, self.overlay = new, generation, overlay
-        half = max(1, (new.sockets - SPARE_SOCKETS) // 2)
+        half = connections_each(new.sockets)
         self.server.most = self.upstreams.most = half
         self.upstreams.set_times(new.idle_us, new.settings.connect_timeout_us)
         self.classes = {c.name: i for i, c in enumerate(new.settings.classes)}
--- /dev/null
+++ b/tests/ends/test_descriptors.py
@@ -0,0 +1,116 @@
+"""Idle clients fill the descriptors while discovery is down; its watch, upstreams and readiness have room yet."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.standins.discovery import FakeDiscovery, listing
+from ironscale.standins.http import read_message
+from ironscale.standins.settings import SETTINGS
+from ironscale.standins.upstream import Peer
+from tests.deployed import ROOT
+from tests.ends.test_lists import MODES
+from tests.sockets import Scene, ask, free_port, run, until
+
+LIMIT = 128  # of descriptors
+CLIENTS = 2 * LIMIT
+
+
+def idle(port: int) -> socket.socket:
+    """It connects and says nothing; the kernel's queue holds what is not accepted."""
+    found = socket.socket()
+    found.setblocking(False)
+    found.connect_ex(("127.0.0.1", port))
+    return found
+
+
+def is_over(client: socket.socket) -> bool:
+    try:
+        return not client.recv(64)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+async def crowd(port: int, clients: list[socket.socket]) -> None:
+    """Whoever is closed comes again."""
+    while True:
+        for place, client in enumerate(clients):
+            if is_over(client):
+                client.close()
+                clients[place] = idle(port)
+        await asyncio.sleep(0.02)
+
+
+def opened(pid: int) -> int:
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+@pytest.mark.parametrize("sockets", [LIMIT, 8 * LIMIT], ids=["told", "only-by-the-system"])
+@pytest.mark.parametrize("mode", MODES, ids=["asked", "pushed"])
+def test_discovery_back_is_heard_though_idle_clients_have_all_the_room(
+        mode: dict[str, Any], sockets: int, tmp_path: Path) -> None:
+    """Hazard: the settings may allow more than the system gives, and the last descriptor went to an idle client."""
+    async def test() -> None:
+        peer, discovery, port = await Peer().start(), FakeDiscovery(), free_port()
+        discovery.port = free_port()  # nobody listens there yet
+        (tmp_path / "c.json").write_text(json.dumps({
+            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
+            "limits": {"sockets": sockets}, "known": listing(), "settings": {**SETTINGS, **mode}}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "ironscale", cwd=ROOT,
+            env={**os.environ, "GW_CONFIG": str(tmp_path / "c.json")},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (LIMIT, LIMIT)))
+        clients: list[socket.socket] = []
+        coming: asyncio.Task[None] | None = None
+        try:
+            await until(lambda: is_up(port))
+            least = opened(process.pid)
+            clients += [idle(port) for _ in range(CLIENTS)]
+            coming = asyncio.create_task(crowd(port, clients))
+            await until(lambda: opened(process.pid) >= least + (LIMIT - 32) // 2)
+            server = await asyncio.start_server(discovery.on_connection, "127.0.0.1", discovery.port)
+            back_s = asyncio.get_running_loop().time()
+            await until(lambda: discovery.writers)
+            assert asyncio.get_running_loop().time() - back_s < 6.0
+            discovery.line(listing(peer.entry("s-1"), generation=42))
+            scene = Scene()
+            while True:  # a connection may be shut unread to make room; its client comes again
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    reader, writer = await ask(port, b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    status = (await read_message(reader)).status
+                    writer.close()
+                    if status == 200:
+                        break
+            while not peer.got:
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    reader, writer = await ask(port, scene.request())
+                    assert (await read_message(reader)).status == 200
+                    writer.close()
+            server.close()
+        finally:
+            if coming is not None:
+                coming.cancel()
+            for client in clients:
+                client.close()
+            process.send_signal(signal.SIGTERM)
+            await process.wait()
+
+    run(test)
+
+
+def is_up(port: int) -> bool:
+    with socket.socket() as found:
+        return found.connect_ex(("127.0.0.1", port)) == 0
