A load run hears SIGINT also where it was started with SIGINT ignored, and at every moment

Cause: a shell without job control starts its background jobs with SIGINT ignored.

Change: SIGINT and SIGTERM are handled by the command itself, by one way out: processes first, one line, status 130; a second one does not spoil the status; once files are written nothing is stopped (before: one file written and "no result" said, or half a file left). Found by the new test: a signal while the run ended its listeners was overlooked (`_ended` suppressed its own cancelling), and a result was written with status 0; and a child that was being waited for is killed then instead of left.

--- a/ironscale/cli/load.py
+++ b/ironscale/cli/load.py
@@ -5,6 +5,8 @@
 import contextlib
 import json
 import os
+import signal
+import threading
 from collections.abc import Iterator
 from dataclasses import asdict
 from pathlib import Path
@@ -49,6 +51,41 @@
         fail(Exit.FAILED, str(error))
 
 
+STOPS = signal.SIGINT, signal.SIGTERM
+
+
+@contextlib.contextmanager
+def stoppable() -> Iterator[None]:
+    """SIGINT and SIGTERM end what is within, by one way out: its processes first, then one line and status 130.
+
+    Hazard: a shell without job control starts its background jobs with SIGINT ignored, and Python leaves that so. The
+    load would go on after `kill -INT`, and after the Ctrl-C that ended the script."""
+    if threading.current_thread() is not threading.main_thread():
+        yield  # signals are the main thread's to handle
+        return
+    before = {number: signal.getsignal(number) for number in STOPS}
+    stopped = False
+    try:
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+        signal.signal(signal.SIGTERM, lambda number, frame: signal.raise_signal(signal.SIGINT))
+        yield
+    except KeyboardInterrupt:
+        stopped = True
+        unstoppable()  # this process ends: a second one may not spoil its status
+        fail(Exit.STOPPED, "stopped; what was sent until then is no result")
+    finally:
+        if not stopped:
+            for number, handler in before.items():
+                signal.signal(number, handler)
+
+
+def unstoppable() -> None:
+    """From here to the end of `stoppable` there is nothing to stop."""
+    if threading.current_thread() is threading.main_thread():
+        for number in STOPS:
+            signal.signal(number, signal.SIG_IGN)
+
+
 def written(path: Path, text: str) -> None:
     """Whole or not at all."""
     aside = path.with_name(f".{path.name}.{os.getpid()}")
@@ -107,7 +144,7 @@
     output: str,
 ) -> None:
     """Run the scenario FILE, or once more the run whose JSON is FILE."""
-    with foreseen():
+    with stoppable(), foreseen():
         from ironscale.load.page import page
         from ironscale.load.run import Run
 
@@ -117,14 +154,12 @@
             async def go() -> Result:
                 return await Run(scenario, lambda seen: live.update(live_text(seen)))(title or file.stem)
 
-            try:
-                found = uvloop.run(go())
-            except KeyboardInterrupt:
-                fail(Exit.STOPPED, "stopped; what was sent until then is no result")
-        if json_file is not None:
-            written(json_file, json.dumps(found.to_json(), ensure_ascii=False) + "\n")
-        if html_file is not None:
-            written(html_file, page(found))
+            found = uvloop.run(go())
+        files = [(json_file, json.dumps(found.to_json(), ensure_ascii=False) + "\n")] if json_file is not None else []
+        files += [(html_file, page(found))] if html_file is not None else []
+        unstoppable()  # hazard: one file written, or half of one, and "no result" said
+        for path, text in files:
+            written(path, text)
         if output == "json":
             data = found.to_json()
             print_json({key: data[key] for key in data if key not in ("intervals", "scenario")})
--- a/ironscale/load/run.py
+++ b/ironscale/load/run.py
@@ -274,8 +274,10 @@
 
 async def _ended(task: asyncio.Task[None]) -> None:
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    # hazard: to await it, and to overlook that it was cancelled, would overlook a signal that cancels the waiting one
+    await asyncio.wait([task])
+    if not task.cancelled():
+        task.result()
 
 
 @contextlib.asynccontextmanager
@@ -305,9 +307,11 @@
             try:
                 async with asyncio.timeout(5):
                     await process.wait()
-            except TimeoutError:
+            except (TimeoutError, asyncio.CancelledError) as late:  # cancelled: a signal; nobody waits any longer
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
+                if isinstance(late, asyncio.CancelledError):
+                    raise
                 await process.wait()
 
 
--- a/tests/cli/test_load.py
+++ b/tests/cli/test_load.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import resource
 import signal
 import subprocess
@@ -16,6 +17,8 @@
 
 from ironscale.cli.load import load
 from ironscale.cli.output import CliError, Exit
+from tests.cli.stopped import MOMENTS
+from tests.deployed import ROOT
 from tests.load.samples import SUBMIT, VIEW, text
 
 SCENARIO = text(VIEW, SUBMIT, '[target]\nprotocol = "plain"\n', "[[upstreams]]\n", seconds=1, rate=60)
@@ -188,3 +191,43 @@
     _, said = process.communicate(timeout=60)
     assert process.returncode == Exit.STOPPED and "stopped" in said and "Traceback" not in said
     assert with_variable("LOAD_TEST", mark) is None and not (tmp_path / "a.json").exists()
+
+
+def test_sigint_ends_a_run_that_was_started_with_sigint_ignored(tmp_path: Path) -> None:
+    """As a shell without job control starts its background jobs, a run of all tests in one of them as well."""
+    stopped(tmp_path, "plays", signal.SIGINT, 1, True, seconds=60)
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("seed", [1])
+def test_a_signal_at_any_moment_ends_it_with_no_result_or_a_whole_one(moment: str, seed: int, tmp_path: Path) -> None:
+    rng = random.Random(f"stopped {moment} {seed}")
+    number, times, ignored = rng.choice((signal.SIGINT, signal.SIGTERM)), rng.choice((1, 2)), rng.random() < 0.3
+    stopped(tmp_path, moment, number, times, ignored)
+
+
+def stopped(folder: Path, moment: str, number: int, times: int, ignored: bool, seconds: int = 1) -> None:
+    from ironscale.control.processes import with_variable
+
+    (folder / "s.toml").write_text(SCENARIO.replace("duration_s = 1", f"duration_s = {seconds}"))
+    files = str(folder / "s.toml"), "--json", str(folder / "a.json"), "--html", str(folder / "a.html")
+    mark = f"{folder.name}-{os.getpid()}"
+    done = subprocess.run(
+        [sys.executable, "-m", "tests.cli.stopped", moment, str(int(number)), str(times), "load", "run", *files],
+        cwd=ROOT,
+        capture_output=True,  # to the end of all that hold its standard error
+        text=True,
+        timeout=50,
+        check=False,
+        env={**os.environ, "LOAD_TEST": mark},
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN if ignored else signal.default_int_handler),
+    )
+    told = f"{moment}, signal {number}, {times} times, ignored at the start: {ignored}: {done.returncode} {done.stderr}"
+    assert f"at: {moment}" in done.stderr and "Traceback" not in done.stderr, told
+    left = sorted(path.name for path in folder.iterdir())
+    if moment in ("writes", "tells"):
+        assert done.returncode == Exit.DONE and left == ["a.html", "a.json", "s.toml"], told
+    else:
+        assert done.returncode == Exit.STOPPED and "stopped; what was sent" in done.stderr, told
+        assert left == ["s.toml"], told
+    assert with_variable("LOAD_TEST", mark) is None, told
