--- /dev/null
+++ b/tests/coldfleet.py
@@ -0,0 +1,349 @@
+"""A whole fleet of balancers before cold upstreams, in virtual time and without sockets: what all send together.
+
+Nothing of the pacing is modelled here: each sidecar is a real `Balancer` with its own list, told at its own time. An
+upstream takes the work in turn at what its settings surely give it; each send to a cold one is held against
+rule 4 as the contract words it, at the instant in which it arrives.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from ironscale.balance import Balancer
+from ironscale.interface import (
+    AttemptEnded,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    Tenant,
+    TimerFired,
+    Upstream,
+    UpstreamState,
+    UpstreamsUpdated,
+)
+
+START_US = 1_000_000_000
+SECOND_US = 1_000_000
+SIZES = (1, 5, 19, 20, 21, 30, 200)
+KINDS = (1.76, 0.66, 0.95)  # of the mean of all upstreams, as the site's machines are
+
+
+@dataclass(frozen=True)
+class Case:
+    """One drawn play; rates are of the whole fleet, a second."""
+
+    seed: int
+    instances: int
+    settings: Settings
+    seconds: float
+    sizes: list[float]  # of each upstream, requests of mean work a second when warm
+    cold: int  # so many of them start anew
+    shares: list[float]  # of the traffic, for each sidecar
+    load: float  # of what all warm ones can do
+    waves: list[tuple[float, float]]  # from so many seconds on, times the load
+    work: list[tuple[float, float]]  # for each class: share of the requests, mean work
+    told_s: list[float]  # for each sidecar, after a change
+    again_s: float  # the cold ones crash then and begin anew; 0 = they don't
+    down_s: float  # for so long
+    known: bool  # they were listed before, and their end is told as late as their start
+    restarts: list[tuple[float, int]]  # when, which sidecar
+    away: int  # upstreams that leave the list as the cold ones come
+    chance: float
+
+
+def classes() -> list[RequestClass]:
+    return [RequestClass("view", 300_000, 1_500_000, late_worth=0.3),
+            RequestClass("submit", 300_000, 600_000, worth=5.0, effect="at_most_once"),
+            RequestClass("mark", 400_000, 2_000_000, worth=3.0, effect="deduplicated", group="cell",
+                         memory_us=1_200_000)]
+
+
+def drawn(seed: int, instances: int, chance: float = 0.0) -> Case:
+    """The site's settings, or on odd seeds anything that the pages allow. `chance` is how far requests of one class
+    differ: the standard deviation, in shares of their mean."""
+    rng = random.Random(f"{seed}/{instances}")
+    at_site = seed % 2 == 0
+    cold_share, warm_s, factor, fall_s, quota = (
+        (0.13, 24.0, 2.5, 1.0, rng.uniform(0.72, 0.94)) if at_site else
+        (rng.uniform(0.1, 0.5), rng.uniform(5.0, 24.0), rng.choice((2.0, 2.5, 3.0)), rng.choice((1.0, 2.0)),
+         rng.uniform(0.55, 1.1)))
+    count = rng.randint(5, 16)
+    mean = math.exp(rng.uniform(math.log(10.0), math.log(40.0)))
+    kinds = [rng.choice(KINDS) if rng.random() < 0.8 else 1.0 for _ in range(count)]
+    sizes = [mean * kind * count / sum(kinds) for kind in kinds]
+    cold = rng.randint(1, max(1, count // 3))
+    shares = [rng.uniform(3.0, 6.0) if rng.random() < 0.15 else rng.uniform(0.3, 1.2) for _ in range(instances)]
+    waves, at_s = [(0.0, 1.0)], 0.0
+    while at_s < 10.0:
+        at_s += rng.uniform(0.5, 3.0)
+        waves.append((at_s, rng.choice((0.05, 0.3, 1.0, 1.0, 1.6, 2.5))))
+    settings = Settings(
+        classes(), [Tenant("north", quota * sum(sizes) * 0.6, 0.6), Tenant("south", quota * sum(sizes) * 0.4, 0.4)],
+        over_share_worth=0.1, instances=instances, tick_us=4_000, max_attempts=4, max_retry_after_us=SECOND_US,
+        connect_timeout_us=150_000, second_copies=rng.random() < 0.5, cold_share=cold_share,
+        warm_up_us=int(warm_s * SECOND_US), overload_factor=factor, fall_us=int(fall_s * SECOND_US))
+    late = rng.random() < 0.3
+    return Case(
+        seed, instances, settings, min(10.0, warm_s), sizes, cold, [s / sum(shares) for s in shares],
+        rng.choice((0.3, 0.6, 0.8, 1.1, 1.3)), waves,
+        [(0.59, 22.0), (0.23, 42.0), (0.18, 28.0)] if at_site else [(0.7, 5.0), (0.2, 10.0), (0.1, 20.0)],
+        [rng.uniform(0.0, 1.0) + (rng.uniform(1.0, 5.0) if late and rng.random() < 0.3 else 0.0)
+         for _ in range(instances)],
+        rng.uniform(2.0, 6.0) if rng.random() < 0.3 else 0.0, rng.uniform(0.5, 3.0), rng.random() < 0.5,
+        sorted((rng.uniform(1.0, 10.0), index) for index in range(instances) if rng.random() < 0.3)
+        if rng.random() < 0.4 else [],
+        rng.randint(0, (count - cold) // 3) if rng.random() < 0.3 else 0, chance)
+
+
+@dataclass
+class Machine:
+    """One upstream: two cores that take the work in turn, a bounded queue, and the count of rule 4."""
+
+    entry: Upstream
+    size: float
+    cores: list[int] = field(default_factory=lambda: [0, 0])
+    queued: list[int] = field(default_factory=list)  # when each one in it is done
+    up: bool = True
+    window: deque[tuple[int, float, bool]] = field(default_factory=deque)
+    got: float = 0.0  # while cold
+    worst: float = 0.0  # of what it bears, in any window
+    fell_us: int = 0
+
+
+@dataclass
+class Sidecar:
+    number: int
+    balancer: Balancer
+    life: int = 0
+    told: dict[int, int] = field(default_factory=dict)  # upstream: start that it was told of
+
+
+@dataclass(frozen=True)
+class Verdict:
+    falls: int  # of which over two thirds came from sidecars that had been told
+    worst: float  # the most of any window, of what is borne in it
+    told_worst: float  # the same, of what those that had been told sent alone
+    used: float  # of what the cold ones could do, in all; they may be sent `overload_factor` times that
+    served: float  # of all requests, in time for their client
+    cold: int  # cold starts
+
+
+class Fleet:
+    def __init__(self, case: Case) -> None:
+        self.case, self.rng, self.now_us, self.count = case, random.Random(case.seed), START_US, 0
+        self.events: list[tuple[int, int, str, tuple[int, ...]]] = []
+        mean = sum(case.sizes) / len(case.sizes)
+        warm = [Upstream(100 + 7919 * i, zone=i % 4, kind=sum(size > 1.2 * mean * kind for kind in sorted(KINDS)),
+                         cell=i % 4) for i, size in enumerate(case.sizes)]
+        self.machines = {entry.id: Machine(entry, size) for entry, size in zip(warm, case.sizes, strict=True)}
+        self.sidecars = [self.started(number) for number in range(case.instances)]
+        self.requests: dict[int, tuple[Sidecar, int, int, float, int]] = {}  # sidecar, life, class, work, due
+        self.tries: dict[int, int] = {}
+        self.open: set[tuple[int, int]] = set()
+        self.served = self.asked = self.falls = self.starts = 0
+        self.able = self.got = self.worst = self.told_worst = 0.0
+
+    def at(self, when_us: int, what: str, *about: int) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (when_us, self.count, what, about))
+
+    def started(self, number: int) -> Sidecar:
+        settings = replace(self.case.settings, self_index=number, zone=number % 4)
+        return Sidecar(number, Balancer(settings, self.case.seed * 1000 + number + self.count, self.now_us))
+
+    def play(self) -> Verdict:
+        case = self.case
+        for machine in list(self.machines.values())[:case.cold] if not case.known else []:
+            machine.up = False
+        for sidecar in self.sidecars:
+            self.on_list(sidecar.number)
+        calm_us = 2 * SECOND_US  # each sidecar has sent something by then
+        self.draw_arrivals(calm_us)
+        changed_us = START_US + calm_us
+        self.at(changed_us, "start")
+        if case.again_s:
+            self.at(changed_us + int(case.again_s * SECOND_US), "crash")
+            self.at(changed_us + int((case.again_s + case.down_s) * SECOND_US), "start")
+        for at_s, number in case.restarts:
+            self.at(changed_us + int(at_s * SECOND_US), "restart", number)
+        end_us = changed_us + int(case.seconds * SECOND_US)
+        while self.events and self.events[0][0] < end_us:
+            self.now_us, _, what, about = heapq.heappop(self.events)
+            getattr(self, "on_" + what)(*about)
+        for machine in self.machines.values():
+            self.close_account(machine)
+        return Verdict(self.falls, self.worst, self.told_worst, self.got / self.able if self.able else 0.0,
+                       self.served / max(1, self.asked), self.starts)
+
+    def draw_arrivals(self, calm_us: int) -> None:
+        case, rng, at_s = self.case, self.rng, 0.0
+        rate, end_s = case.load * sum(case.sizes), calm_us / SECOND_US + case.seconds
+        numbers, waves = range(case.instances), [(0.0, 1.0), *((calm_us / SECOND_US + s, k) for s, k in case.waves)]
+        while at_s < end_s:
+            now = [k for s, k in waves if s <= at_s][-1]
+            nxt = min((s for s, _ in waves if s > at_s), default=end_s)
+            step_s = rng.expovariate(rate * now)
+            at_s = min(at_s + step_s, nxt) if at_s + step_s > nxt else at_s + step_s
+            if at_s < nxt:
+                self.at(START_US + int(at_s * SECOND_US), "arrival", rng.choices(numbers, case.shares)[0])
+
+    # What happens
+
+    def on_start(self) -> None:
+        cold = list(self.machines.values())[:self.case.cold]
+        gone = list(self.machines.values())[-self.case.away:] if self.case.away else []
+        for machine in cold:
+            self.close_account(machine)
+            machine.up, machine.entry = True, replace(machine.entry, started_us=self.now_us)
+            machine.cores, machine.queued = [self.now_us] * 2, []
+            self.starts += 1
+        for machine in gone:
+            machine.entry = replace(machine.entry, state=UpstreamState.GONE)
+        self.tell_all()
+
+    def tell_all(self) -> None:
+        for sidecar in self.sidecars:
+            self.at(self.now_us + int(self.case.told_s[sidecar.number] * SECOND_US), "list", sidecar.number)
+
+    def on_crash(self) -> None:
+        for machine in list(self.machines.values())[:self.case.cold]:
+            self.close_account(machine)
+            machine.up = False
+        self.tell_all()
+
+    def on_list(self, number: int) -> None:
+        sidecar = self.sidecars[number]
+        entries = [m.entry for m in self.machines.values() if m.up and m.entry.state is UpstreamState.READY]
+        sidecar.told = {entry.id: entry.started_us for entry in entries}
+        self.tell(sidecar, UpstreamsUpdated(ListKind.FULL, entries))
+
+    def on_restart(self, number: int) -> None:
+        life = self.sidecars[number].life + 1
+        self.sidecars[number] = self.started(number)
+        self.sidecars[number].life = life
+        self.at(self.now_us + 300_000, "list", number)
+
+    def on_arrival(self, number: int) -> None:
+        case, rng, sidecar = self.case, self.rng, self.sidecars[number]
+        which = rng.choices(range(len(case.work)), [share for share, _ in case.work])[0]
+        mean = sum(share * work for share, work in case.work)
+        self.count += 1
+        ident = self.count
+        due_us = self.now_us + case.settings.classes[which].deadline_us
+        work = case.work[which][1] / mean
+        if case.chance:
+            work *= rng.gammavariate(case.chance ** -2, case.chance ** 2)
+        self.requests[ident] = sidecar, sidecar.life, which, work, due_us
+        self.asked += 1
+        self.tell(sidecar, RequestArrived(ident, due_us, which, tenant=int(rng.random() < 0.4)))
+
+    def on_timer(self, number: int, life: int) -> None:
+        if self.sidecars[number].life == life:
+            self.tell(self.sidecars[number], TimerFired(0))
+
+    def on_end(self, ident: int, nth: int, upstream: int, outcome: int, sent_us: int) -> None:
+        if (ident, nth) not in self.open or ident not in self.requests:
+            return
+        self.open.discard((ident, nth))
+        sidecar, life, which, _, due_us = self.requests[ident]
+        if self.sidecars[sidecar.number].life != life:
+            return
+        how = list(Outcome)[outcome]
+        machine = self.machines[upstream]
+        if how is Outcome.OK and (not machine.up or machine.entry.started_us > sent_us):
+            how = Outcome.RESET
+        final = how is Outcome.OK and self.now_us <= due_us
+        if final:
+            self.served += self.now_us <= due_us - self.case.settings.classes[which].deadline_us + (
+                self.case.settings.classes[which].aim_us)
+            del self.requests[ident]
+        self.tell(sidecar, AttemptEnded(ident, nth, upstream, how, self.now_us - sent_us, final))
+
+    def tell(self, sidecar: Sidecar, event: Event) -> None:
+        for action in sidecar.balancer.handle(self.now_us, event):
+            if isinstance(action, Send):
+                self.send(sidecar, action)
+            elif isinstance(action, SetTimer):
+                self.at(action.at_us, "timer", sidecar.number, sidecar.life)
+            elif isinstance(action, Refuse | Fail):
+                self.requests.pop(action.request, None)
+
+    # Upstreams
+
+    def warmth(self, machine: Machine, at_us: int) -> float:
+        s, age_us = self.case.settings, at_us - machine.entry.started_us
+        if machine.entry.started_us == 0 or age_us >= s.warm_up_us:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * age_us / s.warm_up_us
+
+    def send(self, sidecar: Sidecar, send: Send) -> None:
+        machine, now_us = self.machines[send.upstream], self.now_us
+        nth = self.tries[send.request] = self.tries.get(send.request, -1) + 1
+        work = self.requests[send.request][3]
+        self.open.add((send.request, nth))
+        warmth = self.warmth(machine, now_us)
+        if not machine.up or machine.fell_us:
+            self.ends(send, nth, 1_000, Outcome.CONNECT_FAILED)
+            return
+        if warmth < 1.0:
+            self.count_cold(sidecar, machine, work)
+        machine.queued = [done_us for done_us in machine.queued if done_us > now_us]
+        if len(machine.queued) >= 30:
+            self.ends(send, nth, 1_000, Outcome.FULL)
+            return
+        core = min(range(2), key=machine.cores.__getitem__)
+        machine.cores[core] = max(machine.cores[core], now_us) + int(
+            work * 2 / (machine.size * warmth) * SECOND_US)
+        machine.queued.append(machine.cores[core])
+        self.ends(send, nth, machine.cores[core] + 2_000 - now_us, Outcome.OK)
+
+    def ends(self, send: Send, nth: int, after_us: int, outcome: Outcome) -> None:
+        if send.timeout_us and after_us > send.timeout_us:
+            after_us, outcome = send.timeout_us, Outcome.TIMEOUT
+        self.at(self.now_us + after_us, "end", send.request, nth, send.upstream, list(Outcome).index(outcome),
+                self.now_us)
+
+    def count_cold(self, sidecar: Sidecar, machine: Machine, work: float) -> None:
+        """Rule 4 at this instant, for all the work that has come within the rule's time. N goes by what the upstream
+        could do at the beginning of that time, the least of it; a fall counts where those told sent two thirds."""
+        s, window = self.case.settings, machine.window
+        is_told = sidecar.told.get(machine.entry.id) == machine.entry.started_us
+        window.append((self.now_us, work, is_told))
+        while window[0][0] <= self.now_us - s.fall_us:
+            window.popleft()
+        allowed = s.overload_factor * self.warmth(machine, window[0][0]) * machine.size * s.fall_us / SECOND_US
+        borne = allowed + 2.0 * math.sqrt(allowed) + 2.0
+        sent, told = sum(w for _, w, _ in window), sum(w for _, w, t in window if t)
+        machine.got += work
+        self.told_worst = max(self.told_worst, told / borne)
+        if sent > borne:
+            machine.fell_us = self.now_us
+            self.falls += told > 2 / 3 * sent
+        if told > 2 / 3 * sent:
+            self.worst = max(self.worst, sent / borne)
+
+    def close_account(self, machine: Machine) -> None:
+        """What it could do, and what it got, since its start."""
+        if machine.entry.started_us and machine.up:
+            s, since_us = self.case.settings, machine.entry.started_us
+            until_us = min(machine.fell_us or self.now_us, since_us + s.warm_up_us)
+            mean = (self.warmth(machine, since_us) + self.warmth(machine, until_us - 1)) / 2
+            self.able += mean * machine.size * (until_us - since_us) / SECOND_US
+            self.got += machine.got
+        machine.window.clear()
+        machine.got, machine.fell_us = 0.0, 0
+
+
+def play(case: Case) -> Verdict:
+    return Fleet(case).play()
