Unused turns to send to a cold upstream end, and first turns come in order

Cause: each of the up to 20 sidecars that warm an upstream kept its turn until it was used; after a lull a burst (or answers that turned slow) brought all of them within a second, beside those that came then. And first turns were drawn at random, which bunch: 13 of 21 within 0.6 s were seen. Beyond N requests 2 root N + 2 are borne now. Change: where pace and saved turns of all warmers could pass N + 2 root N + 2, a turn ends after window x (factor / 1.5 - 1), so that turns that stand and turns that come are N in a window, for an upstream of two thirds of the mean size; first turns follow the order by which the warmers are chosen. SIGMAS and bears_chance go: the sum is bounded whoever sends, so cold upstreams go first in a shortage from their start.

--- a/ironscale/balance.py
+++ b/ironscale/balance.py
@@ -11,7 +11,7 @@
 
 from ironscale import interface as api
 from ironscale import trust
-from ironscale.crowd import FAULT_HALVES_US, Faults, Mean, Slowness, Traffic, warms
+from ironscale.crowd import FAULT_HALVES_US, Faults, Mean, Slowness, Traffic, turn, turn_us, warms
 from ironscale.places import Places
 
 RETRY_SHARE = 0.2  # the retry budget: reissues and copies for each request that arrives
@@ -36,7 +36,6 @@
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 GROWTH = 0.4  # of its slots, by which a round of answers moves an upstream's window
 FULL_LOAD = 0.7  # of the slow time, where an upstream's slots settle: more chokes it, less refuses early
-SIGMAS = 4.0  # of a count by chance, past which hardly one in 30,000 lies
 FULL_QUEUE = 2.0  # times the least usual answer, where the sidecar's slots settle: as much queue as service
 MUTE = 3  # times the slow time, after which an attempt without an answer first gives its slot to another
 NEAR, MOST_WAY = 0.2, 0.5  # of the slow time: an upstream's least answer past NEAR is the way there
@@ -51,8 +50,7 @@
     """Slots for outstanding sends; below one, the one slot rests between sends."""
 
     def __init__(self, name: str, slots: float) -> None:
-        self.name = name
-        self.slots = slots
+        self.name, self.slots = name, slots
         self.rest_until_us = 0
         self.resting = False  # as last logged
 
@@ -86,11 +84,11 @@
         self.mute = 1  # so often the patience with its late answers doubles: more while it answers nothing
         self.warms = True  # while it is cold, this sidecar sends there too
         self.next_cold_us = 0  # while it is cold, no send before this
+        self.turn_us = 0  # and for so long from then on, until its next turn; 0 = until it is used
         self.confirmed_us = 0  # when an attempt last showed something of it
         self.lesson: api.UpstreamLesson | None = None  # recalled, and not yet tested by an attempt of ours
         self.place = -1  # in the sidecar's order; -1 = it is drawn no more
-        self.look_us = 0  # a time at which its slot may open by itself is kept in `opening`
-        self.shut_us = 0  # and is in `shut` with this time
+        self.look_us = self.shut_us = 0  # times in `opening` and `shut`, at which its slot may open by itself
 
     def opens_us(self) -> int:
         return max(self.next_cold_us, self.window.rest_until_us)
@@ -98,9 +96,7 @@
 
 class Attempt:
     def __init__(self, server: Server, now_us: int, slow_us: int) -> None:
-        self.server = server
-        self.sent_us = now_us
-        self.slow_us = slow_us
+        self.server, self.sent_us, self.slow_us = server, now_us, slow_us
         self.slowness = 0.0  # as judged so far; 0 = it is not late yet
         self.holds = True  # its upstream's slot
         self.paced = False  # to a cold upstream: beside this sidecar's window
@@ -112,8 +108,7 @@
         self.event = event
         self.attempts: list[Attempt] = []
         self.out = 0  # of its attempts, those that have not ended
-        self.done = False
-        self.streaming = False
+        self.done = self.streaming = False
 
     def first_that_may_have_run(self) -> Attempt | None:
         return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
@@ -124,9 +119,7 @@
 
     def __init__(self, first_us: int) -> None:
         self.first_us = self.mean_us = self.base_us = first_us / 2  # until something is seen: half the aim
-        self.seen = False
-        self.confirmed_us = 0
-        self.doubt = 0.0  # of what was recalled: the weight of the next answer seen here
+        self.seen, self.confirmed_us, self.doubt = False, 0, 0.0  # doubt: the next answer's weight beside the recalled
 
     def add(self, sample_us: float) -> None:
         sample_us = max(1.0, sample_us)  # a clock that ticks slowly may say 0
@@ -150,9 +143,7 @@
 
 class Balancer:
     def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
-        self.settings = settings
-        self.random = random.Random(seed)
-        self.now_us = now_us
+        self.settings, self.random, self.now_us = settings, random.Random(seed), now_us
         self.actions: list[api.Action] = []
         self.servers: dict[int, Server] = {}  # listed and not gone
         self.requests: dict[int, Request] = {}
@@ -182,8 +173,7 @@
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
         self.armed_us = 0  # the next timer already asked for; 0 = none
-        self.list_failures = 0
-        self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
+        self.list_failures = self.ask_list_us = 0  # when the list is asked for next; 0 = not, as it is subscribed to
         self.draining = False
         self.confirmed_us = 0  # when an attempt last showed something
         self.lessons: list[api.Lessons] = []  # recalled; they wait for the list
@@ -446,6 +436,7 @@
         # hazard: what a small upstream does is two thirds of the mean, by which the work is taken
         part = (traffic.part_of_cold() if self.is_one_of_many else
                 traffic.part() * max(1.0, s.overload_factor / 2))
+        server.turn_us = turn_us(s, warmth * s.fall_us / work_us, self.is_one_of_many)
         # hazard: at the first pace it would be warm before the next one comes
         growth = (1.0 - s.cold_share) / s.warm_up_us
         return int((math.sqrt(warmth**2 + 2.0 * growth * share * work_us / part) - warmth) / growth)
@@ -460,7 +451,7 @@
             # hazard: drawn among the warm ones, a cold one is met far more seldom than its pace lets, while
             # those are crowded. Guards also against a slow network; never where answers come in good time
             early = self.pick_paced(request)
-            if early is not None and self.bears_chance(early):
+            if early is not None:
                 return early
         if not request.attempts:
             return self.pick()
@@ -485,14 +476,6 @@
                 if weight > 0.0 and server not in tried and self.in_group(request, server)]
         return self.random.choices(*zip(*free, strict=True))[0] if free else None
 
-    def bears_chance(self, server: Server) -> bool:
-        """Rule 4: whether the multiple that a cold upstream bears leaves room for chance (SIGMAS of it) above
-        all that it can do in the rule's window. Hazard: of few requests at first, 20 paced sidecars at once
-        send too many."""
-        s = self.settings
-        able = self.warmth(server) * self.traffic.allowed_per_s / max(1, len(self.order)) * s.fall_us / 1e6
-        return (s.overload_factor - 1.0) * math.sqrt(able) >= SIGMAS
-
     def pick_in_group(self, request: Request, tried: dict[Server, None]) -> Server | None:
         free, weights, room, leaves = [], [], 0.0, self.places.leaves
         for place, weight in enumerate(self.places.weights[leaves:leaves + len(self.order)]):
@@ -536,6 +519,9 @@
         now_us, window = self.now_us, server.window
         slots, weight, room, warmth = window.open(now_us) - server.used, 0.0, 0.0, self.warmth(server)
         is_cold = warmth < 1.0
+        while is_cold and server.warms and 0 < server.turn_us < now_us - server.next_cold_us:
+            work_us = min(latency.careful_us() for latency in self.latency)
+            server.next_cold_us += server.turn_us + self.cold_gap_us(server, work_us)
         if slots > 0 and not (is_cold and now_us < server.next_cold_us):
             server.favour = self.favour(server)
             weight = min(float(slots), window.slots) * server.size * server.favour
@@ -662,11 +648,10 @@
 
     def on_attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
-        if request is None or event.attempt >= len(request.attempts):
+        if (request is None or event.attempt >= len(request.attempts)
+                or request.attempts[event.attempt].ended is not None):
             return
         attempt = request.attempts[event.attempt]
-        if attempt.ended is not None:
-            return
         attempt.ended = event.outcome
         request.out -= 1
         if self.busy_at is not None and len(event.report) > self.busy_at:
@@ -722,7 +707,8 @@
             # all sidecars hear of a start within moments: their first sends must not come as one burst
             if server.warms:
                 work_us = min(latency.careful_us() for latency in self.latency)
-                server.next_cold_us = self.now_us + self.cold_gap_us(server, work_us, self.random.random())
+                share = turn(server.entry.id, self.settings.self_index, self.settings.instances, self.random.random())
+                server.next_cold_us = self.now_us + self.cold_gap_us(server, work_us, share)
         self.apply_lessons()
 
     def rank(self) -> None:
--- a/ironscale/crowd.py
+++ b/ironscale/crowd.py
@@ -6,6 +6,8 @@
 
 import math
 
+from ironscale import interface as api
+
 RATE_MEMORY_US = 5_000_000
 OUT_MEMORY_US = 1_000_000  # some answers' time, and short beside what moves load
 FAULT_HALVES_US = 5_000_000  # hazard: what is drawn no more shows no more, and would be left out for good
@@ -13,14 +15,32 @@
 MOST_FAVOUR = 8.0
 STEP = 0.1  # of the share of faults
 WARMING = 20  # sidecars that send to a cold upstream: so many that their uneven traffic evens out
+SMALL = 1.5  # times as much as it can do, what a small upstream is paced to
+LEAST_TURN = 1 / 8  # of the rule's window: a shorter one would hardly meet a request
 MOST_PART = 2.0  # of a cold upstream's even parts, however much one of them sends
 
 
-def warms(upstream: int, index: int, instances: int) -> bool:
-    """Whether this sidecar is of those that send to an upstream while it is cold: the same few by everyone's
-    reckoning, without a word between them. Hazard: if all may and few do, what all leave over is unused."""
+def turn(upstream: int, index: int, instances: int, chance: float = 0.0) -> float:
+    """Of 1, where in a round of turns to send to a cold upstream this sidecar's is: the same by everyone's reckoning,
+    without a word between them. Hazard: turns drawn at random bunch; from 1 on it is none of those that warm it."""
     first = (upstream % 0xFFFFFFFB) * 2654435761 % 2**32 * instances >> 32
-    return (index - first) % instances < WARMING
+    return ((index - first) % instances + chance) / min(WARMING, instances)
+
+
+def warms(upstream: int, index: int, instances: int) -> bool:
+    """Hazard: if all may send to a cold upstream and few do, what all leave over is unused."""
+    return turn(upstream, index, instances) < 1.0
+
+
+def turn_us(settings: api.Settings, able: float, is_one_of_many: bool) -> int:
+    """Rule 4: how long a turn to send to a cold upstream stands unused; 0 = for good. In the rule's window it can do
+    `able`, and N = factor x able and 2 root N + 2 by chance are borne. `paced` turns come in that time, and after a
+    lull those of all m warmers stand, to be used at once by a burst: no harm where paced + m are borne. Else turns
+    end, so that those that stand (paced x turn / window) and those that come are N: the rest is left for chance."""
+    borne, warmers = settings.overload_factor * able, min(WARMING, settings.instances)
+    paced = SMALL * able * (1.0 if is_one_of_many else max(1.0, settings.overload_factor / 2))
+    ends = paced + warmers > borne + 2.0 * math.sqrt(borne) + 2.0
+    return int(settings.fall_us * max(LEAST_TURN, borne / paced - 1.0)) if ends else 0
 
 
 class Traffic:
@@ -75,8 +95,7 @@
     """How slowly the upstreams of one kind, or all, answer: smoothed, in slow times."""
 
     def __init__(self) -> None:
-        self.mean = 0.0
-        self.count = 0
+        self.mean, self.count = 0.0, 0
 
     def add(self, slowness: float) -> None:
         self.count += 1
@@ -96,9 +115,7 @@
     """The share of attempts that fail, at one upstream or in one zone: smoothed, fading with time."""
 
     def __init__(self) -> None:
-        self.last = 0.0  # as of `ended_us`
-        self.ended_us = 0
-        self.told = 0.0
+        self.last, self.ended_us, self.told = 0.0, 0, 0.0  # as of `ended_us`
 
     def end(self, now_us: int, is_fault: bool, weight: float) -> bool:
         """True where so much has changed that all that share it are to be looked at anew."""
--- a/ironscale/places.py
+++ b/ironscale/places.py
@@ -7,9 +7,7 @@
 
 class Places:
     def __init__(self, count: int) -> None:
-        self.leaves = 1
-        while self.leaves < count:
-            self.leaves *= 2
+        self.leaves = 1 << max(0, count - 1).bit_length()
         self.weights = [0.0] * (2 * self.leaves)  # node k sums 2k and 2k + 1; the leaves stand at the end
         self.rooms = [0.0] * (2 * self.leaves)
 
--- a/ironscale/trust.py
+++ b/ironscale/trust.py
@@ -4,7 +4,7 @@
 tests every upstream by one try of its own before it acts on more than a preference.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from ironscale import interface as api
@@ -127,8 +127,7 @@
         tuple((name, median(found)) for name, found in tenants.items()))
 
 
-def _agreed_upstream(found: Iterable[tuple[api.UpstreamLesson, float, bool]]) -> api.UpstreamLesson:
-    found = list(found)
+def _agreed_upstream(found: Sequence[tuple[api.UpstreamLesson, float, bool]]) -> api.UpstreamLesson:
     least = [(float(lesson.least_us), worth) for lesson, worth, near in found if near and lesson.least_us > 0]
     slots = median([(shown(lesson), worth) for lesson, worth, _ in found])
     # the median of lessons, not a mixture: silent with open slots would be nobody's observation
