--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -8,8 +8,9 @@
 import pytest
 
 from ironscale.crowd import LEAST_TURN, SMALL, WARMING, turn_us
-from tests.coldfleet import SIZES, drawn, play
-from tests.world import settings
+from ironscale.interface import Tenant, Upstream
+from tests.coldfleet import SECOND_US, SIZES, drawn, play
+from tests.world import START_US, World, settings
 
 
 # 115: seven and more of 30 sidecars had a turn saved, and a wave brought all of them within a second
@@ -38,3 +39,22 @@
             assert standing + paced <= max(borne, (1 + LEAST_TURN) * paced) + 1e-3 * paced
             assert turn_us(replace(config, fall_us=2 * config.fall_us), able, instances >= 20) == pytest.approx(
                 2 * turn, abs=2)
+
+
+@pytest.mark.parametrize("instances", [19, 20, 21, 30, 200])
+def test_a_burst_after_a_lull_does_not_find_the_turns_of_all(instances: int) -> None:
+    """Ten seconds of nothing, then ten requests from each within half a second, while all else answers slowly. Of 12
+    upstreams of 5 requests a second one has been cold for 10 s: N is 6.6 at a warmth of 0.53."""
+    config = settings(instances=instances, tenants=[Tenant("north", 60.0, 1.0)], warm_up_us=24 * SECOND_US)
+    sent = 0
+    for number in range(instances):
+        world = World(replace(config, self_index=number), seed=number)
+        world.tell_list([Upstream(100 + i) for i in range(11)] + [Upstream(900, started_us=START_US)])
+        world.balancer.slowness.exceeds = lambda limit: True  # type: ignore[method-assign]
+        world.advance(10 * SECOND_US)
+        for _ in range(10):
+            world.arrive(0)
+            world.advance(50_000)
+        sent += sum(send.upstream == 900 for send in world.sends())
+    allowed = config.overload_factor * (0.2 + 0.8 * 10 / 24) * 5.0
+    assert 0 < sent <= allowed + 2 * math.sqrt(allowed) + 2, (sent, allowed)
