--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,60 @@
+"""Rule 4 as the sum of what all send: real balancers before cold upstreams, a few seeds of `bench/cold.py`'s many."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+
+from ironscale.crowd import LEAST_TURN, SMALL, WARMING, turn_us
+from ironscale.interface import Tenant, Upstream
+from tests.coldfleet import SECOND_US, SIZES, drawn, play
+from tests.world import START_US, World, settings
+
+
+# 115: seven and more of 30 sidecars had a turn saved, and a wave brought all of them within a second
+@pytest.mark.parametrize(("seed", "instances"), [
+    *((seed, size) for seed in (4, 7) for size in SIZES), (105, 30), (115, 30), (123, 30)])
+def test_no_cold_upstream_gets_more_from_all_sidecars_than_it_bears(seed: int, instances: int) -> None:
+    verdict = play(drawn(seed, instances))
+    assert verdict.cold and verdict.used > 0.0
+    assert not verdict.falls and verdict.worst <= 1.0, verdict
+
+
+@pytest.mark.parametrize("factor", [1.2, 2.0, 2.5, 3.0])
+@pytest.mark.parametrize("instances", [1, 5, 19, 20, 21, 30, 200])
+def test_the_turns_that_stand_and_those_that_come_are_borne(instances: int, factor: float) -> None:
+    """All warmers may have saved a turn where that many are borne beside those that come in the window; else as many
+    stand as make N with these, where the factor leaves any room beside the pace of a small upstream."""
+    config = settings(instances=instances, overload_factor=factor)
+    pace, warmers = 1.0 if instances >= 20 else max(1.0, factor / 2), min(WARMING, instances)
+    for able in (0.3, 1.0, 2.0, 5.0, 15.0, 50.0):
+        borne, paced = factor * able, SMALL * pace * able
+        turn = turn_us(config, able, instances >= 20)
+        if turn == 0:
+            assert paced + warmers <= borne + 2 * math.sqrt(borne) + 2
+        else:
+            standing = paced * turn / config.fall_us
+            assert standing + paced <= max(borne, (1 + LEAST_TURN) * paced) + 1e-3 * paced
+            assert turn_us(replace(config, fall_us=2 * config.fall_us), able, instances >= 20) == pytest.approx(
+                2 * turn, abs=2)
+
+
+@pytest.mark.parametrize("instances", [19, 20, 21, 30, 200])
+def test_a_burst_after_a_lull_does_not_find_the_turns_of_all(instances: int) -> None:
+    """Ten seconds of nothing, then ten requests from each within half a second, while all else answers slowly. Of 12
+    upstreams of 5 requests a second one has been cold for 10 s: N is 6.6 at a warmth of 0.53."""
+    config = settings(instances=instances, tenants=[Tenant("north", 60.0, 1.0)], warm_up_us=24 * SECOND_US)
+    sent = 0
+    for number in range(instances):
+        world = World(replace(config, self_index=number), seed=number)
+        world.tell_list([Upstream(100 + i) for i in range(11)] + [Upstream(900, started_us=START_US)])
+        world.balancer.slowness.exceeds = lambda limit: True  # type: ignore[method-assign]
+        world.advance(10 * SECOND_US)
+        for _ in range(10):
+            world.arrive(0)
+            world.advance(50_000)
+        sent += sum(send.upstream == 900 for send in world.sends())
+    allowed = config.overload_factor * (0.2 + 0.8 * 10 / 24) * 5.0
+    assert 0 < sent <= allowed + 2 * math.sqrt(allowed) + 2, (sent, allowed)
