The oldest call keeps its place at a discovery that answers in turns

Cause: calls without a word were given up after 3.3 and 6.6 s and lost their place in discovery's queue.

Change: the oldest call without a byte stays out (60 s) while others begin beside it; its end is told as failed as before.

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -20,6 +20,7 @@
 CONNECT_S = 2.0
 SILENCE_S = turns.SILENCE_S
 MOVE_AGAIN_S = 0.25
+KEPT_S = 60.0  # that the oldest call may wait for its turn beside those begun later
 # A discovery that stays behind our list for this long has begun to count anew; one that lags has caught up.
 BEHIND_S = 3.0
 _STATES = {state.value: state for state in UpstreamState}
@@ -127,7 +128,7 @@
         self.begun = 0  # calls since then
         self.last_s = 0.0  # when the last one began
         self.again: asyncio.TimerHandle | None = None  # begins the next one
-        self.waiting: set[_Call] = set()  # begun before `watch` and still without a word, which may come yet
+        self.waiting: dict[_Call, None] = {}  # begun before `watch`, still without a word, which may come; oldest first
         self.watch: _Call | None = None
         self.successor: _Call | None = None  # the watch at a new address, until it has answered
         self.mover: asyncio.TimerHandle | None = None
@@ -145,7 +146,7 @@
     def open(self) -> None:
         """A new call; one that is out already goes on beside it, as long as its patience lasts."""
         if self.watch is not None:
-            self.waiting.add(self.watch)
+            self.waiting[self.watch] = None
         self.watch = self.call_watch()
         self.has_begun(self.watch)
 
@@ -167,7 +168,7 @@
         self.stop_moving()
         self.open_at(None)
         while self.waiting:
-            self.waiting.pop().close()
+            self.waiting.popitem()[0].close()
         if self.watch is not None:
             watch, self.watch = self.watch, None
             watch.close()
@@ -214,7 +215,7 @@
         is_first = not call.answered
         call.answered, self.unanswered = True, 0
         if call is self.successor or call in self.waiting:
-            self.waiting.discard(call)
+            self.waiting.pop(call, None)
             if self.watch is not None:
                 self.watch.close()
             self.watch = call
@@ -246,7 +247,7 @@
         self.begun = 0
         self.open_at(None)
         while self.waiting:
-            self.waiting.pop().close()
+            self.waiting.popitem()[0].close()
         self.start_moving()  # an older call may have been answered at an address that has moved since
 
     def may_lag(self, call: _Call) -> bool:
@@ -255,13 +256,27 @@
             call.behind_since_s = now_s
         return now_s - call.behind_since_s < BEHIND_S
 
+    def keeps(self, call: _Call) -> bool:
+        """Whether a call stays out whose first word is late. Hazard: given up it loses its place at a discovery
+        that answers in turns, which may work at it all the same; 200 that all did so were never answered."""
+        if call is self.watch and not self.waiting and self.successor is None:
+            self.waiting[call], self.watch = None, None
+            self.has_failed()
+            return True
+        return call is next(iter(self.waiting), None)
+
+    def has_failed(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.open_at(turns.after_end_s(now_s, self.heard_s, self.begun, self.last_s, self.random.random()))
+        self.on_list(ListKind.FAILED, None)
+
     def ended(self, call: _Call) -> None:
         if call is self.successor:
             self.successor = None
             self.mover = asyncio.get_running_loop().call_later(MOVE_AGAIN_S, self.start_moving)
             return
         if call in self.waiting:
-            self.waiting.discard(call)
+            del self.waiting[call]
             return  # another has begun, and its answer or end will be told
         if call is self.watch:
             if call.answered:
@@ -270,9 +285,9 @@
             if self.watch is not None:
                 self.has_begun(self.watch)
                 return  # its answer, or its end, will be told
-            now_s = asyncio.get_running_loop().time()
-            self.open_at(turns.after_end_s(now_s, self.heard_s, self.begun, self.last_s, self.random.random()))
-        elif call in self.fetches:
+            self.has_failed()
+            return
+        if call in self.fetches:
             self.fetches.discard(call)
             if call.answered:
                 return
@@ -352,7 +367,10 @@
 
     def fall_silent(self) -> None:
         self.owner.unanswered += not self.answered
-        self.end()
+        if not self.answered and self.heard_s == self.began_s and self.transport is not None and self.owner.keeps(self):
+            self.silence = asyncio.get_running_loop().call_later(KEPT_S, self.end)
+        else:
+            self.end()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.end()
