--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -15,7 +15,7 @@
 
 # 115: seven and more of 30 sidecars had a turn saved, and a wave brought all of them within a second
 @pytest.mark.parametrize(("seed", "instances"), [
-    *((seed, size) for seed in (4, 7) for size in SIZES), (105, 30), (115, 30), (123, 30)])
+    *((7, size) for size in SIZES), (115, 30), (123, 30)])
 def test_no_cold_upstream_gets_more_from_all_sidecars_than_it_bears(seed: int, instances: int) -> None:
     verdict = play(drawn(seed, instances))
     assert verdict.cold and verdict.used > 0.0
