--- a/ironscale/control/messages.py
+++ b/ironscale/control/messages.py
@@ -1,6 +1,8 @@
 """What instance and agent say to each other: typed, and checked field by field when read. No I/O.
 
 Instance to agent: Hello, Beat, Result, Bye. Agent to instance: Welcome, Denied, Lease, Command.
+On a connection of its own, to any agent, whether that leads or stands by, an instance follows published versions
+(`ironscale.versions`): Follow, Runs; Update, Denied.
 """
 
 from __future__ import annotations
@@ -140,9 +142,63 @@
     args: dict[str, Any] = field(default_factory=dict)
 
 
-Message = Hello | Beat | Result | Bye | Welcome | Denied | Lease | Command
-FROM_INSTANCE: tuple[type[Message], ...] = (Hello, Beat, Result, Bye)
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """The first message of one that follows versions: who is here, whom it belongs to, and what it holds."""
+
+    type: ClassVar[str] = "follow"
+    protocol: int
+    token: str
+    name: str
+    boot: str
+    service: str
+    zone: str
+    region: str
+    lineage: str  # of the log that `position` is in; empty = it holds nothing
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class Runs:
+    """What it came to: told after each update that brought entries."""
+
+    type: ClassVar[str] = "runs"
+    position: int  # that it holds
+    running: int  # the position whose configuration it runs: lower, where what it holds was refused
+    digest: str  # of what it runs
+    status: str  # applied, refused, failed, needs restart
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Layer:
+    """An entry of the log, for one that is in its scope."""
+
+    version: int
+    scope: str
+    overlay: Any = None  # an object; null = the scope has none from here on
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """From `since` to `position`, what concerns this instance; with no entries it only says where the agent is."""
+
+    type: ClassVar[str] = "update"
+    lineage: str
+    position: int
+    since: int
+    snapshot: bool  # all that concerns it, in place of what it held
+    floor: int
+    entries: list[Layer]
+    digest: str  # of what the instance's entries come to at `position`
+    age_ms: int  # since this agent last reached the record
+    spread_ms: int  # should the connection be lost, dial another at a random moment within this
+
+
+Message = Hello | Beat | Result | Bye | Welcome | Denied | Lease | Command | Follow | Runs | Update
+FROM_INSTANCE: tuple[type[Message], ...] = (Hello, Beat, Result, Bye, Follow, Runs)
 FROM_AGENT: tuple[type[Message], ...] = (Welcome, Denied, Lease, Command)
+TO_FOLLOWER: tuple[type[Message], ...] = (Update, Denied)
 
 
 Reader = Callable[[Any, str], Any]
@@ -258,15 +314,15 @@
                                f"got {value[:60]!r}")
 
     match message:
-        case Hello():
+        case Hello() | Follow():
             for what in ("name", "boot"):
                 text = getattr(message, what)
                 if not 0 < len(text) <= MAX_NAME or not text.isprintable():
-                    raise MessageError(f"hello.{what}: expected 1 to {MAX_NAME} printable characters, "
+                    raise MessageError(f"{message.type}.{what}: expected 1 to {MAX_NAME} printable characters, "
                                        f"got {text[:60]!r}")
         case Command():
             one_of("kind", message.kind, KINDS)
-        case Result():
+        case Result() | Runs():
             one_of("status", message.status, STATUSES)
 
 
