--- a/ironscale/control/messages.py
+++ b/ironscale/control/messages.py
@@ -2,7 +2,7 @@
 
 Instance to agent: Hello, Beat, Result, Bye. Agent to instance: Welcome, Denied, Lease, Command.
 On a connection of its own, to any agent, whether that leads or stands by, an instance follows published versions
-(`ironscale.versions`): Follow, Runs; Update, Denied.
+(`ironscale.versions`): Follow, Runs; Update, Denied. Agent that stands by to the one that leads: Sum; Lease, Denied.
 """
 
 from __future__ import annotations
@@ -195,9 +195,46 @@
     spread_ms: int  # should the connection be lost, dial another at a random moment within this
 
 
-Message = Hello | Beat | Result | Bye | Welcome | Denied | Lease | Command | Follow | Runs | Update
+@dataclass(frozen=True, slots=True)
+class Count:
+    """So many followers run what is at `position`."""
+
+    position: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Differing:
+    """A follower that does not run what its agent's view says, and why."""
+
+    name: str
+    running: int
+    status: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sum:
+    """An agent's followers, in one message to the agent that leads; each is answered with a Lease."""
+
+    type: ClassVar[str] = "sum"
+    protocol: int
+    token: str
+    seq: int
+    agent: str  # HOST:PORT where it is followed
+    lineage: str
+    position: int  # of its view
+    age_ms: int  # since it last reached the record
+    followers: int
+    counts: list[Count]  # the highest positions
+    differing: list[Differing]  # some of them
+    more: int  # that differ beside those
+
+
+Message = Hello | Beat | Result | Bye | Welcome | Denied | Lease | Command | Follow | Runs | Update | Sum
 FROM_INSTANCE: tuple[type[Message], ...] = (Hello, Beat, Result, Bye, Follow, Runs)
 FROM_AGENT: tuple[type[Message], ...] = (Welcome, Denied, Lease, Command)
+FROM_FOLLOWER: tuple[type[Message], ...] = (Follow, Runs)
 TO_FOLLOWER: tuple[type[Message], ...] = (Update, Denied)
 
 
--- /dev/null
+++ b/ironscale/versions/serving.py
@@ -0,0 +1,334 @@
+"""What an agent tells those that follow it, and when: their positions, what each lacks, folding, admission, the sum.
+Pure: the clock is handed in, in seconds that only go on.
+
+A follower is known by its position alone. What it lacks is worked out from the view when it is told, never kept for it:
+one that reads nothing costs no memory, and what several versions came to in the meantime is told as one.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from ironscale.versions.choice import BOOKMARK_S, FOLD_S, spread_s
+from ironscale.versions.model import Entry, Labels, Scope, digest, effective
+from ironscale.versions.view import Change, View
+
+MOST_FOLLOWERS = 10_000
+# New followers a second, and how many at once: 2,300 that lost all agents but one are back within 5 s of the 12.
+ADMITS, ADMITS_AT_ONCE = 500.0, 100.0
+MOST_RETRY_S = 10.0
+AGAIN_S = 1.0  # one that was turned away for another reason comes back a while after this
+SLOW_S = 10.0  # one that has read nothing for so long is let go
+MOST_CACHED = 8 << 20  # bytes of encoded updates
+MOST_DIGESTS = 10_000
+AGE_S = 0.1  # ages are told in steps of it, upwards, so that one frame does for all of a moment
+MOST_DIFFERING, MOST_COUNTS = 100, 50
+DETAIL = 200  # characters of a detail in the sum
+
+
+class Turned(Exception):
+    """One that may not follow at present; the text is one line."""
+
+    def __init__(self, code: str, text: str, retry_ms: int) -> None:
+        super().__init__(text)
+        self.code = code  # BUSY, NOTHING or LINEAGE
+        self.retry_ms = retry_ms
+
+
+class Bucket:
+    """A token bucket; who finds it empty is given a moment of its own at which it will not be."""
+
+    def __init__(self, a_second: float, at_once: float) -> None:
+        self.a_second, self.at_once = a_second, at_once
+        self.tokens, self.at_s = at_once, 0.0
+        self.promised_s = 0.0
+
+    def take(self, now_s: float, rng: random.Random) -> float:
+        """0.0 = one was there and is taken; else in how many seconds to come back."""
+        self.tokens = min(self.at_once, self.tokens + (now_s - self.at_s) * self.a_second)
+        self.at_s = now_s
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        # hazard: all told the same moment would be the same herd a moment later
+        self.promised_s = max(self.promised_s, now_s + (1.0 - self.tokens) / self.a_second) + 1.0 / self.a_second
+        wait_s = self.promised_s - now_s
+        return wait_s if wait_s < MOST_RETRY_S else MOST_RETRY_S * (0.5 + 0.5 * rng.random())
+
+
+@dataclass(slots=True, eq=False)
+class Subscriber:
+    """One that follows. `position` is what it has been told; a broken connection makes a new one of it."""
+
+    ident: int
+    labels: Labels
+    scopes: tuple[Scope, ...]
+    lineage: str
+    position: int
+    sent_s: float
+    due_s: float
+    slow_s: float = -1.0  # since when it reads too slowly; below 0 = it does not
+    # what it said last of itself
+    running: int = 0
+    digest: str = ""
+    status: str = ""  # empty = not heard yet
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What one follower is told. Two alike in `key` are told the same bytes."""
+
+    lineage: str
+    position: int
+    since: int
+    is_snapshot: bool
+    floor: int
+    entries: tuple[Entry, ...]
+    digest: str
+    age_ms: int
+    spread_ms: int
+
+    @property
+    def key(self) -> tuple[object, ...]:
+        return (self.lineage, self.position, self.since, self.is_snapshot, self.floor,
+                tuple(entry.version for entry in self.entries), self.digest, self.age_ms, self.spread_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Differs:
+    """One that does not run what it should by the view, and why."""
+
+    name: str
+    running: int
+    status: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Who runs what, of one agent's followers."""
+
+    lineage: str
+    position: int
+    followers: int
+    counts: tuple[tuple[int, int], ...]  # position and number, the highest first, MOST_COUNTS at most
+    differing: tuple[Differs, ...]  # MOST_DIFFERING at most
+    more: int  # that differ beside those
+
+
+class Encoded:
+    """Encoded updates, so many bytes at most; the oldest go first."""
+
+    def __init__(self, most: int = MOST_CACHED) -> None:
+        self.most, self.size, self.made = most, 0, 0
+        self.found: OrderedDict[tuple[object, ...], bytes] = OrderedDict()
+
+    def get(self, told: Told, encode: Callable[[Told], bytes]) -> bytes:
+        key = told.key
+        data = self.found.get(key)
+        if data is None:
+            data = encode(told)
+            self.made += 1
+            if len(data) <= self.most:
+                self.found[key] = data
+                self.size += len(data)
+            while self.size > self.most:
+                self.size -= len(self.found.popitem(last=False)[1])
+        return data
+
+
+@dataclass(slots=True)
+class Serving:
+    rng: random.Random
+    view: View = field(default_factory=View)
+    reached: bool = False  # the record, in this process or before the snapshot that it began with
+    most: int = MOST_FOLLOWERS
+    agents: int = 2  # that serve, as far as it is known: those of one that is lost go to the others
+    bucket: Bucket = field(default_factory=lambda: Bucket(ADMITS, ADMITS_AT_ONCE))
+    subscribers: dict[int, Subscriber] = field(default_factory=dict)
+    by_scope: dict[Scope, set[int]] = field(default_factory=dict)
+    queue: list[tuple[float, int]] = field(default_factory=list)  # a heap; entries that no longer hold are skipped
+    digests: dict[tuple[int, ...], str] = field(default_factory=dict)
+    last: int = 0
+
+    # The view
+
+    def advance(self, change: Change, now_s: float) -> set[Scope]:
+        """Takes it in; who is concerned by it is told within FOLD_S. Raises ViewError."""
+        changed = self.view.take(change)
+        self.reached = True
+        for scope in changed:
+            for ident in self.by_scope.get(scope, ()):
+                subscriber = self.subscribers[ident]
+                at_s = max(now_s, subscriber.sent_s + FOLD_S)
+                if at_s < subscriber.due_s:
+                    self._due(subscriber, at_s)
+        if changed:
+            self.digests.clear()
+        return changed
+
+    def begin_anew(self, view: View) -> list[Subscriber]:
+        """Another log in place of the one that was held; gives the followers that can't follow it."""
+        self.view = view
+        self.digests.clear()
+        strange = [one for one in self.subscribers.values() if one.lineage and one.lineage != view.lineage]
+        for one in strange:
+            self.leave(one)
+        return strange
+
+    # Followers
+
+    def check(self, lineage: str, now_s: float) -> None:
+        """Whether one may follow now. Raises Turned."""
+        def spread_ms() -> int:
+            return int(1000 * AGAIN_S * (1.0 + self.rng.random()))
+
+        if not self.reached:
+            raise Turned("NOTHING", "this agent has never reached the record, and holds no version", spread_ms())
+        if lineage and lineage != self.view.lineage:
+            raise Turned("LINEAGE", f"expected lineage {self.view.lineage or 'none'}, got {lineage[:60]}", spread_ms())
+        if len(self.subscribers) >= self.most:
+            raise Turned("BUSY", f"{self.most} follow already", int(1000 * MOST_RETRY_S * self.rng.random()))
+        wait_s = self.bucket.take(now_s, self.rng)
+        if wait_s > 0.0:
+            raise Turned("BUSY", f"{self.bucket.a_second:g} a second are taken on", max(1, int(wait_s * 1000)))
+
+    def join(self, labels: Labels, lineage: str, position: int, now_s: float) -> Subscriber:
+        """One that was checked; it is told at once what it lacks."""
+        self.last += 1
+        found = Subscriber(self.last, labels, labels.scopes(), lineage, position, now_s, now_s, running=position)
+        self.subscribers[found.ident] = found
+        for scope in found.scopes:
+            self.by_scope.setdefault(scope, set()).add(found.ident)
+        heapq.heappush(self.queue, (now_s, found.ident))
+        return found
+
+    def leave(self, subscriber: Subscriber) -> None:
+        if self.subscribers.pop(subscriber.ident, None) is None:
+            return
+        for scope in subscriber.scopes:
+            among = self.by_scope[scope]
+            among.discard(subscriber.ident)
+            if not among:
+                del self.by_scope[scope]
+
+    def runs(self, subscriber: Subscriber, running: int, digest: str, status: str, detail: str) -> None:
+        subscriber.running, subscriber.digest = running, digest
+        subscriber.status, subscriber.detail = status, detail[:DETAIL]
+
+    def slow(self, subscriber: Subscriber, now_s: float) -> None:
+        """It gets nothing more until it has read what was sent."""
+        if subscriber.slow_s < 0:
+            subscriber.slow_s = now_s
+
+    def drained(self, subscriber: Subscriber, now_s: float) -> None:
+        if subscriber.slow_s >= 0:
+            subscriber.slow_s = -1.0
+            self._due(subscriber, max(now_s, subscriber.sent_s + FOLD_S))
+
+    def stuck(self, now_s: float) -> list[Subscriber]:
+        """Those that have been slow for too long."""
+        return [one for one in self.subscribers.values() if 0 <= one.slow_s <= now_s - SLOW_S]
+
+    # Telling
+
+    def _due(self, subscriber: Subscriber, at_s: float) -> None:
+        subscriber.due_s = at_s
+        heapq.heappush(self.queue, (at_s, subscriber.ident))
+
+    def next_s(self) -> float | None:
+        """When somebody is to be told something."""
+        while self.queue:
+            at_s, ident = self.queue[0]
+            found = self.subscribers.get(ident)
+            if found is not None and found.slow_s < 0 and found.due_s == at_s:
+                return at_s
+            heapq.heappop(self.queue)
+        return None
+
+    def due(self, now_s: float, age_s: float, most: int = 200) -> Iterator[tuple[Subscriber, Told]]:
+        """Who is to be told what by now, `most` of them; each counts as told once it is given. `age_s` is since the
+        record was reached."""
+        age_ms = int(1000 * AGE_S) * (int(max(0.0, age_s) / AGE_S) + 1)
+        # in steps too: it changes with each that comes or goes
+        spread_ms = 100 * (int(10 * spread_s(len(self.subscribers), self.bucket.a_second, self.agents)) + 1)
+        for _ in range(most):
+            at_s = self.next_s()
+            if at_s is None or at_s > now_s:
+                return
+            _, ident = heapq.heappop(self.queue)
+            found = self.subscribers[ident]
+            told = self.lacks(found, age_ms, spread_ms)
+            if found.position <= told.position:
+                found.lineage, found.position = told.lineage, told.position
+            found.sent_s = now_s
+            self._due(found, now_s + BOOKMARK_S * (0.75 + 0.25 * self.rng.random()))
+            yield found, told
+
+    def lacks(self, subscriber: Subscriber, age_ms: int, spread_ms: int) -> Told:
+        """As `view.change`, narrowed to its scopes, without going over all entries. One that is ahead hears where this
+        agent is, and nothing that is older than what it has."""
+        view, since = self.view, subscriber.position
+        layers = self.layers(subscriber)
+        if since > view.position:
+            return Told(view.lineage, view.position, view.position, False, view.floor, (), "", age_ms, spread_ms)
+        whole = not subscriber.lineage or since == 0 or since < view.floor
+        snapshot = whole and not (since == view.position and subscriber.lineage == view.lineage)
+        entries = layers if snapshot else tuple(entry for entry in layers if entry.version > since)
+        return Told(view.lineage, view.position, since, snapshot, view.floor,
+                    tuple(sorted(entries, key=lambda entry: entry.version)), self.digest_of(layers), age_ms, spread_ms)
+
+    def layers(self, subscriber: Subscriber) -> tuple[Entry, ...]:
+        entries = self.view.entries
+        return tuple(entries[scope] for scope in subscriber.scopes if scope in entries)
+
+    def digest_of(self, layers: Iterable[Entry]) -> str:
+        layers = tuple(layers)
+        key = tuple(entry.version for entry in layers)
+        found = self.digests.get(key)
+        if found is None:
+            if len(self.digests) >= MOST_DIGESTS:
+                self.digests.clear()
+            found = self.digests[key] = digest(effective(layers))
+        return found
+
+    # The sum
+
+    def differs(self, subscriber: Subscriber) -> Differs | None:
+        """Nothing where it runs what the view says: with nothing newer in its scopes, that is the newest position."""
+        def because(status: str, detail: str) -> Differs:
+            return Differs(subscriber.labels.instance, subscriber.running, status, detail)
+
+        layers = self.layers(subscriber)
+        newest = max((entry.version for entry in layers), default=0)
+        if subscriber.status not in ("", "applied"):
+            return because(subscriber.status, subscriber.detail)
+        if subscriber.running > self.view.position:
+            return because("ahead", f"this agent is at {self.view.position}")
+        if subscriber.running < newest:
+            slow = "it reads too slowly" if subscriber.slow_s >= 0 else "it has not answered yet"
+            return because("behind", f"{newest} is its newest: {slow}")
+        if subscriber.status and subscriber.digest != self.digest_of(layers):
+            return because("other", "what it runs is not what the versions come to")
+        return None
+
+    def summary(self) -> Summary:
+        counts: Counter[int] = Counter()
+        differing: list[Differs] = []
+        more = 0
+        for one in self.subscribers.values():
+            found = self.differs(one)
+            counts[self.view.position if found is None else one.running] += 1
+            if found is not None:
+                if len(differing) < MOST_DIFFERING:
+                    differing.append(found)
+                else:
+                    more += 1
+        highest = sorted(counts.items(), reverse=True)[:MOST_COUNTS]
+        return Summary(self.view.lineage, self.view.position, len(self.subscribers), tuple(highest),
+                       tuple(differing), more)
--- /dev/null
+++ b/ironscale/versions/snapshot.py
@@ -0,0 +1,192 @@
+"""What an agent holds of the published versions, as the bytes of one file: versioned, with length and checksum. No I/O.
+
+    8 bytes   b"ISVERSN\n"
+    2 bytes   version, big-endian, as all numbers here
+    4 bytes   length of the body
+    body      lines of JSON, ASCII, without spaces: one header, then one line an entry, by version
+    16 bytes  BLAKE2b of everything before it
+
+There is one encoding of a snapshot and no other is read. The position is in the header, and no entry is beyond it: a
+snapshot without its position can't be written.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, NoReturn
+
+from ironscale.versions.model import Entry, Scope, ScopeError, read_scope
+from ironscale.versions.view import View
+
+MAGIC = b"ISVERSN\n"
+VERSION = 1
+HEAD, DIGEST = len(MAGIC) + 2 + 4, 16
+MAX_BYTES = 256 << 20
+MOST = 2**53  # whole numbers past this are not the same in every JSON reader
+MOST_TOKENS, MAX_TEXT = 10_000, 4_096
+
+
+class SnapshotError(Exception):
+    """Bytes that are no snapshot; the text is one line: where, what was expected, what stood there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """Who may follow while the record is away; the token itself is kept nowhere."""
+
+    name: str
+    role: str
+    digest: str
+    created_ms: int
+    revoked_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What an agent held at one moment."""
+
+    lineage: str
+    position: int
+    floor: int
+    entries: tuple[Entry, ...]  # by version
+    tokens: tuple[Token, ...]
+    reached_ms: int  # by the wall clock, when the record was last reached
+
+    def view(self) -> View:
+        return View(self.lineage, self.position, self.floor, {entry.scope: entry for entry in self.entries})
+
+    def age_s(self, wall_ms: int) -> float:
+        """Since the record was reached. Hazard: a wall clock that was set back must not make it less than nothing."""
+        return max(0, wall_ms - self.reached_ms) / 1000
+
+
+def snapshot_of(view: View, tokens: tuple[Token, ...], reached_ms: int) -> Snapshot:
+    return Snapshot(view.lineage, view.position, view.floor,
+                    tuple(sorted(view.entries.values(), key=lambda entry: entry.version)), tokens, reached_ms)
+
+
+# Writing
+
+
+def line(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":"), sort_keys=True, ensure_ascii=True, allow_nan=False).encode()
+
+
+def assemble(lines: list[bytes], version: int = VERSION) -> bytes:
+    body = b"\n".join(lines)
+    head = MAGIC + version.to_bytes(2) + len(body).to_bytes(4) + body
+    return head + blake2b(head, digest_size=DIGEST).digest()
+
+
+def encode(snapshot: Snapshot) -> bytes:
+    header = {"lineage": snapshot.lineage, "position": snapshot.position, "floor": snapshot.floor,
+              "reached_ms": snapshot.reached_ms, "entries": len(snapshot.entries),
+              "tokens": [[token.name, token.role, token.digest, token.created_ms, token.revoked_ms]
+                         for token in snapshot.tokens]}
+    return assemble([line(header), *(line([entry.version, str(entry.scope), entry.overlay, entry.base, entry.restores,
+                                           entry.actor, entry.at_ms]) for entry in snapshot.entries)])
+
+
+# Reading
+
+
+def _wrong(where: str, expected: str, got: object) -> NoReturn:
+    raise SnapshotError(f"{where}: expected {expected}, got {str(got)[:60]!r}")
+
+
+def _whole(value: Any, where: str, most: int = MOST, least: int = 0) -> int:
+    if type(value) is not int or not least <= value <= most:
+        _wrong(where, f"a whole number from {least} to {most}", value)
+    return int(value)
+
+
+def _text(value: Any, where: str) -> str:
+    if type(value) is not str or len(value) > MAX_TEXT:
+        _wrong(where, f"a text of {MAX_TEXT} characters at most", value)
+    return str(value)
+
+
+def _json(raw: bytes, where: str) -> Any:
+    def no_constant(name: str) -> Any:
+        raise ValueError(f"{name} is no number")
+
+    try:
+        value = json.loads(raw, parse_constant=no_constant)
+        if line(value) != raw:
+            raise ValueError("another encoding of the same")
+    except (ValueError, RecursionError) as error:
+        raise SnapshotError(f"{where}: expected one line of canonical JSON, got {raw[:40]!r}: {error}") from error
+    return value
+
+
+def _row(value: Any, where: str, width: int) -> list[Any]:
+    if type(value) is not list or len(value) != width:
+        _wrong(where, f"{width} values", value)
+    return list(value)
+
+
+def body_of(data: bytes) -> bytes:
+    """Of whole bytes; everything about the frame round it is checked here."""
+    if len(data) > MAX_BYTES:
+        raise SnapshotError(f"expected {MAX_BYTES} bytes at most, got {len(data)}")
+    if len(data) < len(MAGIC) or not data.startswith(MAGIC):
+        raise SnapshotError(f"expected it to begin with {MAGIC!r}, got {data[:len(MAGIC)]!r}")
+    if len(data) < HEAD + DIGEST:
+        raise SnapshotError(f"expected {HEAD + DIGEST} bytes or more, got {len(data)}")
+    version = int.from_bytes(data[len(MAGIC):len(MAGIC) + 2])
+    if not 1 <= version <= VERSION:
+        raise SnapshotError(f"expected version 1 to {VERSION}, got {version}: written by a newer program")
+    size = int.from_bytes(data[HEAD - 4:HEAD])
+    if len(data) != HEAD + size + DIGEST:
+        raise SnapshotError(f"expected {HEAD + size + DIGEST} bytes, as its length says, got {len(data)}")
+    if blake2b(data[:-DIGEST], digest_size=DIGEST).digest() != data[-DIGEST:]:
+        raise SnapshotError("expected its checksum to fit, got another: it is damaged")
+    return data[HEAD:-DIGEST]
+
+
+KEYS = {"lineage", "position", "floor", "reached_ms", "entries", "tokens"}
+
+
+def _entry(raw: bytes, where: str, position: int) -> Entry:
+    version, scope, overlay, base, restores, actor, at_ms = _row(_json(raw, where), where, 7)
+    if overlay is not None and type(overlay) is not dict:
+        _wrong(f"{where}.overlay", "an object or null", overlay)
+    try:
+        found: Scope = read_scope(_text(scope, f"{where}.scope"))
+    except ScopeError as error:
+        raise SnapshotError(f"{where}.{error}") from error
+    return Entry(_whole(version, f"{where}.version", position, 1), found, overlay, _whole(base, f"{where}.base"),
+                 _whole(restores, f"{where}.restores"), _text(actor, f"{where}.actor"),
+                 _whole(at_ms, f"{where}.at_ms"))
+
+
+def decode(data: bytes) -> Snapshot:
+    """The whole snapshot or nothing. Raises SnapshotError."""
+    first, *rows = body_of(data).split(b"\n")
+    header = _json(first, "header")
+    if type(header) is not dict or header.keys() != KEYS:
+        _wrong("header", f"the keys {', '.join(sorted(KEYS))}", header)
+    lineage = _text(header["lineage"], "header.lineage")
+    position = _whole(header["position"], "header.position")
+    floor = _whole(header["floor"], "header.floor", position)
+    if position and not lineage:
+        _wrong("header.lineage", "the lineage of the log that the position is in", lineage)
+    if _whole(header["entries"], "header.entries") != len(rows):
+        _wrong("header.entries", f"{len(rows)}, as there are lines", header["entries"])
+    entries = [_entry(raw, f"entry {i}", position) for i, raw in enumerate(rows)]
+    if any(a.version >= b.version for a, b in zip(entries, entries[1:], strict=False)):
+        raise SnapshotError("expected entries in the order of their versions, each once, got another order")
+    if len({entry.scope for entry in entries}) < len(entries):
+        raise SnapshotError("expected one entry a scope, got a scope twice")
+    if type(header["tokens"]) is not list or len(header["tokens"]) > MOST_TOKENS:
+        _wrong("header.tokens", f"a list of {MOST_TOKENS} at most", header["tokens"])
+    tokens = []
+    for i, row in enumerate(header["tokens"]):
+        name, role, digest, created_ms, revoked_ms = _row(row, f"header.tokens[{i}]", 5)
+        where = f"header.tokens[{i}]"
+        tokens.append(Token(_text(name, where), _text(role, where), _text(digest, where), _whole(created_ms, where),
+                            _whole(revoked_ms, where)))
+    return Snapshot(lineage, position, floor, tuple(entries), tuple(tokens),
+                    _whole(header["reached_ms"], "header.reached_ms"))
--- /dev/null
+++ b/tests/versions/test_serving.py
@@ -0,0 +1,294 @@
+"""Who is told what, and when: thousands of drawn histories against a small model, and each bound by itself."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ironscale.versions.choice import BOOKMARK_S, FOLD_S
+from ironscale.versions.model import ALL, Entry, Labels, Reach, Scope, digest, effective
+from ironscale.versions.serving import (
+    MOST_DIFFERING,
+    SLOW_S,
+    Bucket,
+    Encoded,
+    Serving,
+    Subscriber,
+    Told,
+    Turned,
+)
+from ironscale.versions.view import Change, View, narrowed
+
+SCOPES = [ALL, Scope(Reach.REGION, "r0"), Scope(Reach.ZONE, "z0"), Scope(Reach.ZONE, "z1"),
+          Scope(Reach.SERVICE, "s0"), Scope(Reach.INSTANCE, "i0"), Scope(Reach.INSTANCE, "i1")]
+
+
+def some_labels(rng: random.Random) -> Labels:
+    return Labels(f"i{rng.randint(0, 3)}", rng.choice(["", "s0"]), rng.choice(["z0", "z1"]), rng.choice(["", "r0"]))
+
+
+class Log:
+    """The record, as far as followers are concerned."""
+
+    def __init__(self) -> None:
+        self.view = View("aa")
+
+    def publish(self, rng: random.Random) -> None:
+        at = self.view.position + 1
+        overlay = None if rng.random() < 0.2 else {"n": at}
+        entry = Entry(at, rng.choice(SCOPES), overlay)
+        self.view.take(Change("aa", at, at - 1, False, 0, (entry,)))
+        if rng.random() < 0.1:
+            self.view = self.view.dropped(rng.randint(0, at))
+
+
+class Follower:
+    """What an instance makes of what it is told: it holds a view of its own, and never goes back."""
+
+    def __init__(self, subscriber: Subscriber, view: View) -> None:
+        self.subscriber, self.view = subscriber, view
+        self.told_s: list[float] = []
+
+    def take(self, told: Told, now_s: float) -> None:
+        self.told_s.append(now_s)
+        if told.position < self.view.position:
+            assert told.entries == (), "told what is older than what it has"
+            return
+        if told.is_snapshot:
+            assert all(entry.scope in self.subscriber.scopes for entry in told.entries)
+        self.view.take(Change(told.lineage, told.position, told.since, told.is_snapshot, told.floor, told.entries))
+        assert digest(effective(self.view.layers(self.subscriber.labels))) == told.digest
+
+
+def test_drawn_histories_leave_every_follower_where_the_record_is() -> None:
+    for seed in range(3_000):
+        rng = random.Random(seed)
+        try:
+            play(rng)
+        except AssertionError as error:
+            raise AssertionError(f"seed {seed}: {error}") from error
+
+
+def play(rng: random.Random) -> None:
+    log, now_s = Log(), 100.0
+    serving = Serving(rng, bucket=Bucket(1e6, 1e6))
+    followers: list[Follower] = []
+
+    def tell(age_s: float = 0.0) -> None:
+        by = {one.subscriber.ident: one for one in followers}
+        for subscriber, told in serving.due(now_s, age_s, rng.randint(1, 20)):
+            assert subscriber.slow_s < 0, "a slow reader was told something"
+            # the short way comes to the same as the view's own
+            by[subscriber.ident].take(told, now_s)
+
+    for _ in range(rng.randint(5, 40)):
+        now_s += rng.choice([0.0, 0.01, 0.05, 0.3])
+        what = rng.random()
+        if what < 0.35:
+            log.publish(rng)
+        if what < 0.6:
+            view = serving.view
+            found = log.view.change(view.position, view.lineage)
+            assert found is not None
+            serving.advance(found, now_s)
+        elif what < 0.75 and serving.reached:
+            serving.check("", now_s)
+            followers.append(Follower(serving.join(some_labels(rng), "", 0, now_s), View()))
+        elif what < 0.8 and followers:
+            one = followers.pop(rng.randrange(len(followers)))
+            serving.leave(one.subscriber)
+            if one.view.lineage and rng.random() < 0.7:  # the same instance is back with what it holds
+                since = one.view.position if rng.random() < 0.9 else 0
+                back = serving.join(one.subscriber.labels, one.view.lineage, since, now_s)
+                followers.append(Follower(back, one.view))
+        elif what < 0.85 and followers:
+            serving.slow(rng.choice(followers).subscriber, now_s)
+        elif what < 0.9 and followers:
+            serving.drained(rng.choice(followers).subscriber, now_s)
+        for subscriber in serving.subscribers.values():
+            told = serving.lacks(subscriber, 100, 100)
+            whole = serving.view.change(subscriber.position, subscriber.lineage)
+            if whole is not None and whole.since != serving.view.position:
+                assert told.entries == narrowed(whole, subscriber.labels).entries
+        tell()
+    # all drain and the record is reached once more: within a bookmark everyone is where it is
+    found = log.view.change(serving.view.position, serving.view.lineage)
+    assert found is not None
+    serving.advance(found, now_s)
+    for one in followers:
+        serving.drained(one.subscriber, now_s)
+    ends_s = now_s + BOOKMARK_S + FOLD_S
+    while now_s < ends_s:
+        now_s += 0.02
+        for _ in range(20):
+            tell()
+    for one in followers:
+        assert one.view.position == log.view.position
+        assert effective(one.view.layers(one.subscriber.labels)) == effective(log.view.layers(one.subscriber.labels))
+        assert not any(0 < b - a < FOLD_S - 1e-9 for a, b in zip(one.told_s, one.told_s[1:], strict=False))
+    assert len(serving.subscribers) == len(followers)
+
+
+def served(position: int = 1, **changes: object) -> Serving:
+    serving = Serving(random.Random(1), **changes)  # type: ignore[arg-type]
+    serving.advance(Change("aa", position, 0, True, 0, (Entry(position, ALL, {"n": position}),)), 0.0)
+    return serving
+
+
+def all_due(serving: Serving, now_s: float, age_s: float = 0.0) -> list[tuple[Subscriber, Told]]:
+    found = []
+    while some := list(serving.due(now_s, age_s)):
+        found += some
+    return found
+
+
+def test_a_burst_is_folded_into_few_updates_and_none_is_lost() -> None:
+    serving = served()
+    one = serving.join(Labels("i0"), "", 0, 0.0)
+    told: list[Told] = []
+    for version in range(2, 52):  # 50 in a second
+        now_s = version / 50
+        serving.advance(Change("aa", version, version - 1, False, 0, (Entry(version, ALL, {"n": version}),)), now_s)
+        told += [told for _, told in all_due(serving, now_s)]
+    told += [told for _, told in all_due(serving, 1.3)]
+    assert len(told) <= 1.3 / FOLD_S + 1
+    assert told[-1].position == 51 == one.position
+    assert [t.since for t in told[1:]] == [t.position for t in told[:-1]]  # each goes on where the one before ended
+    for version in range(52, 200):
+        serving.advance(Change("aa", version, version - 1, False, 0, (Entry(version, ALL, {"n": version}),)), 1.35)
+    assert len(serving.queue) < 20  # and no memory goes by the number of changes
+
+
+def test_who_is_not_concerned_is_told_with_its_next_bookmark() -> None:
+    serving = served()
+    here, there = (serving.join(Labels(f"i{i}", zone=f"z{i}"), "", 0, 0.0) for i in range(2))
+    all_due(serving, 0.0)
+    serving.advance(Change("aa", 2, 1, False, 0, (Entry(2, Scope(Reach.ZONE, "z0"), {}),)), 0.2)
+    assert [subscriber for subscriber, _ in all_due(serving, 0.2)] == [here]
+    assert there in [subscriber for subscriber, told in all_due(serving, BOOKMARK_S) if told.position == 2]
+
+
+def test_bookmarks_come_in_time_and_not_all_at_once() -> None:
+    serving = served()
+    for i in range(400):
+        serving.join(Labels(f"i{i}"), "", 0, 0.0)
+    all_due(serving, 0.0)
+    steps = [len(all_due(serving, 0.02 * step)) for step in range(1, 52)]
+    assert sum(steps) == 400 and max(steps) < 100
+    _, told = all_due(serving, 2.1, age_s=4.25)[0]
+    assert told.entries == () and not told.is_snapshot
+    assert told.age_ms == 4_300  # told as no younger than it is
+
+
+def test_one_that_is_ahead_is_told_nothing_older() -> None:
+    serving = served(5)
+    serving.join(Labels("i0"), "aa", 7, 0.0)
+    (_, told), = all_due(serving, 0.0)
+    assert (told.position, told.since, told.entries, told.is_snapshot) == (5, 5, (), False)
+    serving.advance(Change("aa", 6, 5, False, 0, (Entry(6, ALL, {"n": 6}),)), 1.0)
+    assert all(told.entries == () for _, told in all_due(serving, 1.0))
+    serving.advance(Change("aa", 8, 6, False, 0, (Entry(8, ALL, {"n": 8}),)), 2.0)
+    (_, told), = all_due(serving, 2.0)
+    assert [entry.version for entry in told.entries] == [8] and told.since == 7
+
+
+def test_a_slow_reader_gets_what_it_lacks_once_it_has_read() -> None:
+    serving = served()
+    slow, other = (serving.join(Labels(f"i{i}"), "", 0, 0.0) for i in range(2))
+    all_due(serving, 0.0)
+    serving.slow(slow, 0.1)
+    for version in range(2, 22):
+        change = Change("aa", version, version - 1, False, 0, (Entry(version, ALL, {"n": version}),))
+        serving.advance(change, version * 0.2)
+        assert [subscriber for subscriber, _ in all_due(serving, version * 0.2)] == [other]
+    assert serving.stuck(SLOW_S) == [] and serving.stuck(SLOW_S + 0.2) == [slow]
+    serving.drained(slow, 5.0)
+    (_, told), = [found for found in all_due(serving, 5.0) if found[0] is slow]
+    assert (told.since, told.position, len(told.entries)) == (1, 21, 1)
+
+
+def test_new_followers_are_taken_on_at_a_rate_and_the_rest_spread_over_the_time_it_needs() -> None:
+    for seed in range(20):
+        rng = random.Random(seed)
+        bucket = Bucket(100.0, 20.0)
+        waiting = [(0.0, i) for i in range(400)]
+        taken: list[float] = []
+        tries = 0
+        while waiting:
+            waiting.sort()
+            at_s, i = waiting.pop(0)
+            wait_s = bucket.take(at_s, rng)
+            tries += 1
+            if wait_s:
+                waiting.append((at_s + wait_s + rng.random() * 0.05, i))
+            else:
+                taken.append(at_s)
+        assert all(b - a >= 0.99 for a, b in zip(taken, taken[20 + 100:], strict=False)), f"seed {seed}"
+        assert taken[-1] < 8.0, f"seed {seed}: the last after {taken[-1]:.1f} s"
+        assert tries < 400 * 4, f"seed {seed}: {tries} tries"
+    impatient = Bucket(100.0, 20.0)  # those that don't wait gain nothing by it
+    assert 215 <= sum(impatient.take(step / 1000, rng) == 0.0 for step in range(2_000)) <= 221
+    assert sum(impatient.take(100.0, rng) == 0.0 for _ in range(500)) == 20
+
+
+def test_whom_it_turns_away() -> None:
+    empty = Serving(random.Random(1))
+    full = served(most=1)
+    full.join(Labels("i0"), "", 0, 0.0)
+    for serving, lineage, code in ((empty, "", "NOTHING"), (served(), "bb", "LINEAGE"), (full, "", "BUSY"),
+                                   (served(bucket=Bucket(1.0, 0.0)), "", "BUSY")):
+        with pytest.raises(Turned) as found:
+            serving.check(lineage, 0.0)
+        assert found.value.code == code and found.value.retry_ms > 0
+
+
+def test_two_that_are_told_the_same_are_told_the_same_bytes_and_what_is_kept_of_them_is_bounded() -> None:
+    serving = served(most=1_000)
+    for i in range(300):
+        serving.join(Labels(f"i{i}", zone="z0"), "", 0, 0.0)
+    kept = Encoded(2_000)
+    for _, told in all_due(serving, 0.0):
+        kept.get(told, lambda told: b"x" * 100)
+    assert kept.made == 1
+    for i in range(1_000):
+        kept.get(Told("aa", i, 0, False, 0, (), "", 0, 0), lambda told: b"x" * 100)
+        assert kept.size <= 2_000 and len(kept.found) <= 20
+    kept.get(Told("aa", 0, 0, True, 0, (), "", 0, 0), lambda told: b"x" * 3_000)
+    assert kept.size <= 2_000
+
+
+def test_the_sum_says_who_runs_what_and_is_bounded() -> None:
+    serving = served(3)
+    right = serving.digest_of(serving.view.layers(Labels("i")))
+    ones = [serving.join(Labels(f"i{i}"), "", 0, 0.0) for i in range(5)]
+    serving.runs(ones[0], 3, right, "applied", "")
+    serving.runs(ones[1], 2, "old", "refused", "x" * 5_000)
+    serving.runs(ones[2], 3, "bad", "applied", "")
+    serving.runs(ones[3], 9, right, "applied", "")
+    found = serving.summary()
+    assert found.counts == ((9, 1), (3, 2), (2, 1), (0, 1))
+    assert [(one.name, one.status) for one in found.differing] == [
+        ("i1", "refused"), ("i2", "other"), ("i3", "ahead"), ("i4", "behind")]
+    assert len(found.differing[0].detail) == 200
+    # what does not concern it makes nobody differ
+    serving.advance(Change("aa", 4, 3, False, 0, (Entry(4, Scope(Reach.ZONE, "z9"), {}),)), 1.0)
+    assert "i0" not in [one.name for one in serving.summary().differing]
+    for i in range(300):
+        serving.join(Labels(f"j{i}"), "", 0, 0.0)
+    found = serving.summary()
+    assert len(found.differing) == MOST_DIFFERING and found.more == 304 - MOST_DIFFERING
+
+
+def test_another_log_lets_those_of_the_former_go() -> None:
+    serving = served(3)
+    old = serving.join(Labels("i0"), "", 0, 0.0)
+    all_due(serving, 0.0)
+    new = serving.join(Labels("i1"), "", 0, 0.0)
+    assert serving.begin_anew(View()) == [old]
+    serving.digest_of((Entry(3, ALL, {"n": 3}),))
+    serving.begin_anew(View())
+    assert serving.digest_of((Entry(3, ALL, {"n": 4}),)) == digest({"n": 4})  # and not what the former had as 3
+    serving.advance(Change("bb", 3, 0, True, 0, (Entry(3, ALL, {"n": 4}),)), 1.0)
+    (subscriber, told), = all_due(serving, 1.0)
+    assert subscriber is new and told.lineage == "bb" and told.is_snapshot
--- /dev/null
+++ b/tests/versions/test_snapshot.py
@@ -0,0 +1,103 @@
+"""An agent's snapshot of the published versions: taken whole or refused in one line."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from ironscale.versions.model import ALL, Entry, Reach, Scope
+from ironscale.versions.snapshot import (
+    DIGEST,
+    HEAD,
+    MAGIC,
+    Snapshot,
+    SnapshotError,
+    Token,
+    assemble,
+    decode,
+    encode,
+    line,
+    snapshot_of,
+)
+from ironscale.versions.view import View
+
+ENTRIES = (Entry(2, ALL, {"settings": {"instances": 2, "ü\n": [1.5, None]}}, 1, 0, "ann", 1_000),
+           Entry(5, Scope(Reach.ZONE, "a"), None, 3, 0, "bob", 2_000),
+           Entry(7, Scope(Reach.INSTANCE, "app-1"), {}, 0, 4, "ann", 3_000))
+KEPT = Snapshot("5f", 9, 1, ENTRIES, (Token("instance", "instance", "ab" * 32, 1, 0),), 1_700_000_000_000)
+
+
+def refusal(data: bytes) -> str:
+    with pytest.raises(SnapshotError) as found:
+        decode(data)
+    assert "\n" not in str(found.value)
+    return str(found.value)
+
+
+def test_what_was_written_is_read() -> None:
+    assert decode(encode(KEPT)) == KEPT
+    assert snapshot_of(KEPT.view(), KEPT.tokens, KEPT.reached_ms) == KEPT
+    empty = snapshot_of(View(), (), 0)
+    assert decode(encode(empty)) == empty
+
+
+def test_drawn_snapshots_are_read_as_they_were_written() -> None:
+    for seed in range(300):
+        rng = random.Random(seed)
+        position = rng.randint(0, 50)
+        scopes = [ALL, *(Scope(Reach(rng.randint(1, 4)), f"n{i}") for i in range(10))]
+        versions = sorted(rng.sample(range(1, position + 1), rng.randint(0, min(position, len(scopes)))))
+        entries = tuple(Entry(version, scope, rng.choice([None, {}, {"a": {"b": rng.random()}}]))
+                        for version, scope in zip(versions, scopes, strict=False))
+        kept = Snapshot("f0", position, rng.randint(0, position), entries, (), rng.randint(0, 2**40))
+        assert decode(encode(kept)) == kept, f"seed {seed}"
+
+
+def test_torn_at_any_byte_it_is_refused() -> None:
+    data = encode(KEPT)
+    for size in range(len(data)):
+        refusal(data[:size])
+    assert refusal(data[:-1]) == f"expected {len(data)} bytes, as its length says, got {len(data) - 1}"
+    refusal(data + b"\0")
+
+
+def test_with_any_byte_changed_it_is_refused() -> None:
+    data = encode(KEPT)
+    for at in range(len(data)):
+        for bit in (1, 128):
+            refusal(data[:at] + bytes([data[at] ^ bit]) + data[at + 1:])
+
+
+def test_of_a_newer_program_it_is_refused_as_such() -> None:
+    body = encode(KEPT)[HEAD:-DIGEST].split(b"\n")
+    assert refusal(assemble(body, 2)) == "expected version 1 to 1, got 2: written by a newer program"
+    assert refusal(assemble(body, 0)).startswith("expected version 1 to 1, got 0")
+
+
+def test_a_wrong_checksum_is_told_as_damage() -> None:
+    data = encode(KEPT)
+    assert refusal(data[:-1] + bytes([data[-1] ^ 1])) == "expected its checksum to fit, got another: it is damaged"
+    assert refusal(b"something else, long enough for it all").startswith(f"expected it to begin with {MAGIC!r}")
+
+
+@pytest.mark.parametrize(("changes", "told"), [
+    ({"position": 6}, "entry 2.version: expected a whole number from 1 to 6, got '7'"),
+    ({"floor": 10}, "header.floor: expected a whole number from 0 to 9, got '10'"),
+    ({"lineage": ""}, "header.lineage: expected the lineage of the log that the position is in, got ''"),
+    ({"entries": ENTRIES[::-1]}, "expected entries in the order of their versions, each once, got another order"),
+    ({"entries": (ENTRIES[0], replace(ENTRIES[0], version=3))}, "expected one entry a scope, got a scope twice"),
+])
+def test_a_whole_file_that_says_what_can_t_be_is_refused(changes: dict[str, object], told: str) -> None:
+    assert refusal(encode(replace(KEPT, **changes))) == told  # type: ignore[arg-type]
+
+
+def test_without_its_position_it_is_refused() -> None:
+    header = {"lineage": "5f", "floor": 0, "reached_ms": 1, "entries": 0, "tokens": []}
+    assert refusal(assemble([line(header)])).startswith("header: expected the keys entries, floor, lineage, position,")
+
+
+def test_its_age_is_never_less_than_nothing() -> None:
+    assert KEPT.age_s(KEPT.reached_ms + 1_500) == 1.5
+    assert KEPT.age_s(KEPT.reached_ms - 60_000) == 0.0
