The record keeps a log of versions: base, newest of each scope, changes for who follows

A change was an operation with a row a target. The record has a log now: a row a version, the newest of each scope beside it, lineage, position and floor in one row, so that who follows looks at one row where nothing is new, and reads what it lacks in one statement (a commit between two would leave the scope out that it moved on). Compaction keeps the history asked for and what was in force when it begins; an end of a scope that goes raises the floor. A PostgreSQL server that took over with less than was confirmed gets a new lineage. Both schemas have a migration; the way from SQLite to PostgreSQL brings versions along.

--- a/ironscale/agent/opening.py
+++ b/ironscale/agent/opening.py
@@ -32,7 +32,8 @@
 
 TABLES = (("counters", sql.COUNTER), ("instances", sql.INSTANCE), ("operations", sql.OPERATION),
           ("targets", sql.TARGET), ("configurations", sql.CONFIGURATION), ("mutations", sql.MUTATION),
-          ("audit", sql.AUDIT), ("tokens", sql.TOKEN), ("permits", sql.PERMIT), ("halts", sql.HALT))
+          ("audit", sql.AUDIT), ("tokens", sql.TOKEN), ("permits", sql.PERMIT), ("halts", sql.HALT),
+          ("versions", sql.VERSION), ("newest", sql.NEWEST), ("version_log", sql.VERSION_LOG))
 MOVE_S = 600.0  # the longest that a record's way to PostgreSQL may take
 AT_ONCE = 5_000  # rows read at a time
 MOVED = "moved"  # in both: the record has been brought over
--- a/ironscale/agent/postgres.py
+++ b/ironscale/agent/postgres.py
@@ -11,6 +11,7 @@
 
 import contextlib
 import os
+import secrets
 import socket
 import threading
 import time
@@ -280,6 +281,8 @@
                            f" until_ms = {NOW} WHERE one = %s",
                            (max(epoch, self.epoch) + 1, max(sequence, self.number), self.holder, self.place, 1))
         connection.execute("UPDATE agent_counters SET value = value + %s WHERE name = %s", (FENCES_APART, "fence"))
+        # versions that were told may be gone, and their numbers be given again: positions of the two aren't compared
+        connection.execute("UPDATE agent_version_log SET lineage = %s WHERE one = %s", (secrets.token_hex(8), 1))
         connection.execute("COMMIT")
         self._give_up("LESS", f"{self.name}: expected {self.confirmed} writes, as it had confirmed, got {sequence}: a "
                       "server took over that had not got them all; look at `ironscale ops`, then start the agent again")
--- a/ironscale/agent/sql.py
+++ b/ironscale/agent/sql.py
@@ -8,18 +8,22 @@
 
 import functools
 import json
-from collections.abc import Callable, Iterable, Sequence
+import secrets
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import asdict, fields
 from operator import attrgetter
 from typing import Any, Protocol
 
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Policy, State, Target
-from ironscale.agent.store import Configuration, Event, InstanceRow, TokenRow
+from ironscale.agent.store import Configuration, Event, InstanceRow, Published, TokenRow
 from ironscale.disruption.model import Halt, Permit
 from ironscale.disruption.model import Phase as PermitPhase
 from ironscale.record.sql import typed
+from ironscale.versions.model import Entry, Scope, canonical, read_scope
+from ironscale.versions.view import Change
 
 ROWS_AT_ONCE = 500  # of one INSERT: 15 values each, and PostgreSQL takes 65,535 parameters, SQLite 32,766
+SCOPES_AT_ONCE = 500  # compacted in one transaction
 
 
 class Transaction(Protocol):
@@ -54,6 +58,9 @@
 MUTATION = ("actor", "key", "fingerprint", "operation", "at_ms")
 PERMIT = ("id", "holder", "key", "open", "ended_ms", "body")
 HALT = tuple(f.name for f in fields(Halt))
+VERSION = ("version", "scope", "overlay", "base", "restores", "actor", "at_ms", "note")
+NEWEST = ("scope", "version")
+VERSION_LOG = ("one", "lineage", "position", "floor")
 AUDIT = ("id", "at_ms", "actor", "action", "subject", "result", "detail")
 
 
@@ -69,6 +76,7 @@
 PUT_PERMIT = _upsert("id", PERMIT[1:])
 PUT_HALT = _upsert("id", HALT[1:])
 PUT_TOKEN = _upsert("name", TOKEN[1:])
+PUT_NEWEST = _upsert("scope", ("version",))
 
 
 def plain(value: Any) -> Any:
@@ -279,6 +287,98 @@
     def put_token(self, token: TokenRow) -> None:
         self.insert("tokens", TOKEN, [_token_values(token)], PUT_TOKEN)
 
+    def _log(self) -> tuple[str, int, int]:
+        """Lineage, position and floor."""
+        found = self._columns("version_log", VERSION_LOG[1:], "WHERE one = 1")
+        return found[0] if found else ("", 0, 0)
+
+    def lineage(self) -> str:
+        return self._log()[0]
+
+    def make_lineage(self) -> str:
+        found = self.lineage()
+        if not found:
+            found = secrets.token_hex(8)
+            self.insert("version_log", VERSION_LOG, [(1, found, 0, 0)])
+        return found
+
+    @staticmethod
+    def _entry(row: tuple[Any, ...]) -> Entry:
+        version, scope, overlay, base, restores, actor, at_ms = row[:7]
+        return Entry(version, read_scope(scope), json.loads(overlay) if overlay else None, base, restores, actor, at_ms)
+
+    def version_change(self, since: int, lineage: str) -> Change:
+        own, position, floor = self._log()
+        if lineage == own and since == position:
+            return Change(own, position, since, False, floor, ())
+        whole = lineage != own or since == 0 or since < floor or since > position
+        while True:
+            # in one statement: a commit between two would leave out the scope that it moved on
+            rows = self.sql(
+                f"SELECT l.lineage, l.position, l.floor, {', '.join(f'v.{name}' for name in VERSION)} FROM @version_log"
+                " AS l LEFT JOIN @newest AS n ON n.version > %s LEFT JOIN @versions AS v ON v.version = n.version"
+                " WHERE l.one = 1 ORDER BY n.version", (0 if whole else since,))
+            own, position, floor = rows[0][:3] if rows else ("", 0, 0)
+            if whole or lineage == own and since >= floor:
+                break
+            whole = True  # it was compacted since the first look
+        entries = tuple(self._entry(row[3:]) for row in rows if row[3] is not None)
+        return Change(own, position, since, whole, floor, entries)
+
+    def newest(self, scope: Scope) -> Entry | None:
+        found = self._columns("versions", VERSION, "WHERE version = (SELECT version FROM @newest WHERE scope = %s)",
+                              (str(scope),))
+        return self._entry(found[0]) if found else None
+
+    def count_scopes(self) -> int:
+        return self._number("SELECT count(*) FROM @newest")
+
+    def _published(self, behind: str, values: Sequence[Any]) -> list[Published]:
+        newest = "(SELECT n.version FROM @newest AS n WHERE n.scope = @versions.scope)"
+        return [Published(self._entry(row), row[7], row[8] == row[0])
+                for row in self._columns("versions", (*VERSION, newest), behind, values)]
+
+    def version(self, number: int) -> Published | None:
+        found = self._published("WHERE version = %s", (number,))
+        return found[0] if found else None
+
+    def versions(self, before: int, most: int, scope: Scope | None = None) -> list[Published]:
+        if scope is None:
+            return self._published("WHERE version < %s ORDER BY version DESC LIMIT %s", (before, most))
+        return self._published("WHERE scope = %s AND version < %s ORDER BY version DESC LIMIT %s",
+                               (str(scope), before, most))
+
+    def add_version(self, scope: Scope, overlay: Mapping[str, Any] | None, base: int, actor: str, at_ms: int,
+                    restores: int = 0, note: str = "") -> Entry:
+        self.make_lineage()
+        number = self._number("UPDATE @version_log SET position = position + 1 WHERE one = 1 RETURNING position")
+        text = canonical(overlay).decode("ascii") if overlay is not None else ""
+        row = (number, str(scope), text, base, restores, actor, at_ms, note)
+        self.insert("versions", VERSION, [row])
+        self.insert("newest", NEWEST, [(str(scope), number)], PUT_NEWEST)
+        return Entry(number, scope, overlay, base, restores, actor, at_ms)
+
+    def compact_versions(self, keep: int, before_ms: int) -> int:
+        _, position, floor = self._log()
+        beyond, values = "(version <= %s OR at_ms < %s)", (position - keep, before_ms)
+        # what was in force when the kept history begins stays, so that what came before its first change is known
+        rows = self.sql(f"SELECT scope, max(version) FROM @versions WHERE {beyond} GROUP BY scope"
+                        " HAVING max(version) > min(version) ORDER BY scope LIMIT %s", (*values, SCOPES_AT_ONCE))
+        gone = 0
+        for scope, number in rows:
+            gone += len(self.sql("DELETE FROM @versions WHERE scope = %s AND version < %s RETURNING version",
+                                 (scope, number)))
+        ends = self.sql("SELECT scope, version FROM @versions WHERE overlay = '' AND version IN (SELECT version FROM"
+                        f" @newest) AND {beyond} ORDER BY version LIMIT %s",
+                        (*values, SCOPES_AT_ONCE))
+        for scope, number in ends:
+            gone += len(self.sql("DELETE FROM @versions WHERE scope = %s RETURNING version", (scope,)))
+            self.sql("DELETE FROM @newest WHERE scope = %s", (scope,))
+            floor = max(floor, number)
+        if ends:
+            self.sql("UPDATE @version_log SET floor = %s WHERE one = 1", (floor,))
+        return gone
+
 
 # One statement each. The log can't be changed nor thinned out: what tries finds nothing done.
 MIGRATIONS: tuple[tuple[str, ...], ...] = (
@@ -330,6 +430,19 @@
             id {INTEGER} NOT NULL PRIMARY KEY, actor {TEXT} NOT NULL, reason {TEXT} NOT NULL,
             at_ms {INTEGER} NOT NULL, lifted_ms {INTEGER} NOT NULL, lifted_by {TEXT} NOT NULL)""",
     ),
+    (
+        """CREATE TABLE agent_versions (
+            version {INTEGER} NOT NULL PRIMARY KEY, scope {TEXT} NOT NULL, overlay {TEXT} NOT NULL,
+            base {INTEGER} NOT NULL, restores {INTEGER} NOT NULL, actor {TEXT} NOT NULL, at_ms {INTEGER} NOT NULL,
+            note {TEXT} NOT NULL)""",
+        "CREATE INDEX agent_versions_by_scope ON agent_versions (scope, version)",
+        # beside them, as a row that is updated is written anew, with its overlay
+        "CREATE TABLE agent_newest (scope {TEXT} NOT NULL PRIMARY KEY, version {INTEGER} NOT NULL)",
+        "CREATE UNIQUE INDEX agent_newest_by_version ON agent_newest (version)",
+        """CREATE TABLE agent_version_log (
+            one {INTEGER} NOT NULL PRIMARY KEY, lineage {TEXT} NOT NULL, position {INTEGER} NOT NULL,
+            floor {INTEGER} NOT NULL)""",
+    ),
 )
 SCHEMA = len(MIGRATIONS)
 
--- a/ironscale/agent/sqlite.py
+++ b/ironscale/agent/sqlite.py
@@ -73,6 +73,16 @@
         machine TEXT NOT NULL, until_ms INTEGER NOT NULL);
     INSERT INTO owner (one, epoch, holder, place, machine, until_ms) VALUES (1, 0, '', '', '', 0);
     """,
+    """
+    CREATE TABLE versions (
+        version INTEGER PRIMARY KEY, scope TEXT NOT NULL, overlay TEXT NOT NULL, base INTEGER NOT NULL,
+        restores INTEGER NOT NULL, actor TEXT NOT NULL, at_ms INTEGER NOT NULL, note TEXT NOT NULL);
+    CREATE INDEX versions_by_scope ON versions (scope, version);
+    CREATE TABLE newest (scope TEXT PRIMARY KEY, version INTEGER NOT NULL) WITHOUT ROWID;
+    CREATE UNIQUE INDEX newest_by_version ON newest (version);
+    CREATE TABLE version_log (
+        one INTEGER PRIMARY KEY, lineage TEXT NOT NULL, position INTEGER NOT NULL, floor INTEGER NOT NULL);
+    """,
 )
 SCHEMA = len(MIGRATIONS)
 
--- a/ironscale/agent/store.py
+++ b/ironscale/agent/store.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol, TypeVar
 
 from ironscale.agent.model import Operation, Target
 from ironscale.agent.terms import Owner, Term
 from ironscale.disruption.model import Halt, Permit
+from ironscale.versions.model import Entry, Scope
+from ironscale.versions.view import Change
 
 T = TypeVar("T")
 
@@ -82,6 +84,15 @@
     revoked_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A version as the record has it."""
+
+    entry: Entry
+    note: str
+    in_force: bool  # it is the newest of its scope
+
+
 class Records(Protocol):
     """Everything that can be asked of the record, within one transaction."""
 
@@ -134,6 +145,31 @@
     def tokens(self) -> list[TokenRow]: ...
     def put_token(self, token: TokenRow) -> None: ...
 
+    def lineage(self) -> str:
+        """Of the log of versions; empty until it is made."""
+
+    def make_lineage(self) -> str:
+        """The log's, made where there is none yet: by who leads, before anybody is told a position."""
+
+    def version_change(self, since: int, lineage: str) -> Change:
+        """What one at `since` of `lineage` lacks; where nothing is new, one look at one row. Of another lineage, from
+        before what was compacted, or ahead of this log: a snapshot of the whole."""
+
+    def newest(self, scope: Scope) -> Entry | None: ...
+    def count_scopes(self) -> int: ...
+    def version(self, number: int) -> Published | None: ...
+    def versions(self, before: int, most: int, scope: Scope | None = None) -> list[Published]:
+        """The newest first, with numbers under `before`."""
+
+    def add_version(self, scope: Scope, overlay: Mapping[str, Any] | None, base: int, actor: str, at_ms: int,
+                    restores: int = 0, note: str = "") -> Entry:
+        """The log's next: numbers have no holes, as a transaction that fails takes its own back."""
+
+    def compact_versions(self, keep: int, before_ms: int) -> int:
+        """Drops what no follower and no way back needs: what was no longer in force when the history that is kept
+        begins, and by then said only that its scope has none. The history is the last `keep` versions, but none of
+        before `before_ms`. Gives how many rows went; some of more remain for the next call."""
+
 
 class Store(Protocol):
     term: Term  # of this agent on the record
--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -29,7 +29,7 @@
 from ironscale.record.postgres import Access
 from ironscale.standins.postgres import Data, Drop, Host, Session, SqlError
 from tests.agent.scene import run, scene, section, until
-from tests.agent.test_store import OP, TARGET, fill, half, row, twice
+from tests.agent.test_store import OP, PUBLISHED, TARGET, ZONE_A, fill, half, row, twice
 from tests.record.postgres import Fault, Gate, dsn
 from tests.sockets import run as limited
 
@@ -112,6 +112,7 @@
                 assert await store.read(lambda r: r.mutation("bob", "k")) is None
                 assert [(e.id, e.actor, e.subject, e.detail) for e in await store.read(lambda r: r.events(0, 9))] == [
                     (1, "ann", "i0", {"x": 1})]
+                assert await store.read(lambda r: r.versions(99, 9)) == PUBLISHED
                 assert await store.read(lambda r: (r.alive_ms(), r.current_generation())) == (77, 1)
                 assert [await store.write(lambda r: r.next_fence()) for _ in range(3)] == [1, 2, 3]
                 await store.write(lambda r: r.forget_instance("i0"))
@@ -829,6 +830,8 @@
         for n in range(count):
             r.audit(n, "ann", "drain", f"i{n}", "applied", {"n": n})
         r.put_token(TokenRow("t", "read", "d", 1))
+        r.add_version(ZONE_A, {"settings": {"x": 1}}, 0, "ann", 7, note="first")
+        r.add_version(ZONE_A, None, 1, "ann", 8)
         for _ in range(41):
             r.next_fence()
 
@@ -842,7 +845,8 @@
 
 def all_of(r: Records) -> list[Any]:
     return [r.instances(), r.operations(99, 99), r.targets(1), r.configuration(1), r.mutation("ann", "k"),
-            r.events(0, 99), r.tokens(), r.alive_ms(), r.current_generation()]
+            r.events(0, 99), r.tokens(), r.alive_ms(), r.current_generation(), r.versions(99, 9), r.lineage(),
+            r.version_change(0, ""), r.version_change(1, r.lineage())]
 
 
 def test_the_record_of_the_folder_comes_along_once_and_is_not_gone_on_with_behind_its_back(tmp_path: Path) -> None:
@@ -859,7 +863,7 @@
                 assert await moved.read(all_of) == before
                 assert await moved.write(lambda r: r.next_fence()) > 41
                 await asyncio.to_thread(moved.close)
-            assert len(said) == 1 and said[0].startswith("moved the record of") and "68 rows" in said[0], said
+            assert len(said) == 1 and said[0].startswith("moved the record of") and "72 rows" in said[0], said
             with pytest.raises(StoreError, match=r"agent\.db: expected a record in use, got one that was moved"):
                 await open_store(section(tmp_path), tmp_path, nobody, said.append)
 
--- a/tests/agent/test_store.py
+++ b/tests/agent/test_store.py
@@ -22,8 +22,9 @@
 from ironscale.agent.model import Kind, Operation, Phase, Policy, State, Target
 from ironscale.agent.sql import SqlRecords
 from ironscale.agent.sqlite import MIGRATIONS, SCHEMA, SqliteStore, connect
-from ironscale.agent.store import Configuration, InstanceRow, Records, StoreError, TokenRow
+from ironscale.agent.store import Configuration, InstanceRow, Published, Records, StoreError, TokenRow
 from ironscale.record.database import Opener, Transaction
+from ironscale.versions.model import Entry, read_scope
 from tests.deployed import ROOT
 from tests.record.disk import Disk, Vfs
 from tests.sockets import until
@@ -53,9 +54,18 @@
     r.add_mutation("ann", "k", "f", 1, 6)
     r.audit(1, "ann", "drain", "i0", "applied", {"x": 1})
     r.put_token(TokenRow("t", "read", "d", 1))
+    r.add_version(read_scope("zone=a"), {"settings": {"x": 1}}, 0, "ann", 7, note="first")
+    r.add_version(read_scope("zone=a"), None, 1, "ann", 8)
+    r.add_version(read_scope("zone=a"), {"settings": {"x": 1}}, 2, "bob", 9, restores=1)
     r.set_alive(77)
 
 
+ZONE_A = read_scope("zone=a")
+PUBLISHED = [Published(Entry(3, ZONE_A, {"settings": {"x": 1}}, 2, 1, "bob", 9), "", True),
+             Published(Entry(2, ZONE_A, None, 1, 0, "ann", 8), "", False),
+             Published(Entry(1, ZONE_A, {"settings": {"x": 1}}, 0, 0, "ann", 7), "first", False)]
+
+
 def half(records: Records) -> None:
     records.put_token(TokenRow("half", "read", "d", 1))
     raise ValueError("in the middle")
@@ -87,6 +97,7 @@
         events = await store.read(lambda r: r.events(0, 9))
         assert [(e.actor, e.action, e.subject, e.result, e.detail) for e in events] == [
             ("ann", "drain", "i0", "applied", {"x": 1})]
+        assert await store.read(lambda r: r.versions(99, 9)) == PUBLISHED
         assert await store.read(lambda r: (r.alive_ms(), r.current_generation())) == (77, 1)
         assert [await store.write(lambda r: r.next_fence()) for _ in range(3)] == [1, 2, 3]
         store.close()
@@ -165,6 +176,19 @@
     assert migrated.execute("SELECT name, note FROM tokens").fetchall() == [("t", None)]
 
 
+def test_a_record_of_before_versions_is_brought_up_with_all_that_it_holds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "SCHEMA", 3)
+    monkeypatch.setattr(module, "MIGRATIONS", MIGRATIONS[:3])
+    SqlRecords(Transaction(connect(tmp_path / "a.db")), "sqlite").put_token(TokenRow("t", "read", "d", 1))
+    monkeypatch.undo()
+    records = SqlRecords(Transaction(connect(tmp_path / "a.db")), "sqlite")
+    assert [token.name for token in records.tokens()] == ["t"]
+    assert records.lineage() == "" and records.version_change(0, "").entries == ()
+    assert records.add_version(ZONE_A, {}, 0, "ann", 1).version == 1
+
+
 def test_a_full_disk_is_told_nothing_is_half_kept_and_it_goes_on_when_there_is_room(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "a.db")
