The agent that leads publishes versions: base, keys, halts, ways back; the API shows them

Decisions are pure (versions/publishing.py: what is refused and why, what a way back is); the write is one transaction with compare-and-set on the scope's newest version, the idempotency key, the halt and the audit line. A halt bars what is new and lets ways back through: a bad version is halted first and then taken back. An overlay has 24 KB at most in place of 64: the five scopes of an instance have to fit one frame of the control connection. GraphQL: publish, restoreVersion, versions, version, configurationOf, served (from whoever serves; told also while the record is away).

--- a/ironscale/agent/engine.py
+++ b/ironscale/agent/engine.py
@@ -18,6 +18,7 @@
 from ironscale.agent.gates import Gate
 from ironscale.agent.model import OPEN, Kind, Operation, Phase, Plan, Policy, Send, State, Target
 from ironscale.agent.permits import Permits, permit_id
+from ironscale.agent.publishing import Publisher, used_for
 from ironscale.agent.refusal import Refusal
 from ironscale.agent.store import Configuration, Event, Records, Store, StoreError
 from ironscale.agent.terms import Owner, clock_ms
@@ -73,6 +74,7 @@
         self.permits = Permits(budgets, store, fleet, now_ms, log)
         self.permits.room, self.permits.notify, self.permits.question = self.room, self.notify, self.inspect
         self.watching = Watching(self.permits.ledger, fleet, self.upstreams_of, log, self.permits.wake.set)
+        self.publisher = Publisher(store, now_ms, log, self.notify)
         self.live: dict[int, Live] = {}
         self.overlays: dict[int, dict[str, Any]] = {0: {}}
         self.tasks: asyncio.TaskGroup | None = None
@@ -107,6 +109,7 @@
         found, overlays, permits, halt = await self.store.read(work)
         self.overlays.update(overlays)
         self.permits.load(permits, halt)
+        await self.publisher.load()
         for op, targets in found:
             # hazard: the time without an agent, or a clock set back, must not count against the instances
             targets = [replace(t, sent_ms=self.now_ms()) if t.command else t for t in targets]
@@ -133,6 +136,7 @@
             self.tasks.create_task(self.catch_up())
             self.tasks.create_task(self.permits.run(self.tasks))
             self.tasks.create_task(self.watching.run())
+            self.tasks.create_task(self.publisher.run())
 
     # What comes in
 
@@ -377,7 +381,7 @@
             if earlier is not None:
                 if earlier[0] != fingerprint:
                     raise Refusal("KEY_REUSED", f"idempotency key {key!r} was used for another mutation, "
-                                                f"operation {earlier[1]}; use a new one")
+                                                f"{used_for(*earlier)}; use a new one")
                 found = records.operation(earlier[1])
                 assert found is not None
                 return found, None
--- a/ironscale/agent/limits.py
+++ b/ironscale/agent/limits.py
@@ -22,8 +22,9 @@
 MAX_DEPTH = 12
 MAX_COST = 50_000  # fields that a document can come to, lists counted by what `first` allows
 PAGE, MOST_PAGE = 100, 500
-LISTS = ("instances", "operations", "events", "targets")
-OPEN_LISTS = {"upstreams": 100, "classes": 10, "refusals": 10, "difference": 50}
+LISTS = ("instances", "operations", "events", "targets", "versions")
+OPEN_LISTS = {"upstreams": 100, "classes": 10, "refusals": 10, "difference": 50, "layers": 5, "agents": 20,
+              "positions": 50, "differing": 100}
 
 
 class TooMuch(Exception):
--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import math
 import time
 from bisect import bisect_right
@@ -24,12 +25,16 @@
 from ironscale.agent.model import ON_FAILURE, OPEN, Kind, Operation, Policy, State, Target
 from ironscale.agent.refusal import Refusal
 from ironscale.agent.selectors import SelectorError, selected
-from ironscale.agent.store import Event, Records, TokenRow
+from ironscale.agent.store import Event, Published, Records, StoreError, TokenRow
 from ironscale.agent.terms import clock_ms
 from ironscale.control.messages import Report
 from ironscale.disruption.model import MOST_PRIORITY, Halt, Permit, Phase
+from ironscale.versions.model import MAX_NAME, Labels, Scope, ScopeError, read_scope
+from ironscale.versions.publishing import Draft
 
 MOST_KEY = 200
+MOST_VERSIONS = 100  # a page, as each has an overlay of up to 24 KB
+MOST_INT = 2**31 - 1  # of the schema's Int
 WATCH_GAP_S = 0.5
 
 
@@ -348,6 +353,62 @@
     return permit_object(engine, await engine.permits.find(id))
 
 
+def version_object(published: Published) -> dict[str, Any]:
+    entry = published.entry
+    return {"number": entry.version, "scope": str(entry.scope), "overlay": entry.overlay, "base": entry.base,
+            "restores": entry.restores, "actor": entry.actor, "at": iso(entry.at_ms), "note": published.note,
+            "inForce": published.in_force}
+
+
+def scope_of(text: str) -> Scope:
+    try:
+        return read_scope(text)
+    except ScopeError as problem:
+        raise error("BAD_INPUT", str(problem)) from problem
+
+
+async def q_versions(root: Any, info: Any, scope: str, first: int, after: str | None = None) -> dict[str, Any]:
+    engine, before = need(info, "read").engine, uncursor_number(after) or 2**62
+    if not 0 <= first <= MOST_VERSIONS:
+        raise error("BAD_INPUT", f"first: expected 0 to {MOST_VERSIONS}, got {first}")
+    wanted = scope_of(scope) if scope else None
+    found = await engine.store.read(lambda records: records.versions(before, first + 1, wanted))
+    page = found[:first]
+    return connection([version_object(p) for p in page], [cursor(p.entry.version) for p in page], len(found) > first)
+
+
+async def q_version(root: Any, info: Any, number: int) -> dict[str, Any] | None:
+    engine = need(info, "read").engine
+    found = await engine.store.read(lambda records: records.version(number))
+    return version_object(found) if found is not None else None
+
+
+async def q_configuration_of(root: Any, info: Any, instance: str, service: str, zone: str, region: str
+                             ) -> dict[str, Any]:
+    engine = need(info, "read").engine
+    for name, value in (("instance", instance), ("service", service), ("zone", zone), ("region", region)):
+        if len(value) > MAX_NAME or not value.isprintable() or name == "instance" and not value:
+            raise error("BAD_INPUT", f"{name}: expected a name of {MAX_NAME} characters at most, got {value!r:.60}")
+    found = await engine.publisher.compose(Labels(instance, service, zone, region))
+    return {"position": found.position, "overlay": found.overlay, "digest": found.digest,
+            "layers": [version_object(layer) for layer in found.layers]}
+
+
+async def q_served(root: Any, info: Any) -> dict[str, Any]:
+    engine = need(info, "read").engine
+    served = engine.publisher.served
+    position: int | None = None
+    with contextlib.suppress(StoreError):  # who asks may ask just because the record is away
+        position = await engine.store.read(lambda records: records.version_position())
+    return {"position": position, "agents": [{
+        "agent": one.agent, "known": one.known, "heardMs": min(one.heard_ms, MOST_INT),
+        "position": one.summary.position, "ageMs": min(one.age_ms, MOST_INT), "instances": one.summary.followers,
+        "positions": [{"position": at, "instances": count} for at, count in one.summary.counts],
+        "differing": [{"name": d.name, "running": d.running, "status": d.status, "detail": d.detail}
+                      for d in one.summary.differing],
+        "more": one.summary.more} for one in (served.summary() if served is not None else ())]}
+
+
 # Mutations
 
 
@@ -377,11 +438,16 @@
     return policy
 
 
-async def begin(info: Any, kind: Kind, given: dict[str, Any], **more: Any) -> dict[str, Any]:
-    context = need(info, "operate")
-    engine, key = context.engine, given.get("idempotencyKey") or ""
+def key_of(given: dict[str, Any]) -> str:
+    key: str = given.get("idempotencyKey") or ""
     if len(key) > MOST_KEY:
         raise error("BAD_INPUT", f"idempotencyKey: expected {MOST_KEY} characters at most, got {len(key)}")
+    return key
+
+
+async def begin(info: Any, kind: Kind, given: dict[str, Any], **more: Any) -> dict[str, Any]:
+    context = need(info, "operate")
+    engine, key = context.engine, key_of(given)
     names = names_matching(engine, given.get("selector") or "")
     op, _ = await engine.begin(context.caller.name, kind, names, read_policy(given.get("policy")), key=key,
                                supersede=bool(given.get("supersede")), **more)
@@ -442,6 +508,22 @@
     return halt_object(await context.engine.permits.lift_halt(context.caller.name))
 
 
+async def m_publish(root: Any, info: Any, input: dict[str, Any]) -> dict[str, Any]:
+    context = need(info, "operate")
+    if "overlay" not in input:
+        raise error("BAD_INPUT", "overlay: expected an object, or null to take away what the scope has, got nothing")
+    overlay = input["overlay"]
+    draft = Draft(scope_of(input["scope"]), None if overlay is None else overlay_object(overlay), input["base"],
+                  input.get("note") or "")
+    return version_object((await context.engine.publisher.publish(context.caller.name, draft, key_of(input)))[0])
+
+
+async def m_restore_version(root: Any, info: Any, input: dict[str, Any]) -> dict[str, Any]:
+    context = need(info, "operate")
+    return version_object((await context.engine.publisher.restore(
+        context.caller.name, input["version"], input["base"], key_of(input), input.get("note") or ""))[0])
+
+
 async def m_forget(root: Any, info: Any, name: str, ended: bool) -> bool:
     context = need(info, "operate")
     await context.engine.forget(context.caller.name, name, ended)
@@ -548,6 +630,7 @@
         "operation": q_operation, "operations": q_operations, "configuration": q_configuration,
         "plan": q_plan, "events": q_events, "tokens": q_tokens,
         "budgets": q_budgets, "permits": q_permits, "permit": q_permit,
+        "versions": q_versions, "version": q_version, "configurationOf": q_configuration_of, "served": q_served,
     },
     "Mutation": {
         "drain": beginner(Kind.DRAIN), "undrain": beginner(Kind.UNDRAIN), "stop": beginner(Kind.STOP),
@@ -555,6 +638,7 @@
         "resume": controller("resume"), "abort": controller("abort"), "rollBack": controller("rollback"),
         "takePermit": m_take_permit, "renewPermit": m_renew_permit, "giveBackPermit": m_give_back_permit,
         "halt": m_halt, "liftHalt": m_lift_halt, "forget": m_forget,
+        "publish": m_publish, "restoreVersion": m_restore_version,
         "createToken": m_create_token, "revokeToken": m_revoke_token,
     },
 }
--- a/ironscale/agent/sql.py
+++ b/ironscale/agent/sql.py
@@ -330,6 +330,14 @@
                               (str(scope),))
         return self._entry(found[0]) if found else None
 
+    def version_position(self) -> int:
+        return self._log()[1]
+
+    def in_force(self, scopes: Sequence[Scope]) -> list[Published]:
+        marks = ", ".join(["%s"] * len(scopes))
+        return self._published(f"WHERE version IN (SELECT version FROM @newest WHERE scope IN ({marks}))"
+                               " ORDER BY version", list(map(str, scopes)))
+
     def count_scopes(self) -> int:
         return self._number("SELECT count(*) FROM @newest")
 
--- a/ironscale/agent/store.py
+++ b/ironscale/agent/store.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol, TypeVar
 
@@ -155,7 +155,11 @@
         """What one at `since` of `lineage` lacks; where nothing is new, one look at one row. Of another lineage, from
         before what was compacted, or ahead of this log: a snapshot of the whole."""
 
+    def version_position(self) -> int: ...
     def newest(self, scope: Scope) -> Entry | None: ...
+    def in_force(self, scopes: Sequence[Scope]) -> list[Published]:
+        """The newest of each, all as of the same moment."""
+
     def count_scopes(self) -> int: ...
     def version(self, number: int) -> Published | None: ...
     def versions(self, before: int, most: int, scope: Scope | None = None) -> list[Published]:
--- a/ironscale/versions/model.py
+++ b/ironscale/versions/model.py
@@ -13,7 +13,10 @@
 from hashlib import blake2b
 from typing import Any
 
-MOST_OVERLAY = 64 << 10  # bytes of one entry's patch as JSON
+# Bytes of one entry's patch as JSON. Hazard: what all five scopes of an instance say has to fit one frame of the
+# control connection (128 KB) beside its envelope, or that instance could be told nothing more.
+MOST_OVERLAY = 24 << 10
+MOST_DEPTH = 24  # objects and lists in one another
 MAX_NAME = 128
 
 
--- /dev/null
+++ b/ironscale/versions/publishing.py
@@ -0,0 +1,108 @@
+"""Whether a version may be published, and how much of the log is kept. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironscale.versions.model import MOST_DEPTH, MOST_OVERLAY, Entry, Scope, canonical
+
+# The history: so many versions and days, and what was in force when it begins.
+KEEP = 1_000
+KEEP_MS = 30 * 24 * 3_600_000
+MOST_SCOPES = 10_000
+MOST_NOTE = 200
+MOST_BASE = 2**53
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """What is to become a version. Without an overlay: the scope has none from then on."""
+
+    scope: Scope
+    overlay: Mapping[str, Any] | None
+    base: int  # the scope's newest version as its author saw it; 0 = it had none
+    note: str = ""
+    restores: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What the record says at the moment of publishing."""
+
+    position: int
+    newest: Entry | None  # of the scope
+    before: Entry | None  # what that was made upon, where the record still has it
+    scopes: int  # that have a version
+    halt: str = ""  # who halted the fleet, and why
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    code: str
+    text: str
+    details: dict[str, Any] = field(default_factory=dict)
+
+
+def depth(value: Any) -> int:
+    if isinstance(value, Mapping):
+        return 1 + max(map(depth, value.values()), default=0)
+    return 1 + max(map(depth, value), default=0) if isinstance(value, list) else 0
+
+
+def misfit(draft: Draft) -> Problem | None:
+    """What can be told without the record."""
+    if not 0 <= draft.base <= MOST_BASE:
+        return Problem("BAD_INPUT", f"base: expected a version, or 0 where the scope has none, got {draft.base}")
+    if len(draft.note) > MOST_NOTE or not draft.note.isprintable():
+        return Problem("BAD_INPUT", f"note: expected a line of {MOST_NOTE} characters at most, got {draft.note!r:.60}")
+    if draft.overlay is None:
+        return None
+    try:
+        size = len(canonical(draft.overlay))
+    except (TypeError, ValueError, RecursionError) as error:
+        return Problem("BAD_INPUT", f"overlay: expected what JSON has, got {error}")
+    if size > MOST_OVERLAY:
+        return Problem("BAD_INPUT", f"overlay: expected {MOST_OVERLAY} bytes at most, got {size}")
+    if depth(draft.overlay) > MOST_DEPTH:
+        return Problem("BAD_INPUT", f"overlay: expected {MOST_DEPTH} objects in one another at most, got more")
+    return None
+
+
+def is_way_back(draft: Draft, standing: Standing) -> bool:
+    """To what the scope had before: an earlier version again, or none where it had none."""
+    newest = standing.newest
+    if draft.restores:
+        return True
+    had_none = newest is not None and (newest.base == 0 or standing.before is not None
+                                       and standing.before.overlay is None)
+    return draft.overlay is None and had_none
+
+
+def refused(draft: Draft, standing: Standing) -> Problem | None:
+    """Compare and set: of two that were made upon the same base the first becomes a version. A halt leaves ways back
+    open: a bad version is halted first, and then taken back."""
+    newest = standing.newest
+    number = newest.version if newest is not None else 0
+    if draft.base > standing.position:
+        return Problem("BAD_INPUT", f"base: expected a version that was published, {standing.position} at most, got "
+                                    f"{draft.base}")
+    if draft.base != number:
+        by = f", of {newest.actor}" if newest is not None else ""
+        return Problem("CONFLICT", f"base: expected the newest version of {draft.scope}, {number}{by}, got "
+                                   f"{draft.base}; look at it, then publish again",
+                       {"newest": number, "actor": newest.actor if newest is not None else "",
+                        "atMs": newest.at_ms if newest is not None else 0})
+    if standing.halt and not is_way_back(draft, standing):
+        return Problem("HALTED", f"halted by {standing.halt}; a way back goes on, `ironscale halt --lift` ends the "
+                                 "halt")
+    if draft.overlay is None and (newest is None or newest.overlay is None):
+        return Problem("BAD_INPUT", f"overlay: expected an object, as {draft.scope} has none to take away, got none")
+    if draft.restores and draft.restores == number:
+        return Problem("BAD_INPUT", f"version: expected an earlier one of {draft.scope}, got {number}, which is in "
+                                    "force")
+    if newest is None and standing.scopes >= MOST_SCOPES:
+        return Problem("FULL", f"expected {MOST_SCOPES} scopes at most; take some away, they go once they are out of "
+                               "the history")
+    return None
