--- a/ironscale/agent/schema.py
+++ b/ironscale/agent/schema.py
@@ -387,7 +387,7 @@
                              ) -> dict[str, Any]:
     engine = need(info, "read").engine
     for name, value in (("instance", instance), ("service", service), ("zone", zone), ("region", region)):
-        if len(value) > MAX_NAME or not value.isprintable() or name == "instance" and not value:
+        if len(value) > MAX_NAME or not value.isprintable():
             raise error("BAD_INPUT", f"{name}: expected a name of {MAX_NAME} characters at most, got {value!r:.60}")
     found = await engine.publisher.compose(Labels(instance, service, zone, region))
     return {"position": found.position, "overlay": found.overlay, "digest": found.digest,
--- a/ironscale/cli/main.py
+++ b/ironscale/cli/main.py
@@ -7,6 +7,7 @@
 import click
 
 from ironscale.cli import instances, processes, rollout
+from ironscale.cli.config import config
 from ironscale.cli.demo import demo
 from ironscale.cli.graphql import graphql
 from ironscale.cli.learned import learned
@@ -39,7 +40,7 @@
 
 for command in (instances.ls, instances.show, instances.drain, instances.undrain, instances.stop, instances.restart,
                 rollout.apply, rollout.rollout, rollout.ops, rollout.events, processes.agent, processes.sidecar,
-                processes.token, processes.config, permit, budgets, halt, forget, learned, load, record, graphql, stage,
+                processes.token, config, permit, budgets, halt, forget, learned, load, record, graphql, stage,
                 demo, completion):
     main.add_command(command)
 
--- a/ironscale/cli/output.py
+++ b/ironscale/cli/output.py
@@ -67,7 +67,7 @@
 
 
 NUMBERS = {"GEN", "OPEN", "SERVED", "REFUSED", "FAILED", "CPU", "MB", "FDS", "SLOTS", "USED", "COUNT", "ID",
-           "LEAST MS", "PID", "RATE/S", "P50 MS", "P99 MS"}
+           "LEAST MS", "PID", "RATE/S", "P50 MS", "P99 MS", "VERSION", "BASE", "RESTORES", "POSITION", "INSTANCES"}
 STYLES = {"ready": "green", "applied": "green", "succeeded": "green", "served": "green",
           "silent": "red", "gone": "red", "failed": "red", "refused": "red", "no answer": "red", "partial": "red",
           "drained": "yellow", "draining": "yellow", "not ready": "yellow", "under way": "cyan", "running": "cyan",
--- a/ironscale/cli/processes.py
+++ b/ironscale/cli/processes.py
@@ -55,12 +55,7 @@
     raise SystemExit(main(environ))
 
 
-@click.group()
-def config() -> None:
-    """The operator file."""
-
-
-@config.command("check")
+@click.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @output_option
 def check(file: Path, output: str) -> None:
--- a/ironscale/versions/publishing.py
+++ b/ironscale/versions/publishing.py
@@ -89,7 +89,7 @@
         return Problem("BAD_INPUT", f"base: expected a version that was published, {standing.position} at most, got "
                                     f"{draft.base}")
     if draft.base != number:
-        by = f", of {newest.actor}" if newest is not None else ""
+        by = f" of {newest.actor}" if newest is not None else ""
         return Problem("CONFLICT", f"base: expected the newest version of {draft.scope}, {number}{by}, got "
                                    f"{draft.base}; look at it, then publish again",
                        {"newest": number, "actor": newest.actor if newest is not None else "",
--- a/tests/cli/test_record.py
+++ b/tests/cli/test_record.py
@@ -15,8 +15,8 @@
 from click.testing import CliRunner, Result
 
 from ironscale.__main__ import operated
+from ironscale.cli.config import config
 from ironscale.cli.output import CliError, Exit
-from ironscale.cli.processes import config
 from ironscale.cli.record import record
 from ironscale.net.config import ConfigError
 from ironscale.record.journal import Journal, Open
