--- /dev/null
+++ b/tests/versions/test_model.py
@@ -0,0 +1,133 @@
+"""Scopes, what several entries come to, and what may be published. Pure."""
+
+from __future__ import annotations
+
+import json
+from itertools import permutations
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironscale.versions.model import (
+    ALL,
+    MAX_NAME,
+    Entry,
+    Labels,
+    Reach,
+    Scope,
+    ScopeError,
+    digest,
+    effective,
+    over,
+    read_scope,
+)
+from ironscale.versions.publishing import Draft, Standing, is_way_back, refused
+
+NAMES = st.text(st.characters(categories=["L", "N", "P"]), min_size=1, max_size=MAX_NAME)
+SCOPES = st.one_of(st.just(ALL), st.builds(Scope, st.sampled_from([r for r in Reach if r is not Reach.ALL]), NAMES))
+KEYS = st.sampled_from("abc")
+PATCHES: st.SearchStrategy[Any] = st.recursive(
+    st.one_of(st.none(), st.integers(0, 3), st.booleans()), lambda inner: st.dictionaries(KEYS, inner, max_size=3),
+    max_leaves=6)
+OBJECTS = st.dictionaries(KEYS, PATCHES, max_size=3)
+
+
+def merged(value: Any, patch: Any) -> Any:
+    """RFC 7396, section 2, to the letter."""
+    if not isinstance(patch, dict):
+        return patch
+    result = dict(value) if isinstance(value, dict) else {}
+    for name, change in patch.items():
+        if change is None:
+            result.pop(name, None)
+        else:
+            result[name] = merged(result.get(name), change)
+    return result
+
+
+@given(SCOPES)
+def test_a_scope_is_read_as_it_is_written(scope: Scope) -> None:
+    assert read_scope(str(scope)) == scope
+
+
+@pytest.mark.parametrize("text", ["", "ALL", "all=x", "zone", "zone=", "zone= a", "zone=a\n", "zones=a", "=a",
+                                  "zone=" + "a" * (MAX_NAME + 1)])
+def test_what_is_no_scope_is_told_in_one_line(text: str) -> None:
+    with pytest.raises(ScopeError, match="scope: expected all, or one of region, zone, service, instance with =NAME"
+                       ) as found:
+        read_scope(text)
+    assert "\n" not in str(found.value)
+
+
+def test_an_instance_is_in_the_scopes_of_its_labels_from_wide_to_narrow() -> None:
+    assert [str(s) for s in Labels("i", "s", "z", "r").scopes()] == [
+        "all", "region=r", "zone=z", "service=s", "instance=i"]
+    assert [str(s) for s in Labels("i").scopes()] == ["all", "instance=i"]  # no label, no scope
+
+
+def test_the_narrower_goes_before_in_whatever_order_they_come() -> None:
+    entries = [Entry(9 - n, scope, {"who": str(scope), str(scope): n})
+               for n, scope in enumerate(Labels("i", "s", "z", "r").scopes())]
+    for some in permutations(entries):
+        found = effective(some)
+        assert found["who"] == "instance=i" and len(found) == 6
+    assert effective(entries[:3])["who"] == "zone=z"
+
+
+def test_an_entry_without_an_overlay_leaves_what_the_wider_say() -> None:
+    assert effective([Entry(1, ALL, {"a": 1}), Entry(2, Scope(Reach.ZONE, "z"), None)]) == {"a": 1}
+    # null is a word of its own: what the file has is taken away
+    assert effective([Entry(1, ALL, {"a": 1}), Entry(2, Scope(Reach.ZONE, "z"), {"a": None})]) == {"a": None}
+
+
+@given(OBJECTS, OBJECTS, OBJECTS)
+def test_two_patches_made_one_do_what_both_did(file: dict[str, Any], wide: dict[str, Any], narrow: dict[str, Any]
+                                               ) -> None:
+    assert merged(file, over(wide, narrow)) == merged(merged(file, wide), narrow)
+
+
+@given(OBJECTS)
+def test_the_digest_is_of_what_is_said_and_not_of_how(overlay: dict[str, Any]) -> None:
+    turned = dict(reversed(overlay.items()))
+    assert digest(turned) == digest(overlay) == digest(json.loads(json.dumps(overlay)))
+    assert digest({**overlay, "d": 1}) != digest(overlay)
+
+
+# What may be published
+
+
+def standing(newest: Entry | None = None, before: Entry | None = None, **more: Any) -> Standing:
+    values: dict[str, Any] = {"position": 9, "scopes": 1, **more}
+    return Standing(values["position"], newest, before, values["scopes"], values.get("halt", ""))
+
+
+@given(st.integers(0, 12), st.one_of(st.none(), st.integers(1, 9)), st.booleans())
+def test_only_upon_the_newest_and_told_what_it_is(base: int, newest: int | None, halted: bool) -> None:
+    entry = Entry(newest, ALL, {}) if newest else None
+    found = refused(Draft(ALL, {"a": 1}, base), standing(entry, halt="bob" if halted else ""))
+    if base > 9:
+        assert found is not None and found.code == "BAD_INPUT"
+    elif base != (newest or 0):
+        assert found is not None and found.code == "CONFLICT" and found.details["newest"] == (newest or 0)
+    else:
+        assert (found.code if found is not None else "") == ("HALTED" if halted else "")
+
+
+@pytest.mark.parametrize(("newest", "before", "overlay", "restores", "back"), [
+    (Entry(3, ALL, {}, base=2), Entry(2, ALL, {}), {"a": 1}, 0, False),
+    (Entry(3, ALL, {}, base=2), Entry(2, ALL, {}), {"a": 1}, 2, True),
+    (Entry(3, ALL, {}, base=2), Entry(2, ALL, {}), None, 0, False),  # before, it had one
+    (Entry(3, ALL, {}, base=2), Entry(2, ALL, None), None, 0, True),
+    (Entry(3, ALL, {}, base=2), None, None, 0, False),  # what it had is not known any more
+    (Entry(3, ALL, {}, base=0), None, None, 0, True),
+    (None, None, None, 0, False),
+])
+def test_a_way_back_is_to_what_was_there_before(newest: Entry | None, before: Entry | None, overlay: Any,
+                                                restores: int, back: bool) -> None:
+    draft = Draft(ALL, overlay, newest.version if newest else 0, restores=restores)
+    assert is_way_back(draft, standing(newest, before)) is back
+    if newest is not None:
+        found = refused(draft, standing(newest, before, halt="bob"))
+        assert (found is None) is back
--- /dev/null
+++ b/tests/versions/test_view.py
@@ -0,0 +1,138 @@
+"""A view fed by changes and snapshots in any split, doubled and out of turn, ends as the whole log does. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironscale.versions.model import ALL, Entry, Labels, Scope, effective, read_scope
+from ironscale.versions.view import Change, View, ViewError, folded, narrowed
+
+LABELS = (Labels("i", "s", "a", "r"), Labels("j", "s", "b", "r"), Labels("k"))
+SCOPES = [ALL, *map(read_scope, ("region=r", "zone=a", "zone=b", "service=s", "instance=i", "instance=k"))]
+LINES = st.lists(st.tuples(st.sampled_from(SCOPES), st.booleans()), min_size=1, max_size=30)
+SEEDS = st.integers(0, 2**32)
+
+
+def log_of(lines: Sequence[tuple[Scope, bool]]) -> list[Entry]:
+    newest: dict[Scope, int] = {}
+    found = []
+    for number, (scope, ends) in enumerate(lines, 1):
+        found.append(Entry(number, scope, None if ends else {"n": number, str(scope): number}, newest.get(scope, 0)))
+        newest[scope] = number
+    return found
+
+
+def whole(log: Sequence[Entry], position: int) -> dict[Scope, Entry]:
+    """What a reader of every entry would have."""
+    return {entry.scope: entry for entry in log[:position]}
+
+
+def source(log: Sequence[Entry], position: int) -> View:
+    return View("l", position, 0, whole(log, position))
+
+
+def in_force(entries: dict[Scope, Entry]) -> dict[Scope, Entry]:
+    return {scope: entry for scope, entry in entries.items() if entry.overlay is not None}
+
+
+@given(LINES, SEEDS)
+def test_any_way_through_the_log_ends_as_the_whole_does(lines: list[tuple[Scope, bool]], seed: int) -> None:
+    """Changes since positions at or before the follower's, snapshots between, what it had already told again, sources
+    that have dropped the ends of scopes; after each the follower is what the log is at that position."""
+    log, view, chance = log_of(lines), View(), Random(seed)
+    while view.position < len(log):
+        position = chance.randint(view.position, len(log))
+        at = source(log, position).dropped(chance.randint(0, position)) if chance.random() < 0.3 else source(
+            log, position)
+        since = chance.choice((0, view.position, chance.randint(0, view.position)))
+        change = at.change(since, view.lineage)
+        assert change is not None
+        for _ in range(chance.choice((1, 1, 2))):
+            changed = view.take(change)
+        assert view.position == position and in_force(view.entries) == in_force(whole(log, position))
+        assert not changed or change.position == position
+    for labels in LABELS:
+        assert effective(view.layers(labels)) == effective(
+            entry for scope, entry in whole(log, len(log)).items() if scope in labels.scopes())
+
+
+@given(LINES, SEEDS)
+def test_one_that_hears_of_its_own_scopes_alone_runs_the_same(lines: list[tuple[Scope, bool]], seed: int) -> None:
+    log, view, chance = log_of(lines), View(), Random(seed)
+    labels = chance.choice(LABELS)
+    while view.position < len(log):
+        position = chance.randint(view.position, len(log))
+        change = source(log, position).change(view.position, view.lineage)
+        assert change is not None
+        told = narrowed(change, labels)
+        assert {entry.scope for entry in told.entries} <= set(labels.scopes())
+        view.take(told)
+        assert effective(view.layers(labels)) == effective(source(log, position).layers(labels))
+
+
+@given(LINES, SEEDS)
+def test_what_is_folded_does_what_all_of_it_did(lines: list[tuple[Scope, bool]], seed: int) -> None:
+    log, chance = log_of(lines), Random(seed)
+    cuts = sorted({0, *(chance.randint(0, len(log)) for _ in range(4)), len(log)})
+    first = chance.choice(cuts[:-1])
+    changes = [change for since, position in zip(cuts, cuts[1:], strict=False) if since >= first
+               for change in (source(log, position).change(since, "l"),) if change is not None]
+    start = source(log, first)
+    one, each = replace(start, entries=dict(start.entries)), replace(start, entries=dict(start.entries))
+    together = folded(changes)
+    assert together is not None
+    one.take(together)
+    for change in changes:
+        each.take(change)
+    assert one.entries == each.entries == whole(log, len(log)) and one.position == each.position == len(log)
+
+
+@given(LINES, SEEDS)
+def test_what_was_dropped_is_never_missed(lines: list[tuple[Scope, bool]], seed: int) -> None:
+    """Whoever is behind an end of a scope that was dropped gets a snapshot, and so loses the scope too."""
+    log, chance = log_of(lines), Random(seed)
+    position, behind = len(log), chance.randint(0, len(log))
+    kept = source(log, position).dropped(chance.randint(0, position))
+    follower = source(log, behind)
+    change = kept.change(behind, "l")
+    assert change is not None and change.is_snapshot == (behind == 0 or behind < kept.floor)
+    follower.take(change)
+    assert in_force(follower.entries) == in_force(whole(log, position))
+
+
+@pytest.mark.parametrize(("change", "text"), [
+    (Change("other", 9, 5, False, 0, ()), "lineage: expected l, got other"),
+    (Change("l", 4, 3, False, 0, ()), "position: expected 5 or more, got 4"),
+    (Change("l", 4, 0, True, 0, ()), "position: expected 5 or more, got 4"),
+    (Change("l", 9, 6, False, 0, ()), "since: expected 5 or less, got 6"),
+    (Change("l", 6, 5, False, 0, (Entry(7, ALL, {}),)), "entry 7: expected 6 or less"),
+])
+def test_what_does_not_follow_is_refused_and_changes_nothing(change: Change, text: str) -> None:
+    log = log_of([(ALL, False)] * 5)
+    view = source(log, 5)
+    with pytest.raises(ViewError, match=text):
+        view.take(change)
+    assert (view.lineage, view.position, view.entries) == ("l", 5, whole(log, 5))
+
+
+def test_a_gap_between_changes_can_not_be_folded_away() -> None:
+    log = log_of([(ALL, False)] * 5)
+    some: list[Any] = [source(log, 2).change(1, "l"), source(log, 5).change(4, "l")]
+    with pytest.raises(ViewError, match="since: expected 2 or less, got 4"):
+        folded(some)
+
+
+def test_nobody_is_told_what_is_behind_him_or_of_another_log() -> None:
+    view = source(log_of([(ALL, False)] * 3), 3)
+    assert view.change(4, "l") is None and view.change(2, "other") is None
+    same = view.change(3, "l")
+    assert same is not None and same.entries == () and not same.is_snapshot
+    first = view.change(0, "")
+    assert first is not None and first.is_snapshot and len(first.entries) == 1
