A publisher killed at each step leaves one version by its key; a log that lost commits is another

Killed before or after the commit, or before the answer: what was told is in the record, and the same key gives that version or makes it. A PostgreSQL server that took over with less gets a new lineage: seen by a test that reads it.

--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -529,18 +529,21 @@
         lost: list[Any] = []
         async with hosts(data) as (one,), store_on(one, lost=lost.append) as store:
             fence = await store.write(lambda r: r.next_fence())
+            lineage = await store.write(lambda r: r.make_lineage())
             late = data.copy()
             assert await store.write(lambda r: r.next_fence()) == fence + 1  # confirmed, and not copied
             await one.stop()
             two = await Host(late).start(one.port)
             try:
-                with pytest.raises(StoreError, match="expected 2 writes, as it had confirmed, got 1") as found:
+                with pytest.raises(StoreError, match="expected 3 writes, as it had confirmed, got 2") as found:
                     await store.write(line("b"))
                 assert found.value.code == "LESS" and [str(f) for f in lost] == [str(found.value)]
                 with pytest.raises(StoreError):
                     await store.write(line("c"))
                 async with store_on(two, holder="next") as following:  # need not wait
                     assert await following.write(lambda r: r.next_fence()) > fence + 1
+                    # a version that was told may be gone, and its number be given again: it is another log
+                    assert await following.read(lambda r: r.lineage()) not in ("", lineage)
                 assert subjects(late) == []
             finally:
                 await two.stop()
--- a/tests/agent/test_versions.py
+++ b/tests/agent/test_versions.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import random
+import signal
+import sys
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -27,6 +29,7 @@
 from ironscale.versions.view import Change, View
 from tests.agent.scene import run, scene, until
 from tests.agent.test_postgres import Vanishes, hosts, store_on
+from tests.deployed import ROOT
 
 SCOPES = [ALL, *map(read_scope, ("region=r", "zone=a", "zone=b", "service=s", "instance=i"))]
 
@@ -375,6 +378,27 @@
     run(test)
 
 
+@pytest.mark.parametrize(("fatal", "kept", "told"), [(1, 0, 0), (2, 1, 0), (3, 1, 1), (4, 1, 1)])
+def test_killed_at_this_step_it_is_one_version_by_its_key_and_what_was_told_is_kept(
+    fatal: int, kept: int, told: int, tmp_path: Path
+) -> None:
+    """The last one lives: every step has been one to die at."""
+    async def test() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "tests.agent.killed_publisher", str(tmp_path), str(fatal), cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE)
+        out, _ = await process.communicate()
+        assert process.returncode == (0 if fatal == 4 else -signal.SIGKILL) and out.split() == [b"1"] * told
+        async with store_of("sqlite", tmp_path) as store:
+            assert len(await store.read(lambda r: r.versions(99, 9))) == kept
+            publisher, heard = await publisher_on(store)
+            assert heard.view.position == kept  # who leads next tells it, though nobody was told before
+            again, made = await publisher.publish("ann", draft("all", {"n": 1}, 0), "k")
+            assert (again.entry.version, made, heard.view.position) == (1, not kept, 1)
+
+    run(test)
+
+
 def test_the_log_is_made_once_by_who_leads_and_goes_on_after_a_restart(tmp_path: Path) -> None:
     async def test() -> None:
         lineages = []
--- a/tests/versions/test_view.py
+++ b/tests/versions/test_view.py
@@ -54,6 +54,8 @@
         since = chance.choice((0, view.position, chance.randint(0, view.position)))
         change = at.change(since, view.lineage)
         assert change is not None
+        if chance.random() < 0.3 and not change.is_snapshot:  # all of the log since then, in whatever order
+            change = replace(change, entries=tuple(chance.sample(log[since:position], position - since)))
         for _ in range(chance.choice((1, 1, 2))):
             changed = view.take(change)
         assert view.position == position and in_force(view.entries) == in_force(whole(log, position))
