An instance follows published versions at the nearest agent that is fresh

Cause: an instance hears of changes from the one agent that leads. What an operation rolled out lies over the published configuration. A version that is refused stays off this instance and is told; the next is tried.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -60,7 +60,7 @@
         if found.control is not None:
             from ironscale.control.beside import beside
 
-            subsystems.append(beside(found.control, environ, channel))
+            subsystems.append(beside(found.control, environ, channel, found.versions))
         return together(subsystems), found.sidecar.reuse_port
     except operator_file.OperatorFileError as error:
         raise ConfigError(str(error)) from error
--- a/ironscale/control/beside.py
+++ b/ironscale/control/beside.py
@@ -10,13 +10,17 @@
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
 from importlib import metadata
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ironscale.control.client import Client, Identity
 from ironscale.control.instance import SidecarInstance
+from ironscale.control.layers import Layered
 from ironscale.control.processes import machine, start_ticks
 from ironscale.net.sidecar import Beside, Sidecar
-from ironscale.operator_file import Control, read_secret
+from ironscale.operator_file import Control, Versions, read_secret
+
+if TYPE_CHECKING:
+    from ironscale.control.follower import Follower
 
 
 def version() -> str:
@@ -27,7 +31,7 @@
 
 
 def client_for(sidecar: Sidecar, control: Control, token: str, environ: Mapping[str, str],
-               end: Callable[[], None]) -> Client:
+               end: Callable[[], None]) -> tuple[Client, Layered]:
     host, port = sidecar.config.listen
     identity = Identity(
         name=sidecar.config.name, boot=environ.get("GW_BOOT") or secrets.token_hex(8), pid=os.getpid(),
@@ -35,14 +39,26 @@
         listen=f"{host}:{sidecar.port or port}", token=token, replaces=environ.get("GW_REPLACES", ""),
         host=machine(), ticks=start_ticks(os.getpid()) or 0)
     instance = SidecarInstance(sidecar, end)
-    client = Client(instance, identity, control.agents[0], random.Random(secrets.randbits(64)),
+    layered = Layered(instance, sidecar.generation, sidecar.overlay)
+    client = Client(layered, identity, control.agents[0], random.Random(secrets.randbits(64)),
                     others=control.agents[1:])
 
     def report_fence(fence: int) -> None:
         instance.fence = fence
 
     client.report_fence = report_fence
-    return client
+    return client, layered
+
+
+def follower_for(layered: Layered, identity: Identity, versions: Versions) -> Follower:
+    """Raises OperatorFileError where its token can't be read."""
+    from ironscale.control.follower import Follower, Follows
+    from ironscale.versions.model import Labels
+
+    labels = Labels(identity.name, versions.service, versions.zone or identity.zone, versions.region)
+    token = read_secret(versions.token_file) if versions.token_file is not None else identity.token
+    return Follower(layered, Follows(labels, identity.boot, token, versions.agents),
+                    random.Random(secrets.randbits(64)))
 
 
 class Teaching(Protocol):
@@ -55,22 +71,29 @@
         """HOST:PORT of instances that teach."""
 
 
-def beside(control: Control, environ: Mapping[str, str], teaching: Teaching | None = None) -> Beside:
+def beside(control: Control, environ: Mapping[str, str], teaching: Teaching | None = None,
+           versions: Versions | None = None) -> Beside:
     """Raises OperatorFileError where the token can't be read; later failures are the client's to outlive."""
     token = read_secret(control.token_file)
+    if versions is not None and versions.token_file is not None:
+        read_secret(versions.token_file)
 
     @contextlib.asynccontextmanager
     async def running(sidecar: Sidecar, end: Callable[[], None]) -> AsyncIterator[None]:
-        client = client_for(sidecar, control, token, environ, end)
+        client, layered = client_for(sidecar, control, token, environ, end)
         if teaching is not None:
             client.teaches, client.on_donors = teaching.teaches, teaching.offer
-        task = asyncio.create_task(client.run())
+        tasks = [asyncio.create_task(client.run())]
+        if versions is not None:
+            tasks.append(asyncio.create_task(follower_for(layered, client.identity, versions).run()))
         try:
             yield
         finally:
             client.bye("ended")
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+            for task in tasks:
+                task.cancel()
+            for task in tasks:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
 
     return running
--- a/ironscale/control/light.py
+++ b/ironscale/control/light.py
@@ -10,8 +10,12 @@
 from typing import Any
 
 from ironscale.control.client import Client, Identity
+from ironscale.control.follower import Follower, Follows
 from ironscale.control.instance import Refused, RestartNeeded, check_overlay
+from ironscale.control.layers import Layered
 from ironscale.control.messages import ClassCounts, Report
+from ironscale.versions.choice import Place
+from ironscale.versions.model import Labels
 
 
 class LightInstance:
@@ -30,6 +34,7 @@
         self.effects: list[str] = []
         self.before_effect: Callable[[str], None] = lambda what: None  # a script may refuse, or end the process
         self.client: Client | None = None
+        self.layered = Layered(self)
         self.fence = 0
 
     def report(self, control_s: float) -> Report:
@@ -69,7 +74,7 @@
     instance = LightInstance(name)
     identity = Identity(name, boot or secrets.token_hex(8), 0, "light", time.time_ns() // 1_000_000, zone,
                         "127.0.0.1:0", token, replaces)
-    client = Client(instance, identity, address, rng or random.Random(), log, others)
+    client = Client(instance.layered, identity, address, rng or random.Random(), log, others)
 
     def report_fence(fence: int) -> None:
         instance.fence = fence
@@ -79,6 +84,13 @@
     return instance, client
 
 
+def light_follower(instance: LightInstance, labels: Labels, token: str, places: tuple[Place, ...], *, boot: str = "",
+                   rng: random.Random | None = None, log: Callable[[str], None] = lambda text: None) -> Follower:
+    """Has a light instance follow published versions."""
+    return Follower(instance.layered, Follows(labels, boot or secrets.token_hex(8), token, places),
+                    rng or random.Random(), log)
+
+
 async def stop(task: asyncio.Task[Any]) -> None:
     """As a kill does: the connection ends with nothing said."""
     task.cancel()
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -14,11 +14,13 @@
 
 if TYPE_CHECKING:
     from ironscale.disruption.model import Budget
+    from ironscale.versions.choice import Place
 
 MOST_INSTANCES = 5_000
 MOST_BUDGETS = 200
 MOST_AGENTS = 9
 MOST_DONORS = 100
+MOST_PLACES = 64
 
 
 class OperatorFileError(TableError):
@@ -34,6 +36,17 @@
     zone: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """`[versions]`: the instance follows published configuration, at any of these agents."""
+
+    agents: tuple[Place, ...]
+    service: str = ""
+    zone: str = ""  # empty = that of [control]
+    region: str = ""
+    token_file: Path | None = None  # else that of [control]
+
+
 @dataclass(frozen=True, slots=True)
 class Learned:
     """`[learned]`: what a sidecar has learned outlives it. At least one of its ways is named."""
@@ -131,6 +144,7 @@
     learned: Learned | None = None
     record: Record | None = None
     store: Stores | None = None
+    versions: Versions | None = None
 
 
 def is_loopback(address: Address) -> bool:
@@ -170,6 +184,31 @@
     return None if None in found else tuple(address for address in found if address is not None)
 
 
+def _versions(table: Table) -> Versions:
+    from ironscale.versions.choice import Place  # a sidecar that follows nobody loads none of it
+
+    places = []
+    for entry in table.tables("agent"):
+        host, port = entry.address("address")
+        places.append(Place(host, port, entry.get("zone", "a text", text_or_none, ""),
+                            entry.get("region", "a text", text_or_none, "")))
+        entry.end()
+    if not 0 < len(places) <= MOST_PLACES:
+        raise OperatorFileError(f"{table.file}: {table.at('agent')}: expected 1 to {MOST_PLACES} tables "
+                                f"[[versions.agent]], got {len(places)}")
+    addresses = [(place.host, place.port) for place in places]
+    for host, port in addresses:
+        if addresses.count((host, port)) > 1:
+            raise OperatorFileError(f"{table.file}: {table.at('agent')}: expected addresses that differ, got "
+                                    f"{host}:{port} twice")
+    service, zone, region = (table.get(key, "a text", text_or_none, "") for key in ("service", "zone", "region"))
+    found = Versions(tuple(places), service, zone, region,
+                     token_file=table.file_path("token_file") if "token_file" in table.values else None)
+    table.asked.add("token_file")
+    table.end()
+    return found
+
+
 def _learned(table: Table) -> Learned:
     # anyone who reaches the address may ask, and what is told names upstreams: so it stays on the machine
     teach = table.get("teach", "HOST:PORT on a loopback address", _loopback) if "teach" in table.values else None
@@ -332,6 +371,7 @@
     learned = root.table("learned")
     record = root.table("record")
     store = root.table("store")
+    versions = root.table("versions")
     found = OperatorFile(
         control=Control(control.get("agent", f"HOST:PORT, or a list of {MOST_AGENTS} at most that differ", _agents),
                         control.file_path("token_file"),
@@ -342,6 +382,7 @@
         record=Record(record.file_path("file"), record.number("most_mb", 0.01, 1_000_000, 64.0, "megabytes"))
         if record is not None else None,
         store=_stores(store) if store is not None else None,
+        versions=_versions(versions) if versions is not None else None,
     )
     for table in (control, sidecar, record, root):
         if table is not None:
@@ -374,6 +415,8 @@
     path = environ.get("GW_OPERATOR")
     found = load(path) if path else OperatorFile()
     if not environ.get("GW_AGENT"):
+        if found.versions is not None and found.control is None and found.agent is None:
+            raise OperatorFileError(f"{path}: versions: expected [control] or GW_AGENT beside it, got neither")
         return found
     addresses = _agents(environ["GW_AGENT"].split(","))
     if addresses is None:
--- a/ironscale/versions/choice.py
+++ b/ironscale/versions/choice.py
@@ -69,3 +69,9 @@
     if own is None or own.age_s < STALE_S:
         return own is None
     return other.age_s < STALE_S or other.position > own.position
+
+
+def is_home(other: Heard, own: Heard | None, there: Place, here: Place, order: Sequence[Place]) -> bool:
+    """Whether the other is nearer, and as good."""
+    nearer = order.index(there) < order.index(here)
+    return nearer and other.age_s < STALE_S and (own is None or other.position >= own.position)
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -53,6 +53,9 @@
     assert full.store is not None and [t.name for t in full.store.to] == ["main", "second"]
     assert full.store.journal == Path("/etc/open") and full.store.to[1].password_file == Path("/etc/db.password")
     assert full.control is not None and full.control.token_file == Path("/etc/instance.token")
+    assert full.versions is not None and full.versions.service == "app"
+    assert [(place.port, place.zone) for place in full.versions.agents] == [(7400, "a")]
+    assert found.versions is None
 
 
 @pytest.mark.parametrize(("text", "words"), [
@@ -70,6 +73,14 @@
      "F: store.to: expected names that differ, got 'm' twice"),
     ("[store]\nclasses=[\"a\"]\njournal=\"j\"\n[[store.to]]\nname=\"m\"\nsqlite=\"s\"\nsynchronous_commit=\"maybe\"\n",
      "synchronous_commit: expected one of on, off, local, remote_write, remote_apply, got 'maybe'"),
+    ("[versions]\n", "F: versions.agent: expected 1 to 64 tables [[versions.agent]], got 0"),
+    ("[versions]\n[[versions.agent]]\naddress=\"here\"\n",
+     "F: versions.agent[0].address: expected HOST:PORT, got 'here'"),
+    ("[versions]\n" + 2 * "[[versions.agent]]\naddress=\"h:1\"\n",
+     "F: versions.agent: expected addresses that differ, got h:1 twice"),
+    ("[versions]\nzone=3\n[[versions.agent]]\naddress=\"h:1\"\n", "F: versions.zone: expected a text, got 3"),
+    ("[versions]\n[[versions.agent]]\naddress=\"h:1\"\nzones=\"a\"\n",
+     "F: versions.agent[0].zones: expected one of address, region, zone, got this key"),
     ("[learned]\n", "F: learned: expected folder, teach, ask or from_agent = true, got none"),
     ("[learned]\nteach = \"10.0.0.1:80\"\n", "learned.teach: expected HOST:PORT on a loopback address, got '10."),
     ("[learned]\nask = [\"127.0.0.1:1\", \"x\"]\n", "learned.ask: expected a list of 100 HOST:PORT at most on"),
@@ -84,7 +95,7 @@
     ('[control]\nagent = "a:70000"\ntoken_file = "t"', "got 'a:70000'"),
     ('[control]\nagent = "a:1"', "control.token_file: expected a path, got nothing"),
     ('[control]\nagent = "a:1"\ntoken_file = "t"\nzome = "a"', "control.zome: expected one of agent, token_file"),
-    ("[contrl]\n", "contrl: expected one of agent, control, learned, record, sidecar, store, got this key"),
+    ("[contrl]\n", "contrl: expected one of agent, control, learned, record, sidecar, store, versions, got this key"),
     ("control = 3", "control: expected a table, got 3"), ("[agent\n", "expected TOML"),
     ("[agent]\nlease_s = '6'", "agent.lease_s: expected seconds from"), ("[agent]\nlease_s = nan", "agent.lease_s"),
     ("[agent]\nlease_s = 2.0\nheartbeat_s = 1.5", "agent.lease_s: expected seconds of two heartbeats (3) or more"),
--- /dev/null
+++ b/tests/versions/test_following.py
@@ -0,0 +1,100 @@
+"""What one that follows makes of updates: never backwards, the same bytes at the same position, nothing lost."""
+
+from __future__ import annotations
+
+import random
+
+from ironscale.versions.following import Following, Word
+from ironscale.versions.model import ALL, Entry, Labels, Reach, Scope, digest, effective
+from ironscale.versions.view import Change, View, narrowed
+
+LABELS = Labels("app-1", "app", "a", "north")
+SCOPES = (ALL, Scope(Reach.REGION, "north"), Scope(Reach.ZONE, "a"), Scope(Reach.ZONE, "b"),
+          Scope(Reach.SERVICE, "app"), Scope(Reach.INSTANCE, "app-1"), Scope(Reach.INSTANCE, "app-2"))
+
+
+def drawn(rng: random.Random, count: int) -> list[Entry]:
+    """A log."""
+    return [Entry(n, rng.choice(SCOPES), None if rng.random() < 0.15 else
+                  {rng.choice("abc"): rng.choice((1, None, {"x": rng.randrange(9)}))}) for n in range(1, count + 1)]
+
+
+def view_at(log: list[Entry], position: int) -> View:
+    view = View()
+    view.take(Change("L", position, 0, True, 0, tuple(log[:position])))
+    return view
+
+
+def told(view: View, since: int, labels: Labels = LABELS) -> tuple[Change, str] | None:
+    change = view.change(since, "L" if since else "")
+    if change is None:
+        return None
+    return narrowed(change, labels), digest(effective(view.layers(labels)))
+
+
+def test_whatever_agents_say_in_whatever_order_it_never_goes_back_and_runs_what_its_position_says() -> None:
+    for seed in range(3_000):
+        rng = random.Random(seed)
+        log = drawn(rng, rng.randrange(1, 20))
+        state, ran = Following(LABELS), dict[str, object]()
+        for _ in range(rng.randrange(1, 30)):
+            agent = view_at(log, rng.randrange(1, len(log) + 1))
+            if rng.random() < 0.3:
+                agent = agent.dropped(rng.randrange(agent.position + 1))
+            # an agent tells from where it believes that this one is: sometimes from elsewhere
+            since = state.since() if rng.random() < 0.7 else rng.randrange(agent.position + 1)
+            found = told(agent, since)
+            if found is None:
+                continue
+            change, mark = found
+            if rng.random() < 0.1 and change.entries:
+                change = Change(change.lineage, change.position, change.since, change.is_snapshot, change.floor,
+                                change.entries[1:])  # lost on the way
+            before = state.view.position, state.running
+            if state.take(change, mark) is Word.APPLY:
+                if rng.random() < 0.2:
+                    state.refused("refused", "no")
+                else:
+                    ran = dict(state.overlay())
+                    state.applied()
+            assert state.view.position >= before[0] and state.running >= before[1], seed
+            held = effective(view_at(log, state.view.position).layers(LABELS)) if state.view.position else {}
+            assert state.wanted == held, seed
+            if state.running:
+                assert ran == effective(view_at(log, state.running).layers(LABELS)) or not ran, seed
+                assert state.running_digest == digest(ran), seed
+        for _ in range(3):  # and at the end it comes to the newest, whatever was lost before
+            found = told(view_at(log, len(log)), state.since())
+            assert found is not None
+            if state.take(*found) is Word.APPLY:
+                state.applied()
+        assert state.view.position == len(log) and not state.reread, seed
+        assert state.wanted == effective(view_at(log, len(log)).layers(LABELS)), seed
+
+
+def test_another_log_is_not_followed() -> None:
+    log = [Entry(1, ALL, {"a": 1})]
+    state = Following(LABELS)
+    assert state.take(*told(view_at(log, 1), 0) or ()) is Word.APPLY
+    state.applied()
+    other = Change("M", 9, 0, True, 0, (Entry(9, ALL, {"a": 2}),))
+    assert state.take(other, digest({"a": 2})) is Word.STRANGE and state.wanted == {"a": 1}
+
+
+def test_what_was_refused_is_tried_again_with_the_next_version_only() -> None:
+    log = [Entry(1, ALL, {"a": 1}), Entry(2, ALL, {"a": "bad"}), Entry(3, Scope(Reach.ZONE, "b"), {"b": 1}),
+           Entry(4, ALL, {"a": 3})]
+    state = Following(LABELS)
+    words = []
+    for position in (1, 2, 3, 4):
+        found = told(view_at(log, position), state.since())
+        assert found is not None
+        words.append(state.take(*found))
+        if words[-1] is Word.APPLY and position == 2:
+            state.refused("refused", "a: expected a number")
+        elif words[-1] is Word.APPLY:
+            state.applied()
+        if position == 3:
+            assert (state.view.position, state.running, state.status) == (3, 1, "refused")
+    assert words == [Word.APPLY, Word.APPLY, Word.NOTHING, Word.APPLY]
+    assert (state.running, state.status) == (4, "applied")
