--- a/ironscale/stage/published_play.py
+++ b/ironscale/stage/published_play.py
@@ -135,7 +135,7 @@
             await asyncio.sleep(1.0)
             await self.while_running()
             if self.following.is_sure:
-                wall_ms = following_module.time.time_ns() // 1_000_000 - int(self.following.age_s() * 1000)
+                wall_ms = int(VirtualTime(self.world.loop).time() * 1000 - self.following.age_s() * 1000)
                 self.following.write(snapshot_of(self.following.serving.view, (), wall_ms))
 
     def kill(self, with_disk: bool) -> None:
@@ -346,23 +346,24 @@
 @contextlib.contextmanager
 def clocks(loop: VirtualLoop) -> Iterator[None]:
     """The program reads the virtual time in place of the machine's."""
-    virtual, places = VirtualTime(loop), (following_module, serving_module, follower_module)
-    was = [module.time for module in places], following_module.clock_ms
+    virtual, following = VirtualTime(loop), cast(Any, following_module)
+    places: tuple[Any, ...] = (following, serving_module, follower_module)
+    was = [module.time for module in places], following.clock_ms
     for module in places:
-        module.time = virtual  # type: ignore[assignment]
-    following_module.clock_ms = virtual.clock_ms
+        module.time = virtual
+    following.clock_ms = virtual.clock_ms
     try:
         yield
     finally:
         for module, found in zip(places, was[0], strict=True):
             module.time = found
-        following_module.clock_ms = was[1]
+        following.clock_ms = was[1]
 
 
 @contextlib.contextmanager
 def planted(plant: str) -> Iterator[None]:
     """A fault in the program that no schedule can show otherwise."""
-    places = held_module, told_module
+    places: tuple[Any, ...] = (held_module, told_module)
     was = [module.effective for module in places]
 
     def turned(layers: Iterable[Entry]) -> dict[str, Any]:
