--- a/tests/stage/test_published_processes.py
+++ b/tests/stage/test_published_processes.py
@@ -10,7 +10,8 @@
 
 from ironscale.stage.history import of
 from ironscale.stage.published import account, check
-from ironscale.stage.published_run import PublishedStage, Size, StageError, played
+from ironscale.stage.published_run import PublishedStage, Size, played
+from ironscale.stage.run import StageError
 
 
 def plays(size: Size, work: Callable[[PublishedStage], Awaitable[None]], tmp_path: Path) -> None:
