--- a/ironscale/versions/model.py
+++ b/ironscale/versions/model.py
@@ -90,7 +90,9 @@
 
 
 def over(below: Any, patch: Any) -> Any:
-    """One merge patch that does what `below` and then `patch` do: unlike a merge, it keeps what is to be removed."""
+    """One merge patch for both, `patch` before `below`: unlike a merge, it keeps what is to be removed. Where `patch`
+    has an object and `below` a removal or a value, that is lost: one after the other they would have emptied the object
+    of the file first, which no merge patch can say."""
     if not isinstance(patch, Mapping):
         return patch
     result = dict(below) if isinstance(below, Mapping) else {}
