--- a/tests/agent/test_versions.py
+++ b/tests/agent/test_versions.py
@@ -194,6 +194,31 @@
     run(test)
 
 
+def test_an_end_that_is_compacted_between_two_looks_of_a_follower_is_told_by_a_snapshot() -> None:
+    async def test() -> None:
+        data, zone = Data(), read_scope("zone=a")
+        async with hosts(data, data) as (one, other), store_on(one) as leader, store_on(other) as reader:
+            reader.holder.follows = True
+            for scope, overlay in ((ALL, {"n": 1}), (zone, {"n": 2}), (zone, None)):
+                await leader.write(add(scope, overlay))
+            lineage = await leader.read(lambda r: r.lineage())
+            assert (await reader.read(lambda r: r.version_change(3, lineage))).position == 3
+            selects = 0
+
+            async def between(session: Session, kind: str, after: bool) -> None:
+                nonlocal selects
+                if kind == "select" and not after:
+                    selects += 1
+                    if selects == 2:
+                        await leader.write(lambda r: r.compact_versions(0, 99))
+
+            other.hook = between
+            change = await reader.read(lambda r: r.version_change(2, lineage))
+            assert change.is_snapshot and change.floor == 3 and [e.version for e in change.entries] == [1]
+
+    run(test)
+
+
 # Publishing
 
 
