--- a/ironscale/agent/links.py
+++ b/ironscale/agent/links.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import cast
 
 from ironscale.agent.fleet import Denial, Fleet
@@ -140,8 +140,98 @@
             self.links.silent -= 1
 
 
+class FirstLink(asyncio.Protocol):
+    """A connection that has not said yet what it is for: its first message hands it over, unread, to whom it concerns.
+    While the agent is between two terms, an instance's session waits here."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.transport: asyncio.Transport | None = None
+        self.data = bytearray()
+        self.waits = False  # for the next Links
+        self.patience = asyncio.get_running_loop().call_later(HELLO_S, self.close)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.door.open.add(self)
+        if len(self.door.open) > MOST_SILENT:
+            self.close()
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+        if self.waits:
+            return
+        first = Decoder()
+        first.feed(bytes(self.data))
+        try:
+            message = first.next()
+        except FrameError:
+            message = {}
+        if message is None:
+            return
+        taken_over = self.door.others.get(str(message.get("type")))
+        if taken_over is not None:
+            self.give(taken_over())
+        elif self.door.links is not None:
+            self.give(InstanceLink(self.door.links))
+        else:
+            self.waits = True
+            assert self.transport is not None
+            self.transport.pause_reading()
+
+    def give(self, protocol: asyncio.Protocol) -> None:
+        assert self.transport is not None
+        transport, self.transport = self.transport, None
+        self.patience.cancel()
+        self.door.open.discard(self)
+        if self.waits:
+            transport.resume_reading()
+        if transport.is_closing():
+            return
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+        protocol.data_received(bytes(self.data))
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.patience.cancel()
+        self.door.open.discard(self)
+
+
+class Door:
+    """The agent's one control listener, for as long as the agent lives: terms come and go behind it, and what is said
+    to `others`, by the type of the first message, goes on meanwhile."""
+
+    def __init__(self, others: Mapping[str, Callable[[], asyncio.Protocol]]) -> None:
+        self.others = others
+        self.links: Links | None = None
+        self.open: set[FirstLink] = set()
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, sock: socket.socket) -> None:
+        if self.server is None:
+            self.server = await asyncio.get_running_loop().create_server(lambda: FirstLink(self), sock=sock,
+                                                                         backlog=4096)
+
+    def use(self, links: Links | None) -> None:
+        """Instances are these Links' from here on; None = nobody's for a moment."""
+        self.links = links
+        if links is not None:
+            for link in [link for link in self.open if link.waits]:
+                link.give(InstanceLink(links))
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.open):
+            link.close()
+
+
 class Links:
-    """Listens for instances."""
+    """The instances' sessions of one term, or of one while another agent leads."""
 
     def __init__(self, fleet: Fleet, admits: Callable[[str], bool],
                  on_result: Callable[[str, str, Result], None], log: Callable[[str], None]) -> None:
@@ -155,17 +245,10 @@
         self.on_denied: Callable[[Hello, Denial], None] = lambda hello, denial: None
         self.open: set[InstanceLink] = set()
         self.silent = 0
-        self.server: asyncio.Server | None = None
-
-    async def listen(self, sock: socket.socket) -> None:
-        self.server = await asyncio.get_running_loop().create_server(lambda: InstanceLink(self), sock=sock,
-                                                                     backlog=4096)
 
     def part(self, why: str) -> None:
         for link in list(self.open):
             link.close(why)
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
         self.part("the agent ends")
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -13,7 +13,7 @@
 import sys
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import uvicorn
 
@@ -21,9 +21,11 @@
 from ironscale.agent.api import Api
 from ironscale.agent.engine import Engine
 from ironscale.agent.fleet import BACK_MS, ROUND_MS, Denial, Fleet
-from ironscale.agent.links import NOT_LEADING, Links
+from ironscale.agent.following import Following, for_good
+from ironscale.agent.links import NOT_LEADING, Door, Links
 from ironscale.agent.opening import open_store
 from ironscale.agent.schema import Caller, Context, make_schema
+from ironscale.agent.serving import FollowerLink, Followers, SumLink
 from ironscale.agent.store import Records, Store, StoreError, TokenRow
 from ironscale.agent.supervisor import Supervisor
 from ironscale.agent.terms import Owner, clock_ms
@@ -32,6 +34,7 @@
 from ironscale.net.sidecar import Clock
 from ironscale.operator_file import Agent as AgentSection
 from ironscale.operator_file import read_secret
+from ironscale.versions.serving import Serving
 
 ADMIN, INSTANCE = "admin", "instance"  # tokens of the first start, and their files NAME.token
 DENIALS_KEPT = 1_000
@@ -65,10 +68,26 @@
         self.fleet: Fleet
         self.supervisor: Supervisor
         self.failed: StoreError | None = None  # the record is another's, or less than it was
+        # published versions: followed and served for as long as this agent lives, whoever leads
+        self.following = Following(Serving(random.Random()), self.data, self.log)
+        self.followers = Followers(self.following.serving, self.admits, self.following.age_s, self.log)
+        self.door = Door({"follow": lambda: FollowerLink(self.followers), "sum": lambda: SumLink(self.followers)})
+        self.can_serve = False  # what it had kept, while the record was never reached
+        self.following.tells = self.followers
+        self.following.leads = self.followers.leads = self.leads
+        self.followers.leader = self.leader
 
     def now_ms(self) -> int:
         return self.clock.now_us() // 1000
 
+    def leads(self) -> bool:
+        return self.leading.is_set()
+
+    def leader(self) -> str:
+        """HOST:PORT where another agent leads; empty = nobody is known to."""
+        engine = getattr(self, "engine", None)
+        return engine.leader.control if engine is not None and engine.leader is not None else ""
+
     def log(self, text: str) -> None:
         print(f"{time.strftime('%H:%M:%S')} agent: {text}", file=sys.stderr, flush=True)
 
@@ -121,6 +140,7 @@
 
     async def reload_tokens(self, store: Store) -> None:
         self.tokens = await store.read(lambda records: records.tokens())
+        self.following.take_tokens(self.tokens)
 
     def authenticate(self, token: str) -> Caller | None:
         row = tokens.find(token, self.tokens)
@@ -150,14 +170,29 @@
     async def run(self, stop: asyncio.Event, stop_instances: bool = False) -> None:
         """Until `stop`. One that stands by leads, follows and leads again; another ends with its term. Raises
         AgentError, StoreError or OperatorFileError where it can't start."""
+        token = read_secret(self.section.token_file) if self.section.token_file is not None else ""
         with self.alone(), contextlib.ExitStack() as ends:
             ends.callback(self.close_sockets)
-            if self.section.standby:
-                self.bind()
-            while not stop.is_set():
-                await self.one_turn(stop, stop_instances)
-                if not self.section.standby:
-                    break
+            self.can_serve = await asyncio.to_thread(self.following.load)
+            self.tokens = [TokenRow(token.name, token.role, token.digest, token.created_ms, token.revoked_ms)
+                           for token in self.following.tokens]
+            steps: list[Callable[[], Awaitable[None]]] = [self.following.poll, self.following.keep, self.followers.tell]
+            if token:
+                steps.append(lambda: self.followers.tell_sums(token))
+            parts = [asyncio.create_task(for_good(step, self.log)) for step in steps]
+            try:
+                if self.section.standby:
+                    await self.listen()
+                while not stop.is_set():
+                    await self.one_turn(stop, stop_instances)
+                    if not self.section.standby:
+                        break
+            finally:
+                for part in parts:
+                    part.cancel()
+                await asyncio.gather(*parts, return_exceptions=True)
+                self.door.close()
+                self.followers.close()
         if self.failed is not None and not self.section.standby:
             raise self.failed
 
@@ -175,11 +210,13 @@
             store = await open_store(self.section, self.data, lost, self.log, self.addresses())
         except StoreError as error:
             relay.cancel()
-            if not self.section.standby or not self.ready.is_set():
+            if not self.may_wait():
                 raise
             self.log(f"waits: {error}")
+            self.started()
             await asyncio.sleep(AGAIN_S)
             return
+        self.following.attach(store)
         try:
             if not self.section.standby or await self.follow(store, over):
                 await self.run_on(store, over, stop_instances)
@@ -187,16 +224,23 @@
                     await store.give_up()
         except StoreError as error:
             # of a term that ended as it began: it is followed again
-            if not self.section.standby or not self.ready.is_set():
+            if not self.may_wait():
                 raise
             self.log(f"waits: {error}")
+            self.started()
             await asyncio.sleep(AGAIN_S)
         finally:
             relay.cancel()
             self.leading.clear()
+            self.following.attach(None)
             # beside the loop, as a store that does not answer may take its time
             await asyncio.to_thread(store.close)
 
+    def may_wait(self) -> bool:
+        """Whether it goes on without the record: another agent may lead on it meanwhile, and what this one has of the
+        published versions is served."""
+        return self.section.standby and (self.ready.is_set() or self.can_serve)
+
     @staticmethod
     async def relay(stop: asyncio.Event, over: asyncio.Event) -> None:
         await stop.wait()
@@ -217,6 +261,12 @@
                              f"{section.api[1]}: expected addresses to listen on, got {error.strerror}") from error
         self.control_port, self.api_port = (sock.getsockname()[1] for sock in self.sockets)
 
+    async def listen(self) -> None:
+        """For followers from here on, and for instances once there is somebody for them. Raises AgentError."""
+        self.bind()
+        self.followers.agent = self.addresses()[1]
+        await self.door.listen(self.sockets[0].dup())
+
     def addresses(self) -> tuple[str, str]:
         """Of API and control, for other agents; empty before they are bound."""
         if not self.sockets:
@@ -262,7 +312,7 @@
                     if ("SQLITE_BUSY" in str(error) or error.code != "LOCKED") and str(error) != said:
                         said = str(error)
                         self.log(f"waits: {error}")
-                self.started(engine)
+                self.started()
                 left_s = engine.leader.left_ms / 1000
                 # all that stand by see the same end: each looks a moment after it, at a time of its own
                 wait_s = min(poll_s, left_s) * (0.8 + 0.4 * random.random()) + 0.005 if left_s else poll_s / 4
@@ -278,7 +328,7 @@
         links.leader = lambda: engine.leader.control if engine.leader is not None else ""
         return links
 
-    def started(self, engine: Engine) -> None:
+    def started(self) -> None:
         if not self.ready.is_set():
             self.write_addresses()
             section = self.section
@@ -308,12 +358,13 @@
         api = Api(make_schema(), self.authenticate, context, self.section.introspection, self.log)
         server = _Server(uvicorn.Config(api.app, log_level="warning", access_log=False, lifespan="off",
                                         timeout_keep_alive=30, timeout_graceful_shutdown=2, ws="none"))
-        control, http_socket = (sock.dup() for sock in self.sockets)
-        await links.listen(control)
-        http = asyncio.create_task(server.serve(sockets=[http_socket]))
+        await self.listen()
+        self.door.use(links)
+        http = asyncio.create_task(server.serve(sockets=[self.sockets[1].dup()]))
         try:
             yield api
         finally:
+            self.door.use(None)
             api.ending.set()
             server.should_exit = True
             await http
@@ -338,7 +389,7 @@
             parts = [group.create_task(engine.run()), group.create_task(supervisor.run()),
                      group.create_task(self.watch_term(engine, links))]
             async with self.serving(engine, links):
-                self.started(engine)
+                self.started()
                 self.leading.set()
                 await over.wait()
                 self.log("ends")
--- /dev/null
+++ b/ironscale/agent/serving.py
@@ -0,0 +1,323 @@
+"""The I/O of serving published versions: followers' connections, which outlive the agent's terms, and the sums that
+agents that stand by tell the one that leads."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import cast
+
+from ironscale.agent.links import NOT_LEADING
+from ironscale.control.frames import HEADER, Decoder, FrameError, encode
+from ironscale.control.messages import (
+    FROM_FOLLOWER,
+    PROTOCOL,
+    Count,
+    Denied,
+    Differing,
+    Follow,
+    Layer,
+    Lease,
+    Message,
+    MessageError,
+    Runs,
+    Sum,
+    Update,
+    read,
+    write,
+)
+from ironscale.versions.model import Labels
+from ironscale.versions.serving import SLOW_S, Differs, Encoded, Serving, Subscriber, Summary, Told, Turned
+
+# What one follower that reads nothing can hold: in the kernel, and here beyond it one frame more.
+KERNEL_BYTES, UNSENT_BYTES = 128 << 10, 64 << 10
+TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
+SUM_S, SUM_ANSWER_S = 1.0, 2.0
+SUM_OLD_S = 5.0  # a sum that was heard so long ago says nothing of now
+MOST_SUMS = 100
+
+
+def encoded(told: Told) -> bytes:
+    """Raises FrameError where it does not fit a frame."""
+    return encode(write(Update(
+        told.lineage, told.position, told.since, told.is_snapshot, told.floor,
+        [Layer(entry.version, str(entry.scope), dict(entry.overlay) if entry.overlay is not None else None)
+         for entry in told.entries], told.digest, told.age_ms, told.spread_ms)))
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSum:
+    """What the agent that leads knows of one agent's followers."""
+
+    agent: str  # HOST:PORT where it is followed
+    known: bool  # False: not heard of lately, and what it said then is not what is now
+    heard_ms: int  # ago
+    age_ms: int  # of its view, as it said
+    summary: Summary
+
+
+class Followers:
+    """All that follow this agent, for as long as it lives."""
+
+    def __init__(self, serving: Serving, admits: Callable[[str], bool], age_s: Callable[[], float],
+                 log: Callable[[str], None]) -> None:
+        self.serving, self.admits, self.age_s, self.log = serving, admits, age_s, log
+        self.links: dict[int, FollowerLink] = {}
+        self.open: set[FollowerLink | SumLink] = set()
+        self.encoded = Encoded()
+        self.wake = asyncio.Event()
+        self.leads: Callable[[], bool] = lambda: False
+        self.leader: Callable[[], str] = lambda: ""  # HOST:PORT of the agent that leads
+        self.agent = ""  # HOST:PORT of this one
+        self.sums: dict[str, tuple[Sum, float]] = {}
+        self.sent = 0  # frames
+        self.denied = 0
+
+    # Telling
+
+    def changed(self) -> None:
+        self.wake.set()
+
+    async def tell(self) -> None:
+        """What is due now, a few hundred followers in one step of the loop, and then the wait for what is next."""
+        self.wake.clear()
+        now_s = time.monotonic()
+        told_any = False
+        for subscriber, told in self.serving.due(now_s, self.age_s()):
+            told_any = True
+            self.links[subscriber.ident].tell(told)
+        for subscriber in self.serving.stuck(now_s):
+            self.links[subscriber.ident].abort(f"has read nothing for {SLOW_S:g} s")
+        if told_any:
+            await asyncio.sleep(0)
+            return
+        at_s = self.serving.next_s()
+        wait_s = min(1.0, max(0.0, at_s - now_s)) if at_s is not None else 1.0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.wake.wait()
+
+    def dismiss(self, strange: Iterable[Subscriber]) -> None:
+        for subscriber in strange:
+            link = self.links.pop(subscriber.ident, None)
+            if link is not None:
+                link.deny("LINEAGE", "the record's log is another", 0)
+
+    def close(self) -> None:
+        for link in list(self.open):
+            link.close()
+
+    # Sums
+
+    def summary(self) -> list[AgentSum]:
+        """This agent's own followers first, then what the others said of theirs."""
+        now_s = time.monotonic()
+        found = [AgentSum(self.agent, True, 0, int(self.age_s() * 1000), self.serving.summary())]
+        for sum_, heard_s in self.sums.values():
+            found.append(AgentSum(
+                sum_.agent, now_s - heard_s < SUM_OLD_S, int((now_s - heard_s) * 1000), sum_.age_ms,
+                Summary(sum_.lineage, sum_.position, sum_.followers,
+                        tuple((count.position, count.number) for count in sum_.counts),
+                        tuple(sum_differing(sum_)), sum_.more)))
+        return found
+
+    def on_sum(self, found: Sum) -> None:
+        if found.agent not in self.sums and len(self.sums) >= MOST_SUMS:
+            del self.sums[min(self.sums, key=lambda agent: self.sums[agent][1])]
+        self.sums[found.agent] = found, time.monotonic()
+
+    def own_sum(self, token: str, seq: int) -> Sum:
+        own = self.serving.summary()
+        return Sum(PROTOCOL, token, seq, self.agent, own.lineage, own.position, int(self.age_s() * 1000),
+                   own.followers, [Count(position, number) for position, number in own.counts],
+                   [Differing(one.name, one.running, one.status, one.detail) for one in own.differing], own.more)
+
+    async def tell_sums(self, token: str) -> None:
+        """Over one connection to the agent that leads, for as long as it does."""
+        address = self.leader() if not self.leads() else ""
+        host, _, port = address.rpartition(":")
+        if not address or address == self.agent:
+            await asyncio.sleep(SUM_S)
+            return
+        try:
+            async with asyncio.timeout(SUM_ANSWER_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError, ValueError):
+            await asyncio.sleep(SUM_S)
+            return
+        try:
+            seq = 0
+            while self.leader() == address and not self.leads():
+                seq += 1
+                async with asyncio.timeout(SUM_ANSWER_S):
+                    writer.write(encode(write(self.own_sum(token, seq))))
+                    size = int.from_bytes(await reader.readexactly(HEADER))
+                    decoder = Decoder()
+                    decoder.feed(size.to_bytes(HEADER) + await reader.readexactly(min(size, 1 << 16)))
+                    raw = decoder.next()
+                if raw is None or not isinstance(read(raw, (Lease, Denied)), Lease):
+                    break
+                await asyncio.sleep(SUM_S)
+        except (OSError, EOFError, TimeoutError, FrameError, MessageError):
+            pass
+        finally:
+            writer.close()
+        await asyncio.sleep(SUM_S)
+
+
+def sum_differing(found: Sum) -> list[Differs]:
+    return [Differs(one.name, one.running, one.status, one.detail) for one in found.differing]
+
+
+class _Link(asyncio.Protocol):
+    """What both kinds of connection share."""
+
+    def __init__(self, followers: Followers) -> None:
+        self.followers = followers
+        self.transport: asyncio.Transport | None = None
+        self.decoder = Decoder()
+        self.closing = False
+        self.name = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        self.decoder.feed(data)
+        try:
+            while not self.closing and (raw := self.decoder.next()) is not None:
+                self.on_message(raw)
+        except (FrameError, MessageError) as error:
+            self.followers.log(f"{self.name or 'a follower'}: not understood: {error}")
+            self.deny("NOT_UNDERSTOOD", str(error), 5_000)
+
+    def on_message(self, raw: dict[str, object]) -> None:
+        raise NotImplementedError
+
+    def deny(self, code: str, text: str, retry_ms: int) -> None:
+        self.followers.denied += 1
+        self.send(Denied(code, text, retry_ms))
+        self.close()
+
+    def send(self, message: Message) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(encode(write(message)))
+
+    def close(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+
+class FollowerLink(_Link):
+    """One follower."""
+
+    def __init__(self, followers: Followers) -> None:
+        super().__init__(followers)
+        self.subscriber: Subscriber | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.followers.open.add(self)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=UNSENT_BYTES)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
+                # a machine that is gone says nothing: what was sent to it is not waited for
+                sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, int(SLOW_S * 1000))
+
+    def on_message(self, raw: dict[str, object]) -> None:
+        message = read(raw, FROM_FOLLOWER)
+        serving = self.followers.serving
+        if isinstance(message, Runs):
+            if self.subscriber is None:
+                raise MessageError("expected follow, got runs")
+            serving.runs(self.subscriber, message.running, message.digest, message.status, message.detail)
+        elif isinstance(message, Follow):
+            self.on_follow(message)
+
+    def on_follow(self, follow: Follow) -> None:
+        followers = self.followers
+        self.name = follow.name
+        if self.subscriber is not None:
+            raise MessageError("expected runs, got follow again")
+        if follow.protocol != PROTOCOL:
+            return self.deny("PROTOCOL", f"expected protocol {PROTOCOL}, got {follow.protocol}", 60_000)
+        if not followers.admits(follow.token):
+            return self.deny("TOKEN", "expected a token of role instance; see `ironscale token`", 30_000)
+        now_s = time.monotonic()
+        try:
+            followers.serving.check(follow.lineage, now_s)
+        except Turned as turned:
+            return self.deny(turned.code, str(turned), turned.retry_ms)
+        labels = Labels(follow.name, follow.service, follow.zone, follow.region)
+        self.subscriber = followers.serving.join(labels, follow.lineage, follow.position, now_s)
+        followers.links[self.subscriber.ident] = self
+        followers.changed()
+
+    def tell(self, told: Told) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            data = self.followers.encoded.get(told, encoded)
+        except FrameError as error:
+            self.followers.log(f"{self.name}: its versions are too large together: {error}")
+            self.deny("TOO_LARGE", f"what concerns it is too large together: {error}", 30_000)
+            return
+        self.followers.sent += 1
+        self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        if self.subscriber is not None:
+            self.followers.serving.slow(self.subscriber, time.monotonic())
+
+    def resume_writing(self) -> None:
+        if self.subscriber is not None:
+            self.followers.serving.drained(self.subscriber, time.monotonic())
+            self.followers.changed()
+
+    def abort(self, why: str) -> None:
+        self.followers.log(f"{self.name}: {why}; it is let go")
+        self.closing = True
+        if self.subscriber is not None:
+            self.followers.serving.leave(self.subscriber)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.followers.open.discard(self)
+        if self.subscriber is not None:
+            self.followers.serving.leave(self.subscriber)
+            self.followers.links.pop(self.subscriber.ident, None)
+
+
+class SumLink(_Link):
+    """One agent that stands by and tells its sums."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.followers.open.add(self)
+
+    def on_message(self, raw: dict[str, object]) -> None:
+        found = read(raw, (Sum,))
+        assert isinstance(found, Sum)
+        self.name = f"agent {found.agent[:60]}"
+        if found.protocol != PROTOCOL:
+            return self.deny("PROTOCOL", f"expected protocol {PROTOCOL}, got {found.protocol}", 60_000)
+        if not self.followers.admits(found.token):
+            return self.deny("TOKEN", "expected a token of role instance; see `ironscale token`", 30_000)
+        if not self.followers.leads():
+            return self.deny(NOT_LEADING, "another agent leads", 0)
+        self.followers.on_sum(found)
+        self.send(Lease(found.seq))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.followers.open.discard(self)
--- a/ironscale/operator_file.py
+++ b/ironscale/operator_file.py
@@ -121,6 +121,7 @@
     term_s: float = 10.0  # the lease on a record that several agents may open
     password_file: Path | None = None
     synchronous_commit: str = "on"
+    token_file: Path | None = None  # of role instance: with it the agent that leads is told who runs what here
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,8 +296,9 @@
         record=table.file_path("record") if "record" in table.values else None,
         standby=table.flag("standby", False),
         term_s=table.seconds("term_s", 0.5, 60, 10.0),
+        token_file=table.file_path("token_file") if "token_file" in table.values else None,
     )
-    table.asked.add("record")
+    table.asked |= {"record", "token_file"}
     if agent.record is not None and agent.postgresql:
         raise OperatorFileError(f"{table.file}: {table.at('record')}: expected record or postgresql, got both")
     if agent.standby and agent.record is None and not agent.postgresql:
