--- a/ironscale/agent/following.py
+++ b/ironscale/agent/following.py
@@ -63,6 +63,7 @@
         self.reading: asyncio.Task[Change] | None = None
         self.wake = asyncio.Event()
         self.said = ""
+        self.loaded = ""  # what the file held at the start; told by one that serves it before it has the record
         self.saved: tuple[str, int, int, tuple[Token, ...]] | None = None
         self.saved_s = 0.0
         self.files = OsFiles()
@@ -188,7 +189,7 @@
         self.tokens = snapshot.tokens
         self.reached_ms = clock_ms() - age_s * 1000
         self.saved, self.saved_s = self.mark(), time.monotonic()
-        self.log(f"{self.path}: position {snapshot.position}, {len(snapshot.entries)} scopes, {age_s:.1f} s old")
+        self.loaded = f"{self.path}: position {snapshot.position}, {len(snapshot.entries)} scopes, {age_s:.1f} s old"
         return True
 
     def mark(self) -> tuple[str, int, int, tuple[Token, ...]]:
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -182,6 +182,8 @@
             parts = [asyncio.create_task(for_good(step, self.log)) for step in steps]
             try:
                 if self.section.standby:
+                    if self.following.loaded:
+                        self.log(self.following.loaded)
                     await self.listen()
                 while not stop.is_set():
                     await self.one_turn(stop, stop_instances)
