The record's log stays bounded while another one copies it slowly

Cause: at its longest the writer copies the log itself, but SQLite refuses a checkpoint at once while another one has one under way, without asking the busy handler. The writer overlooked that and went on: the bound was held by a quick copier only. With all cores busy that gave 1,932,312 bytes where 1,848,000 is the bound.

Change: the writer waits for its own copier's checkpoint to end, and for another process's up to its busy time, then copies and begins the log anew. What a reader holds up is tried again after the next commit, as before, so a reader that stays still lets the log grow.

Test: a file system whose database file takes 3 ms a page, as the copier's own and as another process's connection.

--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -156,6 +156,7 @@
         self.commits = self.written = 0
         self.checkpoint_s = 0.0  # the longest that the writer itself waited for copying
         self.to_copy = threading.Event()
+        self.copying = threading.Lock()  # held by whoever of the two copies the log
         self.copier = threading.Thread(target=self._copy, name="record-checkpoints", daemon=True)
         self.copier.start()
         self.start()
@@ -223,11 +224,29 @@
             self.to_copy.set()
         if self.log_pages >= self.longest_log_pages and self.connection is not None:
             began = time.monotonic()
-            with contextlib.suppress(apsw.Error):  # a reader holds it up: tried again after the next commit
-                self.connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_RESTART)
+            self._shorten(self.connection)
             self.log_pages = 0
             self.checkpoint_s = max(self.checkpoint_s, time.monotonic() - began)
 
+    def _shorten(self, connection: apsw.Connection) -> None:
+        """Copies all that the log holds, so that what is written next stands at its beginning.
+
+        Hazard: while another one copies, SQLite refuses a checkpoint at once and waits for nobody. The copier of this
+        process is waited for to its end, that of another process for the busy time; a reader holds it up as long at
+        most, and then it is tried again after the next commit."""
+        with self.copying:
+            deadline_s = time.monotonic() + self.opener.busy_ms / 1000
+            while True:
+                try:
+                    connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_RESTART)
+                    return
+                except apsw.BusyError:
+                    if time.monotonic() >= deadline_s:
+                        return
+                    time.sleep(0.005)
+                except apsw.Error:
+                    return  # the next commit meets it, and tells it
+
     def _copy(self) -> None:
         """Copies the log into the file on a connection of its own: a passive checkpoint keeps no writer waiting."""
         connection: apsw.Connection | None = None
@@ -239,7 +258,8 @@
             try:
                 if connection is None:
                     connection = Opener(self.opener.path, None, self.opener.vfs).open(create=False)
-                connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
+                with self.copying:
+                    connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
             except (apsw.Error, Trouble):
                 # the log stays as it is; the writer's own turn comes once it is long
                 if connection is not None:
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sqlite3
@@ -17,7 +18,7 @@
 import apsw
 import pytest
 
-from ironscale.record import sqlite
+from ironscale.record import database, sqlite
 from ironscale.record.database import Opener, Transaction
 from ironscale.record.model import Cause, Knowledge, Trouble, Verdict
 from ironscale.record.sqlite import SqliteStore, backup, migrate, reader, rows, verify
@@ -324,6 +325,66 @@
     run(test())
 
 
+class SlowFile(apsw.VFSFile):
+    """A page takes a while to be written; the log's own files are as quick as ever."""
+
+    def __init__(self, vfs: str, name: Any, flags: Any) -> None:
+        super().__init__(vfs, name, flags)
+        self.wait_s = 0.003 if flags[0] & apsw.SQLITE_OPEN_MAIN_DB else 0.0
+
+    def xWrite(self, data: Any, offset: int) -> None:
+        time.sleep(self.wait_s)
+        super().xWrite(data, offset)
+
+
+class SlowDisk(apsw.VFS):
+    def __init__(self) -> None:
+        super().__init__("slow", "")
+
+    def xOpen(self, name: Any, flags: Any) -> SlowFile:
+        return SlowFile("", name, flags)
+
+
+@pytest.mark.parametrize("same_process", [True, False])
+def test_the_log_stays_bounded_while_another_one_copies_it_slowly(
+        same_process: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A checkpoint is under way whenever the writer comes to the bound: its own copier's, or another process's."""
+    slow, over = SlowDisk(), threading.Event()
+
+    def copies() -> int:
+        """As another process would, again and again, each a little while."""
+        other, count = Opener(tmp_path / "r.db", None, "slow").open(), 0
+        while not over.wait(0.001):
+            with contextlib.suppress(apsw.BusyError):
+                other.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
+                count += 1
+        other.close(True)
+        return count
+
+    async def test() -> None:
+        if same_process:
+            monkeypatch.setattr(database, "Opener", lambda path, *more: Opener(path, None, "slow"))
+        longest = 400 if same_process else 200
+        store = SqliteStore(tmp_path / "r.db", checkpoint_pages=50 if same_process else 10**9,
+                            longest_log_pages=longest, busy_ms=250 if same_process else 5_000)
+        await store.write(entry())
+        other = None if same_process else asyncio.get_running_loop().run_in_executor(None, copies)
+        try:
+            for _ in range(300):
+                await store.write(entry(body=bytes(8_000)))
+                log = (tmp_path / "r.db-wal").stat().st_size
+                assert log < 4_200 * (longest + 40), log
+        finally:
+            over.set()
+            copied = await other if other is not None else 1
+            await store.close()
+        assert copied
+        assert verify(store.path)[1] == []
+
+    run(test())
+    slow.unregister()
+
+
 def test_a_backup_made_while_it_is_written_is_whole_and_can_be_restored(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "r.db")
