A size file, the fit of a slope and a result file, for scale runs

The size that operators head for is one checked TOML file; what was measured is a versioned result of slopes and readings. A result file whose fit doesn't follow from its points is refused.

--- /dev/null
+++ b/ironscale/scale/result.py
@@ -0,0 +1,202 @@
+"""What a scale run found: slopes, single readings, and the machine, moment and size file that they belong to."""
+
+from __future__ import annotations
+
+import json
+import math
+import statistics
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ironscale.scale.fit import VERDICTS, Fit, FitError, fit
+
+FORMAT, VERSION = "ironscale-scale", 1
+ROLES = ("sidecar data path", "sidecar control", "agent that leads", "agent that stands by", "record", "discovery",
+         "upstream", "operator")
+
+
+class ResultError(Exception):
+    """A result file that can't be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    size: float
+    repeats: tuple[float, ...]
+
+    @property
+    def value(self) -> float:
+        return statistics.median(self.repeats)
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A figure at several sizes, and the line through it."""
+
+    name: str  # dotted and stable: `agent.rest.cpu_percent`
+    role: str
+    x: str  # what the size counts
+    unit: str
+    points: tuple[Point, ...]
+    fit: Fit
+    at: str  # when it was measured, UTC
+    note: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A figure that is no slope."""
+
+    name: str
+    role: str
+    unit: str
+    repeats: tuple[float, ...]
+    at: str
+    note: str = ""
+
+    @property
+    def value(self) -> float:
+        return statistics.median(self.repeats)
+
+    @property
+    def scatter(self) -> float:
+        """From the least of its repeats to the largest."""
+        return max(self.repeats) - min(self.repeats)
+
+
+def slope(name: str, role: str, x: str, unit: str, points: Mapping[float, Iterable[float]], at: str,
+          note: str = "") -> Slope:
+    """Raises FitError under three sizes."""
+    found = tuple(Point(float(size), tuple(float(v) for v in values)) for size, values in sorted(points.items()))
+    return Slope(name, role, x, unit, found, fit([(p.size, v) for p in found for v in p.repeats]), at, note)
+
+
+@dataclass(slots=True)
+class Result:
+    size_digest: str
+    machine: dict[str, Any]  # cores, memory_mb, python
+    slopes: dict[str, Slope] = field(default_factory=dict)
+    readings: dict[str, Reading] = field(default_factory=dict)
+
+    def add(self, *found: Slope | Reading) -> None:
+        """One of the same name goes."""
+        for entry in found:
+            (self.slopes if isinstance(entry, Slope) else self.readings).pop(entry.name, None)
+            if isinstance(entry, Slope):
+                self.readings.pop(entry.name, None)
+                self.slopes[entry.name] = entry
+            else:
+                self.slopes.pop(entry.name, None)
+                self.readings[entry.name] = entry
+
+    def text(self) -> str:
+        def plain(entry: Slope) -> dict[str, Any]:
+            return {"name": entry.name, "role": entry.role, "x": entry.x, "unit": entry.unit, "at": entry.at,
+                    "note": entry.note, "points": [[p.size, *p.repeats] for p in entry.points],
+                    "fit": {key: getattr(entry.fit, key) for key in Fit.__slots__}}
+
+        return json.dumps({
+            "format": FORMAT, "version": VERSION, "size_digest": self.size_digest, "machine": self.machine,
+            "slopes": [plain(self.slopes[name]) for name in sorted(self.slopes)],
+            "readings": [{"name": r.name, "role": r.role, "unit": r.unit, "at": r.at, "note": r.note,
+                          "repeats": list(r.repeats)} for _, r in sorted(self.readings.items())],
+        }, indent=1, allow_nan=False) + "\n"
+
+    def write(self, path: Path) -> None:
+        """Beside it first: a run that is ended leaves the file before whole."""
+        aside = path.with_name(f".{path.name}.new")
+        aside.write_text(self.text(), encoding="utf-8")
+        aside.replace(path)
+
+
+class _Reader:
+    """Checks by path, one style of error."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+
+    def fail(self, at: str, expected: str, got: Any) -> ResultError:
+        return ResultError(f"{self.file}: {at}: expected {expected}, got {str(got)[:60]!r}")
+
+    def text(self, value: Any, key: str, at: str, choices: tuple[str, ...] = (), empty: bool = False) -> str:
+        found = self.get(value, key, at)
+        if not isinstance(found, str) or not (found or empty) or (choices and found not in choices):
+            raise self.fail(f"{at}.{key}", f"one of {', '.join(choices)}" if choices else "a text", found)
+        return found
+
+    def get(self, value: Any, key: str, at: str) -> Any:
+        if not isinstance(value, dict):
+            raise self.fail(at, "an object", value)
+        if key not in value:
+            raise self.fail(f"{at}.{key}" if at else key, "a value", "nothing")
+        return value[key]
+
+    def list(self, value: Any, key: str, at: str) -> list[Any]:
+        found = self.get(value, key, at)
+        if not isinstance(found, list):
+            raise self.fail(f"{at}.{key}" if at else key, "a list", found)
+        return found
+
+    def number(self, found: Any, at: str) -> float:
+        if isinstance(found, bool) or not isinstance(found, int | float) or not math.isfinite(found):
+            raise self.fail(at, "a number", found)
+        return float(found)
+
+    def numbers(self, found: Any, at: str, least: int) -> tuple[float, ...]:
+        if not isinstance(found, list) or len(found) < least:
+            raise self.fail(at, f"a list of {least} numbers or more", found)
+        return tuple(self.number(entry, f"{at}[{i}]") for i, entry in enumerate(found))
+
+    def slope(self, value: Any, at: str) -> Slope:
+        points = tuple(Point(row[0], row[1:]) for row in (
+            self.numbers(row, f"{at}.points[{i}]", 2) for i, row in enumerate(self.list(value, "points", at))))
+        told = self.get(value, "fit", at)
+        self.text(told, "verdict", f"{at}.fit", VERDICTS)
+        try:
+            found = slope(self.text(value, "name", at), self.text(value, "role", at, ROLES), self.text(value, "x", at),
+                          self.text(value, "unit", at), {p.size: p.repeats for p in points},
+                          self.text(value, "at", at), self.text(value, "note", at, empty=True))
+        except FitError as error:
+            raise ResultError(f"{self.file}: {at}.points: {error}") from error
+        # hazard: a fit that was edited by hand would go into the page; it follows from the points
+        for key in ("intercept", "slope", "mean"):
+            was = self.number(self.get(told, key, f"{at}.fit"), f"{at}.fit.{key}")
+            if not math.isclose(was, getattr(found.fit, key), rel_tol=1e-6, abs_tol=1e-9):
+                raise self.fail(f"{at}.fit.{key}", f"{getattr(found.fit, key):.6g}, as its points give", was)
+        if told["verdict"] != found.fit.verdict:
+            raise self.fail(f"{at}.fit.verdict", f"{found.fit.verdict}, as its points give", told["verdict"])
+        return found
+
+
+def parse(text: str, file: str) -> Result:
+    """Raises ResultError."""
+    reader = _Reader(file)
+    try:
+        value = json.loads(text)
+    except ValueError as error:
+        raise ResultError(f"{file}: expected JSON, got {error}") from error
+    if reader.get(value, "format", "") != FORMAT or reader.get(value, "version", "") != VERSION:
+        raise reader.fail("format", f"{FORMAT} {VERSION}", f"{value['format']} {value['version']}")
+    machine = reader.get(value, "machine", "")
+    for key in ("cores", "memory_mb"):
+        reader.number(reader.get(machine, key, "machine"), f"machine.{key}")
+    found = Result(reader.text(value, "size_digest", ""), machine)
+    for i, entry in enumerate(reader.list(value, "slopes", "")):
+        found.add(reader.slope(entry, f"slopes[{i}]"))
+    for i, entry in enumerate(reader.list(value, "readings", "")):
+        at = f"readings[{i}]"
+        found.add(Reading(reader.text(entry, "name", at), reader.text(entry, "role", at, ROLES),
+                          reader.text(entry, "unit", at), reader.numbers(reader.get(entry, "repeats", at),
+                                                                         f"{at}.repeats", 1),
+                          reader.text(entry, "at", at), reader.text(entry, "note", at, empty=True)))
+    return found
+
+
+def load(path: Path) -> Result:
+    try:
+        return parse(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        raise ResultError(f"{path}: expected a file that can be read, got "
+                          f"{getattr(error, 'strerror', None) or 'no UTF-8'}") from error
--- /dev/null
+++ b/ironscale/scale/size.py
@@ -0,0 +1,175 @@
+"""The size that a system is heading for, and how a scale run plays it: one checked TOML file."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ironscale.tables import Table, TableError, read_text, read_toml
+
+
+class SizeError(TableError):
+    """A size file that can't be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """How many there are, and what they carry."""
+
+    upstreams: int
+    sidecars: int
+    services: int
+    regions: int
+    zones: int
+    calls_per_s: float
+    depth: int  # calls below one another, at most
+
+
+@dataclass(frozen=True, slots=True)
+class Promises:
+    added_p99_ms: float  # to a call, for 99 in 100
+    changes_per_day: float
+    force_s: float  # from a change's commit until it is in force everywhere
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """What one sidecar may spend on control, and the machines that are set aside for it."""
+
+    cpu_percent: float  # of a core
+    memory_mb: float
+    bytes_per_s: float
+    machines: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """Those of an ordinary day, and the rarer ones."""
+
+    machines_per_day: float
+    replaced_per_day: float
+    rack_each_days: float
+    zone_each_days: float
+    link_cut_s: float  # how long two regions lose each other
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """What a scale run starts, and what it may take of this machine."""
+
+    sizes: tuple[int, ...]  # hollow instances
+    lists: tuple[int, ...]  # upstreams in a sidecar's list
+    real: int  # sidecars with a data path, beside the largest
+    agents: int  # one leads, the others stand by
+    hollow_each: int  # hollow instances that share a process
+    repeats: int  # of each measurement
+    heartbeat_s: float
+    lease_s: float  # of an instance
+    term_s: float  # of the agent that leads
+    most_processes: int
+    most_memory_share: float  # of the machine's
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    title: str
+    fleet: Fleet
+    promises: Promises
+    budget: Budget
+    failures: Failures
+    play: Play
+    digest: str  # of the file's bytes: a result belongs to it
+
+    def figure(self, key: str) -> float:
+        """By its path in the file, as `fleet.sidecars`. Raises KeyError."""
+        section, _, name = key.partition(".")
+        if section not in ("fleet", "promises", "budget", "failures"):
+            raise KeyError(key)
+        part: Any = getattr(self, section)
+        if name not in part.__slots__:
+            raise KeyError(key)
+        return float(getattr(part, name))
+
+    @property
+    def calls_each(self) -> float:
+        """Calls a second through one sidecar."""
+        return self.fleet.calls_per_s / self.fleet.sidecars
+
+
+def _whole_numbers(table: Table, key: str, least: int, most: int, count: tuple[int, int],
+                   default: tuple[int, ...]) -> tuple[int, ...]:
+    def read(value: Any) -> tuple[int, ...] | None:
+        if not isinstance(value, list) or not count[0] <= len(value) <= count[1]:
+            return None
+        right = all(type(entry) is int and least <= entry <= most for entry in value)
+        return tuple(value) if right and sorted(set(value)) == value else None
+
+    return table.get(key, f"a list of {count[0]} to {count[1]} rising whole numbers from {least} to {most}", read,
+                     default)
+
+
+def _section(root: Table, key: str) -> Table:
+    found = root.table(key)
+    if found is None:
+        raise root.fail(key, f"a table [{key}]")
+    return found
+
+
+def _fleet(table: Table) -> Fleet:
+    upstreams = table.whole("upstreams", 1, 1_000_000)
+    found = Fleet(
+        upstreams, table.whole("sidecars", 1, 1_000_000, upstreams), table.whole("services", 1, 100_000),
+        table.whole("regions", 1, 100), table.whole("zones", 1, 1_000), table.number("calls_per_s", 1, 1e9),
+        table.whole("depth", 1, 100),
+    )
+    if found.zones < found.regions:
+        raise table.fail("zones", f"a zone in each of {found.regions} regions at least")
+    if found.services > upstreams:
+        raise table.fail("services", f"an upstream ({upstreams}) for each at least")
+    return found
+
+
+def _play(table: Table) -> Play:
+    beat_s = table.seconds("heartbeat_s", 0.05, 60, 2.0)
+    found = Play(
+        # a line through two points says nothing of its scatter
+        _whole_numbers(table, "sizes", 1, 20_000, (3, 10), (250, 750, 2300)),
+        _whole_numbers(table, "lists", 1, 20_000, (3, 10), (10, 100, 2300)),
+        table.whole("real", 0, 200, 30), table.whole("agents", 1, 8, 3), table.whole("hollow_each", 1, 2_000, 400),
+        table.whole("repeats", 1, 20, 3), beat_s, table.seconds("lease_s", 0.1, 600, 10.0),
+        table.seconds("term_s", 0.2, 600, 5.0), table.whole("most_processes", 4, 300, 300),
+        table.number("most_memory_share", 0.01, 0.5, 0.5), table.whole("seed", 0, 2**32, 1),
+    )
+    if found.lease_s < 2 * beat_s:
+        raise table.fail("lease_s", f"seconds of two heartbeats ({2 * beat_s:g}) or more")
+    return found
+
+
+def parse(text: str, file: str) -> Size:
+    """Checks the whole file. Raises SizeError."""
+    root = read_toml(text, file, Path("."), SizeError)
+    title = root.text("title")
+    names = ("fleet", "promises", "budget", "failures")
+    fleet, promises, budget, failures = (_section(root, name) for name in names)
+    play = root.table("play") or Table(file, "play", {}, Path("."), SizeError)
+    found = Size(
+        title, _fleet(fleet),
+        Promises(promises.number("added_p99_ms", 0.001, 10_000), promises.number("changes_per_day", 0, 1e7),
+                 promises.seconds("force_s", 0.1, 86_400)),
+        Budget(budget.number("cpu_percent", 0.001, 100), budget.number("memory_mb", 1, 1e6),
+               budget.number("bytes_per_s", 1, 1e9), budget.whole("machines", 1, 10_000)),
+        Failures(failures.number("machines_per_day", 0, 1e6), failures.number("replaced_per_day", 0, 1e7),
+                 failures.number("rack_each_days", 0.1, 1e5), failures.number("zone_each_days", 0.1, 1e5),
+                 failures.seconds("link_cut_s", 0, 1e7)),
+        _play(play), hashlib.sha256(text.encode()).hexdigest()[:16],
+    )
+    for table in (fleet, promises, budget, failures, play, root):
+        table.end()
+    return found
+
+
+def load(path: Path) -> Size:
+    return parse(read_text(path, SizeError), str(path))
--- /dev/null
+++ b/tests/scale/test_result.py
@@ -0,0 +1,71 @@
+"""The result file: written and read again it is the same, and what doesn't follow from its points is refused."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.scale.result import Reading, Result, ResultError, load, parse, slope
+
+AT = "2026-01-01T00:00:00Z"
+
+
+def sample() -> Result:
+    found = Result("0123456789abcdef", {"cores": 8, "memory_mb": 24_000})
+    found.add(slope("agent.rest.cpu_percent", "agent that leads", "hollow instances", "% of a core",
+                    {250: [3.0, 3.1], 750: [9.0, 9.2], 2300: [27.9, 28.4]}, AT),
+              Reading("agent.back.last_s", "agent that leads", "s", (10.1, 10.6), AT, "after SIGKILL"))
+    return found
+
+
+def test_round_trip_and_replacing_by_name(tmp_path: Path) -> None:
+    found = sample()
+    path = tmp_path / "r.json"
+    found.write(path)
+    assert load(path) == found and [entry.name for entry in tmp_path.iterdir()] == ["r.json"]
+    found.add(Reading("agent.rest.cpu_percent", "agent that leads", "% of a core", (5.0,), AT))
+    assert not found.slopes and len(found.readings) == 2 and parse(found.text(), "r") == found
+    assert found.readings["agent.back.last_s"].scatter == pytest.approx(0.5)
+
+
+def spoil(*path: Any, to: Any) -> Callable[[Any], None]:
+    def work(data: Any) -> None:
+        for key in path[:-1]:
+            data = data[key]
+        if to is None:
+            del data[path[-1]]
+        else:
+            data[path[-1]] = to
+
+    return work
+
+
+@pytest.mark.parametrize(("work", "line"), [
+    (spoil("version", to=2), "r.json: format: expected ironscale-scale 1, got 'ironscale-scale 2'"),
+    (spoil("machine", "cores", to=None), "machine.cores: expected a value, got 'nothing'"),
+    (spoil("size_digest", to=""), "size_digest: expected a text"),
+    (spoil("slopes", 0, "role", to="cook"), r"slopes\[0\].role: expected one of .*, got 'cook'"),
+    (spoil("slopes", 0, "fit", "slope", to=0.5), r"slopes\[0\].fit.slope: expected 0.0122549, as its points give"),
+    (spoil("slopes", 0, "fit", "verdict", to="flat"), r"fit.verdict: expected proportional, as its points give"),
+    (spoil("slopes", 0, "points", 2, to=None), r"slopes\[0\].points: expected points at 3 sizes at least, got 2"),
+    (spoil("slopes", 0, "points", 0, 1, to="3"), r"slopes\[0\].points\[0\]\[1\]: expected a number, got '3'"),
+    (spoil("readings", 0, "repeats", to=[]), r"readings\[0\].repeats: expected a list of 1 numbers or more"),
+])
+def test_what_was_tampered_with_is_one_line(work: Callable[[Any], None], line: str) -> None:
+    data = json.loads(sample().text())
+    work(data)
+    with pytest.raises(ResultError) as found:
+        parse(json.dumps(data), "r.json")
+    assert re.search(line, str(found.value)) and "\n" not in str(found.value), str(found.value)
+
+
+def test_no_file_and_no_json(tmp_path: Path) -> None:
+    with pytest.raises(ResultError, match="expected a file that can be read"):
+        load(tmp_path / "none.json")
+    with pytest.raises(ResultError, match="r: expected JSON"):
+        parse("{", "r")
--- /dev/null
+++ b/tests/scale/test_size.py
@@ -0,0 +1,55 @@
+"""The size file: read whole, or one line and nothing begun."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from ironscale.scale.size import SizeError, load, parse
+
+EXAMPLE = Path("ironscale/scale/examples/coming.toml")
+
+
+def test_the_example_is_the_size_that_the_operators_named() -> None:
+    size = load(EXAMPLE)
+    keys = ("fleet.upstreams", "fleet.sidecars", "fleet.services", "fleet.calls_per_s", "fleet.depth", "fleet.regions",
+            "fleet.zones", "promises.added_p99_ms", "promises.changes_per_day", "promises.force_s",
+            "budget.cpu_percent", "budget.memory_mb", "budget.bytes_per_s", "budget.machines",
+            "failures.machines_per_day", "failures.replaced_per_day")
+    assert [size.figure(key) for key in keys] == [
+        2300, 2300, 230, 520_000, 22, 3, 12, 1.5, 5700, 12, 3.3, 64, 27_000, 10, 8, 430]
+    assert round(size.calls_each) == 226
+    with pytest.raises(KeyError):
+        size.figure("fleet.calls_each")
+
+
+@pytest.mark.parametrize(("was", "now", "line"), [
+    ("depth = 22", "", "coming.toml: fleet.depth: expected a whole number from 1 to 100, got nothing"),
+    ("depth = 22", "depth = true", "fleet.depth: expected a whole number from 1 to 100, got True"),
+    ("depth = 22", "deep = 22", "fleet.depth: expected a whole number"),
+    ("depth = 22", "depth = 22\ndeep = 1", "fleet.deep: expected one of .*, got this key"),
+    ("zones = 12", "zones = 2", "fleet.zones: expected a zone in each of 3 regions at least, got 2"),
+    ("services = 230", "services = 5_000", "fleet.services: expected an upstream .*, got 5000"),
+    ("[budget]", "[budgets]", r"coming.toml: budget: expected a table \[budget\], got nothing"),
+    ("sizes = [250, 750, 2_300]", "sizes = [250, 750]", r"play.sizes: expected a list of 3 to 10 .*, got \[250, 750\]"),
+    ("sizes = [250, 750, 2_300]", "sizes = [250, 250, 750]", "play.sizes: expected .*rising"),
+    ("repeats = 3", "lease_s = 3", r"play.lease_s: expected seconds of two heartbeats \(4\) or more, got 3"),
+    ("repeats = 3", "most_processes = 301", "play.most_processes: expected a whole number from 4 to 300, got 301"),
+    ("repeats = 3", "most_memory_share = 0.6", "play.most_memory_share: expected a number from 0.01 to 0.5, got 0.6"),
+    ("force_s = 12", "force_s = nan", "promises.force_s: expected seconds"),
+    ("[fleet]", "[fleet", "coming.toml: expected TOML, got"),
+])
+def test_what_cannot_be_is_one_line(was: str, now: str, line: str) -> None:
+    text = EXAMPLE.read_text(encoding="utf-8")
+    assert was in text
+    with pytest.raises(SizeError) as found:
+        parse(text.replace(was, now), "coming.toml")
+    assert re.search(line, str(found.value)) and "\n" not in str(found.value)
+
+
+def test_the_digest_is_of_the_file() -> None:
+    text = EXAMPLE.read_text(encoding="utf-8")
+    other = text.replace("depth = 22", "depth = 21")
+    assert parse(text, "a").digest == parse(text, "b").digest != parse(other, "a").digest
