ironscale scale: bounds, hollow instances, agents, and the frame of a scale run with its page

Bounds (half of the memory, 300 processes, descriptors) are read before the start and while it runs; all that was started is ended by id. The leash of the load generator's processes passes arguments on now: a module with some could not be started by it.

--- a/ironscale/cli/main.py
+++ b/ironscale/cli/main.py
@@ -14,6 +14,7 @@
 from ironscale.cli.output import CliError, Exit, err
 from ironscale.cli.permit import budgets, forget, halt, permit
 from ironscale.cli.record import record
+from ironscale.cli.scale import scale
 from ironscale.cli.stage import stage
 
 
@@ -40,7 +41,7 @@
 for command in (instances.ls, instances.show, instances.drain, instances.undrain, instances.stop, instances.restart,
                 rollout.apply, rollout.rollout, rollout.ops, rollout.events, processes.agent, processes.sidecar,
                 processes.token, processes.config, permit, budgets, halt, forget, learned, load, record, graphql, stage,
-                demo, completion):
+                scale, demo, completion):
     main.add_command(command)
 
 
--- a/ironscale/load/leash.py
+++ b/ironscale/load/leash.py
@@ -1,4 +1,5 @@
-"""Runs a module as `python -m` does, and ends with the process that started it: `python leash.py MODULE`.
+"""Runs a module as `python -m` does, and ends with the process that started it:
+`python leash.py PARENT MODULE [ARGUMENT ...]`.
 
 A generator that is killed with SIGKILL can end nobody; so the kernel tells its children (prctl(2), PR_SET_PDEATHSIG),
 and they end as they do at any SIGTERM. Linux only.
@@ -26,9 +27,10 @@
 
 def main() -> None:
     tie(int(sys.argv[1]))
-    del sys.argv[1]
+    module = sys.argv[2]
+    del sys.argv[1:3]  # what is left is the module's own
     sys.path[0] = os.getcwd()  # where `python -m` looks first, in place of this file's folder
-    runpy.run_module(sys.argv[1], run_name="__main__", alter_sys=True)
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/ironscale/scale/agents.py
@@ -0,0 +1,254 @@
+"""The agents of a scale run: processes on ports of their own, their API, and changes until the last instance."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sqlite3
+import statistics
+import subprocess
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from ironscale.control.processes import cpu_s
+from ironscale.scale.bounds import Crew, memory_mb
+from ironscale.scale.hollow import Hollows
+from ironscale.scale.size import Play
+from ironscale.stage.relay import Port
+
+START_S = 60.0
+LOOK_S = 0.02
+APPLY = """mutation($input: ApplyInput!) { apply(input: $input) { id generation open phase } }"""
+STATUS = """query($id: Int!) { operation(id: $id) { open phase counts { state count } } }"""
+FLEET = "{ fleet { ready generation instances } }"
+
+
+class AgentsError(Exception):
+    """Agents that don't do what was asked; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """What a process has used by a moment."""
+
+    at_s: float
+    cpu_s: float
+    read: int
+    written: int
+
+    @classmethod
+    def of(cls, pid: int) -> Spent:
+        found = dict(line.split(": ") for line in Path(f"/proc/{pid}/io").read_text(encoding="ascii").splitlines())
+        return cls(time.monotonic(), cpu_s(pid), int(found["rchar"]), int(found["write_bytes"]))
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of configuration, as the instances saw it. Seconds from the moment it was asked for."""
+
+    generation: int
+    operation: int
+    asked_s: float  # by the machine's monotonic clock
+    told_s: float  # until the agent had committed it and said so
+    latencies_s: tuple[float, ...]  # until each hollow instance had it in force, the first first
+    closed_s: float  # until the agent had heard so of all, real ones too
+
+    def p(self, share: float) -> float:
+        return self.latencies_s[min(len(self.latencies_s) - 1, int(share * len(self.latencies_s)))]
+
+
+class Agents:
+    """One leads; with more than one, they share a record and the others stand by."""
+
+    def __init__(self, crew: Crew, folder: Path, count: int, play: Play, term_s: float | None = None) -> None:
+        self.crew, self.folder, self.count = crew, folder, count
+        self.standby = count > 1
+        self.ports = [Port() for _ in range(count)]
+        self.running: list[subprocess.Popen[bytes] | None] = [None] * count
+        self.client = httpx.AsyncClient(trust_env=False, timeout=30.0)
+        self.turn = 0
+        for number in range(count):
+            lines = ["[agent]", f'data = "agent-{number}"', f'control = "127.0.0.1:{self.ports[number].number}"',
+                     'api = "127.0.0.1:0"', f"lease_s = {play.lease_s}", f"heartbeat_s = {play.heartbeat_s}",
+                     "most_instances = 20000", 'record = "shared.db"']
+            if self.standby:
+                lines += ["standby = true", f"term_s = {term_s or play.term_s}"]
+            (folder / f"agent-{number}.toml").write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        return [("127.0.0.1", port.number) for port in self.ports]
+
+    @property
+    def token_file(self) -> Path:
+        return self.folder / "agent-0" / "instance.token"
+
+    @property
+    def record(self) -> Path:
+        return self.folder / "shared.db"
+
+    def pid(self, number: int = 0) -> int:
+        found = self.running[number]
+        assert found is not None
+        return found.pid
+
+    def launch(self, number: int) -> None:
+        """Starts one and doesn't wait."""
+        self.running[number] = self.crew.start(
+            f"agent-{number}", "ironscale.cli", "agent", str(self.folder / f"agent-{number}.toml"),
+            environ=dict(os.environ), log=self.folder / f"agent-{number}.log")
+
+    async def start(self) -> None:
+        """The first, until it leads; then the others. Raises AgentsError."""
+        self.launch(0)
+        await self.until(lambda: (self.folder / "agent-0" / "address").exists(), "agent-0 did not start")
+        for number in range(1, self.count):
+            self.launch(number)
+
+    async def until(self, condition: Any, wrong: str, within_s: float = START_S) -> None:
+        try:
+            async with asyncio.timeout(within_s):
+                while not condition():
+                    self.check()
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            raise AgentsError(f"{wrong} within {within_s:g} s: {self.last_words()}") from None
+
+    def check(self) -> None:
+        for number, process in enumerate(self.running):
+            if process is not None and process.poll() is not None:
+                raise AgentsError(f"agent-{number} ended with status {process.returncode}: {self.last_words(number)}")
+
+    def last_words(self, number: int = 0) -> str:
+        try:
+            lines = (self.folder / f"agent-{number}.log").read_text(encoding="utf-8").splitlines()
+        except OSError:
+            lines = []
+        return lines[-1][:200] if lines else "it said nothing"
+
+    def kill(self, number: int) -> float:
+        """SIGKILL; the moment it was sent."""
+        process, self.running[number] = self.running[number], None
+        assert process is not None
+        at_s = time.monotonic()
+        self.crew.end(process, number=signal.SIGKILL)
+        return at_s
+
+    async def post(self, number: int, query: str, variables: Mapping[str, Any]) -> dict[str, Any]:
+        """Raises httpx errors, OSError and ValueError where it doesn't answer, AgentsError where it refuses."""
+        url = (self.folder / f"agent-{number}" / "address").read_text(encoding="ascii").strip()
+        token = (self.folder / "agent-0" / "admin.token").read_text(encoding="ascii").strip()
+        answer = await self.client.post(f"{url}/graphql", headers={"Authorization": f"Bearer {token}"},
+                                        json={"query": query, "variables": dict(variables)})
+        body = answer.json()
+        if body.get("errors"):
+            raise AgentsError(str(body["errors"][0].get("message"))[:200])
+        return dict(body["data"])
+
+    async def call(self, query: str, within_s: float = START_S, **variables: Any) -> dict[str, Any]:
+        """To whichever leads, again and again. Raises AgentsError."""
+        problem: Exception | None = None
+        until_s = time.monotonic() + within_s
+        while time.monotonic() < until_s:
+            if self.running[self.turn] is not None:
+                try:
+                    return await self.post(self.turn, query, variables)
+                except (httpx.HTTPError, OSError, ValueError, AgentsError) as error:
+                    problem = error
+            self.turn = (self.turn + 1) % self.count
+            await asyncio.sleep(LOOK_S)
+        raise AgentsError(f"no agent did it within {within_s:g} s: {problem}")
+
+    async def until_ready(self, count: int, within_s: float = START_S) -> float:
+        """The moment when the agent that leads sees so many ready. Raises AgentsError."""
+        until_s, seen = time.monotonic() + within_s, -1
+        while time.monotonic() < until_s:
+            seen = (await self.call(FLEET, within_s))["fleet"]["ready"]
+            if seen >= count:
+                return time.monotonic()
+            await asyncio.sleep(0.05)
+        raise AgentsError(f"{seen} of {count} instances were ready within {within_s:g} s: {self.last_words()}")
+
+    # Changes
+
+    async def apply(self, within_s: float = START_S, supersede: bool = False) -> tuple[int, int, float, float]:
+        """Generation and operation, the moment the first try was made, and the one it was told as committed."""
+        generation = (await self.call(FLEET, within_s))["fleet"]["generation"]
+        asked_s = time.monotonic()
+        # a value of its own each time, of which every sidecar can be told
+        overlay = {"settings": {"bounds": {"max-retry-after": 900_000 + 10 * generation}}}
+        told = await self.call(APPLY, within_s, input={"overlay": overlay, "expectGeneration": generation,
+                                                       "supersede": supersede, "policy": {"answerMs": 60_000}})
+        return told["apply"]["generation"], told["apply"]["id"], asked_s, time.monotonic()
+
+    async def closed(self, operation: int, within_s: float = START_S) -> float:
+        until_s = time.monotonic() + within_s
+        while time.monotonic() < until_s:
+            found = (await self.call(STATUS, within_s, id=operation))["operation"]
+            if not found["open"]:
+                if found["phase"] not in ("SUCCEEDED", "SUPERSEDED"):
+                    raise AgentsError(f"operation {operation}: expected SUCCEEDED, got {found['phase']}")
+                return time.monotonic()
+            await asyncio.sleep(0.05)
+        raise AgentsError(f"operation {operation} was not over within {within_s:g} s")
+
+    async def change(self, hollows: Hollows, since_s: float | None = None) -> Change:
+        """One change to all, until the last has it in force. `since_s`: count from there. Raises AgentsError."""
+        generation, operation, asked_s, told_s = await self.apply()
+        closed_s = await self.closed(operation)
+        times = await self.in_force(hollows, generation)
+        from_s = asked_s if since_s is None else since_s
+        return Change(generation, operation, from_s, told_s - from_s, tuple(at - from_s for at in times),
+                      closed_s - from_s)
+
+    async def in_force(self, hollows: Hollows, generation: int) -> list[float]:
+        until_s, times = time.monotonic() + START_S, list[float]()
+        while time.monotonic() < until_s:
+            times = await hollows.times("in force", generation)
+            if len(times) >= hollows.count:
+                return times
+            await asyncio.sleep(0.1)
+        raise AgentsError(f"generation {generation}: {len(times)} of {hollows.count} had it within {START_S:g} s")
+
+    # The record
+
+    def record_state(self) -> dict[str, float]:
+        """Its bytes (pages in use, the log's too), and the rows of its tables."""
+        with contextlib.closing(sqlite3.connect(f"file:{self.record}?mode=ro", uri=True, timeout=5.0)) as found:
+            def one(text: str) -> int:
+                return int(found.execute(text).fetchone()[0])
+
+            state = {"bytes": float((one("PRAGMA page_count") - one("PRAGMA freelist_count"))
+                                    * one("PRAGMA page_size")),
+                     "writes": float(one("SELECT coalesce(max(value), 0) FROM counters WHERE name = 'sequence'"))}
+            for name in ("targets", "operations", "configurations", "audit", "instances", "mutations"):
+                state[name] = float(one(f"SELECT count(*) FROM {name}"))
+        return state
+
+    async def close(self) -> None:
+        await self.client.aclose()
+        running = [process for process in self.running if process is not None]
+        if running:
+            self.crew.end(*running)
+        for port in self.ports:
+            port.close()
+
+
+async def at_rest(pid: int, seconds: float) -> tuple[float, float, float]:
+    """Percent of a core, MB resident, bytes written to disk a second, over so many seconds."""
+    before = Spent.of(pid)
+    await asyncio.sleep(seconds)
+    after = Spent.of(pid)
+    took_s = after.at_s - before.at_s
+    return ((after.cpu_s - before.cpu_s) / took_s * 100, memory_mb(pid), (after.written - before.written) / took_s)
+
+
+def median(values: list[float]) -> float:
+    return statistics.median(values)
--- /dev/null
+++ b/ironscale/scale/bounds.py
@@ -0,0 +1,172 @@
+"""What a scale run may take of this machine, and the end of all that it started, on every way out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from ironscale.load import leash
+
+LOOK_S = 0.25
+END_S = 5.0  # from SIGTERM to SIGKILL
+PAGE = os.sysconf("SC_PAGE_SIZE")
+# What a process of each kind takes at most, by measurement of this program: for the check before the start.
+AGENT_MB, REAL_MB, HERDER_MB, HOLLOW_MB = 60.0, 45.0, 45.0, 0.15
+AGENT_HOLLOW_MB = 0.06  # of the agent, for an instance
+SPARE_FILES = 100
+
+
+class BoundsError(Exception):
+    """The run would take, or took, more than it may; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    cores: int
+    memory_mb: float
+    available_mb: float
+
+
+def machine() -> Machine:
+    found = {}
+    for line in Path("/proc/meminfo").read_text(encoding="ascii").splitlines():
+        key, _, rest = line.partition(":")
+        found[key] = int(rest.split()[0]) / 1024
+    return Machine(len(os.sched_getaffinity(0)), found["MemTotal"], found["MemAvailable"])
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a piece of a run will start at the same time, at its largest."""
+
+    hollow: int
+    hollow_each: int
+    agents: int
+    real: int = 0
+    others: int = 0  # processes besides: relays, upstreams
+
+    @property
+    def processes(self) -> int:
+        return -(-self.hollow // self.hollow_each) + self.agents + self.real + self.others
+
+    @property
+    def memory_mb(self) -> float:
+        herders = -(-self.hollow // self.hollow_each)
+        return (herders * HERDER_MB + self.hollow * HOLLOW_MB + self.agents * (AGENT_MB + self.hollow * AGENT_HOLLOW_MB)
+                + (self.real + self.others) * REAL_MB)
+
+    @property
+    def descriptors(self) -> int:
+        """Of the process that opens most."""
+        instances = self.hollow + self.real if self.agents else 0
+        return max(instances, 2 * self.hollow_each, 4 * self.processes) + SPARE_FILES
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    most_processes: int
+    most_memory_share: float
+
+    def memory_mb(self, found: Machine) -> float:
+        """Of all that is started: a share of the machine, and no more than is there to be had."""
+        return min(found.memory_mb * self.most_memory_share, found.available_mb)
+
+    def check(self, plan: Plan, found: Machine | None = None) -> None:
+        """Before anything is started. The soft limit of open files is raised as far as the hard one allows. Raises
+        BoundsError."""
+        found = found or machine()
+        if plan.processes > self.most_processes:
+            raise BoundsError(f"processes: expected {self.most_processes} at most, got {plan.processes} to start")
+        most_mb = self.memory_mb(found)
+        if plan.memory_mb > most_mb:
+            raise BoundsError(f"memory: expected {most_mb:,.0f} MB at most ({found.available_mb:,.0f} MB available of "
+                              f"{found.memory_mb:,.0f} MB), got {plan.memory_mb:,.0f} MB to take")
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard != resource.RLIM_INFINITY and plan.descriptors > hard:
+            raise BoundsError(f"descriptors: expected {hard:,} at most (ulimit -Hn), got {plan.descriptors:,} in one "
+                              "process")
+        if soft != resource.RLIM_INFINITY and plan.descriptors > soft:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (plan.descriptors, hard))
+
+
+def memory_mb(pid: int) -> float:
+    """Resident; 0 where the process is gone."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1]) * PAGE / 2**20
+    except (OSError, IndexError):
+        return 0.0
+
+
+class Crew:
+    """Everything that a run has started. Each process is tied to this one by the kernel, and ended by id."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.running: dict[int, subprocess.Popen[bytes]] = {}
+        self.names: dict[int, str] = {}
+
+    def start(self, name: str, module: str, *args: str, environ: Mapping[str, str] | None = None,
+              log: Path | None = None, keep: tuple[socket.socket, ...] = ()) -> subprocess.Popen[bytes]:
+        """`python -m module args`, in a session of its own: Ctrl-C is for us alone. Raises BoundsError."""
+        self.forget_ended()
+        if len(self.running) >= self.bounds.most_processes:
+            raise BoundsError(f"processes: expected {self.bounds.most_processes} at most, got one more: {name}")
+        with open(log or os.devnull, "ab") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-B", leash.__file__, str(os.getpid()), module, *args], env=environ,
+                stdin=subprocess.DEVNULL, stdout=out, stderr=out, start_new_session=True,
+                pass_fds=[sock.fileno() for sock in keep])
+            self.running[process.pid] = process
+            self.names[process.pid] = name
+        return process
+
+    def forget_ended(self) -> None:
+        for pid, process in list(self.running.items()):
+            if process.poll() is not None:
+                del self.running[pid]
+
+    def end(self, *some: subprocess.Popen[bytes], number: int = signal.SIGTERM, within_s: float = END_S) -> None:
+        """Those named, or all; returns when they are gone."""
+        ending = list(some or self.running.values())
+        for process in ending:
+            for signal_number in (number, signal.SIGCONT):
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal_number)
+        until_s = time.monotonic() + within_s
+        for process in ending:
+            try:
+                process.wait(max(0.0, until_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            self.running.pop(process.pid, None)
+
+    def memory_mb(self) -> float:
+        return sum(memory_mb(pid) for pid in self.running)
+
+    async def watch(self) -> None:
+        """For as long as the run runs; raises BoundsError when it takes more than it may."""
+        start = machine()
+        most_mb = self.bounds.memory_mb(start)
+        while True:
+            self.look(most_mb)
+            await asyncio.sleep(LOOK_S)
+
+    def look(self, most_mb: float) -> None:
+        taken_mb, now = self.memory_mb() + memory_mb(os.getpid()), machine()
+        if taken_mb > most_mb:
+            raise BoundsError(f"memory: expected {most_mb:,.0f} MB at most, the run took {taken_mb:,.0f} MB and was "
+                              "ended")
+        if now.available_mb < now.memory_mb / 20:
+            raise BoundsError(f"memory: expected {now.memory_mb / 20:,.0f} MB available at least, the machine has "
+                              f"{now.available_mb:,.0f} MB; the run was ended")
--- /dev/null
+++ b/ironscale/scale/hollow.py
@@ -0,0 +1,212 @@
+"""Hollow instances: the real control protocol and the real watch on discovery, no data path; hundreds share a process.
+
+`python -m ironscale.scale.hollow ORDER` is such a process; it tells what it saw, and when by the machine's monotonic
+clock, over the socket that it was given.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import socket
+import struct
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from ironscale.control.light import LightInstance, light
+from ironscale.interface import ListKind
+from ironscale.net.discovery import Directory, Discovery, Listing
+from ironscale.operator_file import read_secret
+from ironscale.scale.bounds import Crew, memory_mb
+
+Address = tuple[str, int]
+LINE = 1 << 24
+ANSWER_S = 30.0
+DIALS_PER_S = 2_000.0  # of one process at its start
+# struct tcp_info (linux/tcp.h): tcpi_bytes_acked and tcpi_bytes_received
+TCP_BYTES = struct.Struct("=120x2Q")
+
+
+class HollowError(Exception):
+    """A process of hollow instances that ended or doesn't answer; the text is one line."""
+
+
+def passed(transport: asyncio.BaseTransport | None) -> tuple[int, int]:
+    """Bytes sent (and heard of) and received on a connection, by the kernel's count."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    if sock is None:
+        return 0, 0
+    try:
+        found = TCP_BYTES.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_BYTES.size))
+    except (OSError, struct.error):
+        return 0, 0
+    return int(found[0]), int(found[1])
+
+
+class Herd:
+    """The hollow instances of this process."""
+
+    def __init__(self, order: dict[str, Any]) -> None:
+        self.order = order
+        self.instances: list[LightInstance] = []
+        self.discoveries: list[Discovery] = []
+        self.in_force: dict[int, list[float]] = {}  # by generation: when each instance had it
+        self.lists: dict[int, list[float]] = {}  # by generation of discovery's list: when each watch was told
+        self.failed_lists = 0
+
+    def had(self, what: str) -> None:
+        kind, _, number = what.partition(" ")
+        if kind == "generation":
+            self.in_force.setdefault(int(number), []).append(time.monotonic())
+
+    def told(self, index: int, kind: ListKind, listing: Listing | None) -> None:
+        if listing is None:
+            self.failed_lists += 1
+            # as the decisions do at first: soon, and not all at once
+            asyncio.get_running_loop().call_later(random.random(), self.discoveries[index].subscribe)
+        elif listing.members:
+            self.lists.setdefault(listing.generation, []).append(time.monotonic())
+
+    async def run(self) -> None:
+        order = self.order
+        agents = [(host, int(port)) for host, port in order["agents"]]
+        token = read_secret(Path(order["token_file"])) if agents else ""
+        async with asyncio.TaskGroup() as group:
+            for n in range(order["first"], order["first"] + order["count"]):
+                if agents:
+                    rng = random.Random(f"{order['seed']} {n}")
+                    instance, client = light(f"hollow-{n:05}", agents[0], token, rng=rng, others=tuple(agents[1:]),
+                                             zone=f"zone-{n % order['zones']:02}")
+                    instance.before_effect = self.had
+                    self.instances.append(instance)
+                    group.create_task(client.run())
+                if order["discovery"]:
+                    host, port = order["discovery"]
+                    self.discoveries.append(Discovery((host, port), Directory([], []), 0, partial(
+                        self.told, len(self.discoveries)), 5.0, lambda text: None))
+                    self.discoveries[-1].subscribe()
+                await asyncio.sleep(1 / DIALS_PER_S)
+            if not agents:
+                await asyncio.Event().wait()
+
+    def state(self) -> dict[str, Any]:
+        sent = received = welcomed = 0
+        for instance in self.instances:
+            session = instance.client.session if instance.client is not None else None
+            if session is not None:
+                welcomed += session.welcome is not None
+                out, back = passed(session.transport)
+                sent, received = sent + out, received + back
+        list_received = sum(passed(d.watch.transport)[1] for d in self.discoveries if d.watch is not None)
+        return {"welcomed": welcomed, "sent": sent, "received": received, "cpu_s": time.process_time(),
+                "memory_mb": memory_mb(os.getpid()), "list_received": list_received, "failed_lists": self.failed_lists}
+
+    def answer(self, question: dict[str, Any]) -> dict[str, Any]:
+        match question["ask"]:
+            case "state":
+                return self.state()
+            case "in force":
+                return {"at": self.in_force.get(question["generation"], [])}
+            case "list":
+                return {"at": self.lists.get(question["generation"], [])}
+        return {"wrong": f"{question['ask']}: not known here"}
+
+
+async def tend(order: dict[str, Any]) -> None:
+    herd = Herd(order)
+    reader, writer = await asyncio.open_connection(sock=socket.socket(fileno=order["fd"]), limit=LINE)
+    task = asyncio.create_task(herd.run())
+    try:
+        while not task.done() and (line := await reader.readline()):
+            writer.write(json.dumps(herd.answer(json.loads(line))).encode() + b"\n")
+            await writer.drain()
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@dataclass
+class Herder:
+    """A process of hollow instances, seen from the run."""
+
+    process: subprocess.Popen[bytes]
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    count: int
+
+    async def ask(self, **question: Any) -> dict[str, Any]:
+        """Raises HollowError."""
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                self.writer.write(json.dumps(question).encode() + b"\n")
+                line = await self.reader.readline()
+        except (OSError, TimeoutError) as error:
+            raise HollowError(f"hollow instances, process {self.process.pid}: {error or 'no answer'}") from error
+        if not line:
+            raise HollowError(f"hollow instances, process {self.process.pid}: it has ended")
+        return dict(json.loads(line))
+
+
+class Hollows:
+    """All hollow instances of a run, over their processes."""
+
+    def __init__(self, crew: Crew, each: int, zones: int, seed: int, log: Path) -> None:
+        self.crew, self.each, self.zones, self.seed, self.log = crew, each, zones, seed, log
+        self.herders: list[Herder] = []
+
+    @property
+    def count(self) -> int:
+        return sum(herder.count for herder in self.herders)
+
+    async def start(self, count: int, agents: Sequence[Address], token_file: Path | None,
+                    discovery: Address | None = None) -> None:
+        first = self.count
+        while count:
+            share = min(count, self.each)
+            ours, theirs = socket.socketpair()
+            order = {"first": first, "count": share, "agents": list(agents), "token_file": str(token_file or ""),
+                     "discovery": discovery, "zones": self.zones, "seed": self.seed, "fd": theirs.fileno()}
+            with theirs:
+                process = self.crew.start("hollow", "ironscale.scale.hollow", json.dumps(order), log=self.log,
+                                          keep=(theirs,))
+            reader, writer = await asyncio.open_connection(sock=ours, limit=LINE)
+            self.herders.append(Herder(process, reader, writer, share))
+            first, count = first + share, count - share
+
+    async def ask(self, **question: Any) -> list[dict[str, Any]]:
+        return list(await asyncio.gather(*(herder.ask(**question) for herder in self.herders)))
+
+    async def total(self) -> dict[str, float]:
+        """The sum of what all say of themselves."""
+        found: dict[str, float] = {}
+        for state in await self.ask(ask="state"):
+            for key, value in state.items():
+                found[key] = found.get(key, 0) + value
+        return found
+
+    async def times(self, what: str, generation: int) -> list[float]:
+        """When each had it, the first first."""
+        return sorted(at for part in await self.ask(ask=what, generation=generation) for at in part["at"])
+
+    async def end(self) -> None:
+        for herder in self.herders:
+            herder.writer.close()
+        if self.herders:
+            self.crew.end(*(herder.process for herder in self.herders))
+        self.herders.clear()
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        uvloop.run(tend(json.loads(sys.argv[1])))
--- /dev/null
+++ b/ironscale/scale/page.py
@@ -0,0 +1,224 @@
+"""The tables of the capacity page: each figure slope x size with both named, and needs beside budgets. Pure."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from ironscale.scale.result import ROLES, Reading, Result, Slope
+from ironscale.scale.size import Size
+
+DAY_S, MONTH_DAYS = 86_400, 30
+# What a slope's sizes count, and the figure of the size file that it is taken to.
+AXES = {"instances": "fleet.sidecars", "real sidecars": "fleet.sidecars", "upstreams in the list": "fleet.upstreams",
+        "sidecars": "fleet.sidecars", "hops": "fleet.depth"}
+
+
+class PageError(Exception):
+    """A page whose tables can't be written, or aren't those of the result; the text is one line."""
+
+
+def number(value: float) -> str:
+    """Three digits that count, and thousands parted."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 100:
+        return f"{float(f'{value:.3g}'):,.0f}"
+    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.1e}"
+
+
+def scaled(value: float, unit: str) -> str:
+    """Bytes in the unit that fits."""
+    if unit.startswith("bytes"):
+        for factor, name in ((1e12, "TB"), (1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
+            if abs(value) >= factor:
+                return f"{number(value / factor)} {name}{unit.removeprefix('bytes')}"
+    return f"{number(value)} {unit}"
+
+
+def table(head: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> str:
+    lines = [head, tuple("---" for _ in head), *rows]
+    return "\n".join("| " + " | ".join(cell.replace("|", "/") for cell in line) + " |" for line in lines)
+
+
+def role_name(role: str) -> str:
+    return role.replace(" ", "-")
+
+
+def figures(size: Size, result: Result, role: str) -> str:
+    """All that was measured of a role."""
+    rows = []
+    for entry in sorted(result.slopes.values(), key=lambda s: s.name):
+        if entry.role == role:
+            rows.append(_slope_row(size, entry))
+    for reading in sorted(result.readings.values(), key=lambda r: r.name):
+        if reading.role == role:
+            spread = f", {number(min(reading.repeats))} to {number(max(reading.repeats))}" if reading.scatter else ""
+            rows.append((f"`{reading.name}`", f"{scaled(reading.value, reading.unit)}{spread}", "", "", "",
+                         _run(reading)))
+    if not rows:
+        return "Not measured."
+    return table(("figure", "measured", "slope (its error)", "it is", "at the size", "run"), rows)
+
+
+def _run(entry: Slope | Reading) -> str:
+    return entry.at + (f"; {entry.note}" if entry.note else "")
+
+
+def _slope_row(size: Size, entry: Slope) -> tuple[str, ...]:
+    measured = ", ".join(f"{number(p.value)} at {p.size:,.0f}" for p in entry.points)
+    fit, key = entry.fit, AXES.get(entry.x)
+    per = "" if fit.verdict == "flat" else f"{number(fit.slope)} ({number(fit.slope_error)}) each of {entry.x}"
+    return (f"`{entry.name}`", f"{measured}; {entry.unit}", per, fit.verdict,
+            f"{scaled(at_size(size, entry), entry.unit)} at `{key}` {size.figure(key):,.0f}" if key else "",
+            _run(entry))
+
+
+def at_size(size: Size, entry: Slope) -> float:
+    """At the size file's figure. What grows faster than a line is taken from its points where the size was reached:
+    a line would tell too little beyond. Raises KeyError where the size file has no such figure."""
+    wanted = size.figure(AXES[entry.x])
+    reached = next((p.value for p in entry.points if p.size == wanted), None)
+    return reached if reached is not None else entry.fit.at(wanted)
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """A row of the table of needs: a measured figure, what it is multiplied by, and the budget that it is held by."""
+
+    role: str
+    what: str
+    name: str  # of the slope or reading
+    budget: str  # its key in the size file
+    unit: str
+    factor: Callable[[Size], float] = lambda size: 1.0
+    by: str = ""  # what the factor is, in words
+
+
+CONTROL, LEADS, STANDS_BY, RECORD, PATH = ("sidecar control", "agent that leads", "agent that stands by", "record",
+                                           "sidecar data path")
+NEEDS = [
+    Need(CONTROL, "processor at rest", "control.real.rest.added_cpu_percent", "budget.cpu_percent", "% of a core"),
+    Need(CONTROL, "memory", "control.list.memory_mb", "budget.memory_mb", "MB"),
+    Need(CONTROL, "memory that control adds", "control.real.added_memory_mb", "budget.memory_mb", "MB"),
+    Need(CONTROL, "bytes at rest, to and from the agent", "control.rest.bytes_s", "budget.bytes_per_s", "bytes/s"),
+    Need(LEADS, "a change to all, the last", "agent.change.last_s", "promises.force_s", "s"),
+    Need(LEADS, "changes that overlap, the last", "agent.overlap.last_s", "promises.force_s", "s"),
+    Need(LEADS, "killed and started at once, the last has the next change", "agent.back.change_last_s",
+         "promises.force_s", "s"),
+    Need(STANDS_BY, "the leader's machine gone, the last has the next change", "takeover.change_last_s",
+         "promises.force_s", "s"),
+    Need(PATH, "added to a call, p99", "path.call.added_p99_ms", "promises.added_p99_ms", "ms"),
+]
+
+
+def value_of(size: Size, result: Result, name: str) -> float | None:
+    if name in result.slopes:
+        return at_size(size, result.slopes[name])
+    return result.readings[name].value if name in result.readings else None
+
+
+def needs(size: Size, result: Result) -> str:
+    """The largest ratio of need to budget first; what was not measured last."""
+    found: list[tuple[float, tuple[str, ...]]] = []
+    for need in NEEDS:
+        value, budget = value_of(size, result, need.name), size.figure(need.budget)
+        head = (need.role, need.what)
+        if value is None:
+            found.append((-1.0, (*head, "not measured", f"`{need.name}`", f"{number(budget)} {need.unit}", "")))
+            continue
+        value *= need.factor(size)
+        ratio = value / budget
+        found.append((ratio, (*head, scaled(value, need.unit), f"`{need.name}`{need.by}",
+                              f"{scaled(budget, need.unit)} (`{need.budget}`)",
+                              f"**{ratio:.2f}**" if ratio > 1 else f"{ratio:.2f}")))
+    found.sort(key=lambda entry: -entry[0])
+    return table(("role", "what", "need", "from", "budget", "need / budget"), [row for _, row in found])
+
+
+def day(size: Size, result: Result) -> str:
+    """What an ordinary day comes to: the figure of one change or heartbeat, times how many there are."""
+    changes = size.promises.changes_per_day
+    rows = []
+
+    def row(what: str, name: str, factor: float, by: str, unit: str, month: bool = False) -> None:
+        value = value_of(size, result, name)
+        if value is None:
+            rows.append((what, f"`{name}`", by, "not measured", ""))
+            return
+        rows.append((what, f"`{name}` {number(value)}", by, scaled(value * factor, unit),
+                     scaled(value * factor * MONTH_DAYS, unit) if month else ""))
+
+    by = f"`promises.changes_per_day` {changes:,.0f}"
+    row("record grows by changes", "record.change.bytes", changes, by, "bytes", True)
+    row("rows of record by changes", "record.change.rows", changes, by, "rows", True)
+    row("written to disk by changes", "record.change.disk_bytes", changes, by, "bytes", True)
+    row("the leader's processor for changes, mean", "agent.change.cpu_ms", changes / DAY_S / 10, f"{by} / 86,400 s",
+        "% of a core")
+    row("the leader's processor at rest", "agent.rest.cpu_percent", 1, "", "% of a core")
+    row("sent by the leader for changes", "agent.change.sent_bytes", changes, by, "bytes", True)
+    row("sent by the leader at rest", "agent.rest.sent_bytes_s", DAY_S, "86,400 s", "bytes", True)
+    row("received by the leader at rest", "agent.rest.received_bytes_s", DAY_S, "86,400 s", "bytes", True)
+    return table(("what", "figure at the size", "times", "a day", "a month of 30 days"), rows)
+
+
+def need_table(size: Size, result: Result) -> str:
+    rows = [(f"`{key}`", f"{size.figure(key):,g}", unit) for key, unit in (
+        ("fleet.upstreams", "each with its sidecar"), ("fleet.services", "services"), ("fleet.regions", "regions"),
+        ("fleet.zones", "zones"), ("fleet.calls_per_s", "calls a second"), ("fleet.depth", "calls below one another"),
+        ("promises.added_p99_ms", "ms added to a call, for 99 in 100"),
+        ("promises.changes_per_day", "changes of configuration a day"),
+        ("promises.force_s", "s until a change is in force everywhere"),
+        ("budget.cpu_percent", "% of a core, a sidecar's control"), ("budget.memory_mb", "MB, a sidecar"),
+        ("budget.bytes_per_s", "bytes a second, a sidecar's control"), ("budget.machines", "machines for control"),
+        ("failures.machines_per_day", "machines that fail a day"),
+        ("failures.replaced_per_day", "sidecars and upstreams restarted or replaced a day"),
+        ("failures.rack_each_days", "days from a rack or switch to the next"),
+        ("failures.zone_each_days", "days from a zone to the next"),
+        ("failures.link_cut_s", "s that two regions lose each other"))]
+    return table(("key", "figure", "what"), rows)
+
+
+def measured_on(size: Size, result: Result) -> str:
+    facts = result.machine
+    play = size.play
+    return (f"Measured on one machine ({facts['cores']:g} cores, {facts['memory_mb']:,.0f} MB, shared with other "
+            f"work), size file {result.size_digest}; heartbeat {play.heartbeat_s:g} s, an instance's lease "
+            f"{play.lease_s:g} s, the leader's term {play.term_s:g} s. {len(result.slopes)} slopes and {len(result.readings)} readings.")
+
+
+def tables(size: Size, result: Result) -> dict[str, str]:
+    """By the name that the page's markers have."""
+    found = {"measured-on": measured_on(size, result), "size": need_table(size, result), "needs": needs(size, result),
+             "day": day(size, result)}
+    found.update({role_name(role): figures(size, result, role) for role in ROLES})
+    return found
+
+
+MARK = re.compile(r"<!-- scale:([\w-]+) -->\n(.*?)<!-- /scale:\1 -->", re.DOTALL)
+OPENING = re.compile(r"<!-- /?scale:([\w-]+) -->")
+
+
+def filled(text: str, size: Size, result: Result, file: str) -> str:
+    """The page with its tables as the result has them. Raises PageError."""
+    if result.size_digest != size.digest:
+        raise PageError(f"{file}: expected a result of size file {size.digest}, got one of {result.size_digest}")
+    found = tables(size, result)
+    whole = [match.group(1) for match in MARK.finditer(text)]
+    for match in OPENING.finditer(text):
+        name = match.group(1)
+        if name not in found:
+            raise PageError(f"{file}: expected a table of {', '.join(found)}, got {name!r}")
+        if whole.count(name) != 1:
+            raise PageError(f"{file}: expected <!-- scale:{name} --> and <!-- /scale:{name} --> once each, on lines of "
+                            "their own")
+    if not whole:
+        raise PageError(f"{file}: expected <!-- scale:NAME --> and <!-- /scale:NAME -->, got no table's place")
+    return MARK.sub(lambda m: f"<!-- scale:{m.group(1)} -->\n{found[m.group(1)]}\n<!-- /scale:{m.group(1)} -->", text)
+
+
+def drift(text: str, size: Size, result: Result, file: str) -> list[str]:
+    """Names of the tables in the page that aren't those of the result. Raises PageError."""
+    now = dict(MARK.findall(filled(text, size, result, file)))
+    return [name for name, was in MARK.findall(text) if was != now[name]]
--- /dev/null
+++ b/ironscale/scale/record.py
@@ -0,0 +1,84 @@
+"""The record: what a change leaves in it, what that comes to, and what a restart reads."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from ironscale.scale.agents import Agents, Spent
+from ironscale.scale.run import Scene
+
+ROLE, X = "record", "instances"
+FEW, MANY = 4, 16  # changes
+
+
+async def measure(scene: Scene) -> None:
+    grown: dict[int, list[float]] = {}
+    rows: dict[int, list[float]] = {}
+    written: dict[int, list[float]] = {}
+    started: dict[int, list[float]] = {}
+    read: dict[int, list[float]] = {}
+    for count in scene.size.play.sizes:
+        scene.progress(f"record: {count} hollow instances")
+        async with scene.fleet(count) as (agents, hollows):
+            await agents.change(hollows)
+            await settled(agents)
+            for _ in range(FEW):
+                before, spent = agents.record_state(), Spent.of(agents.pid())
+                change = await agents.change(hollows)
+                await agents.in_force(hollows, change.generation)
+                await settled(agents)
+                after = agents.record_state()
+                grown.setdefault(count, []).append(after["bytes"] - before["bytes"])
+                rows.setdefault(count, []).append(sum(after[t] - before[t] for t in (
+                    "targets", "operations", "configurations", "audit", "mutations")))
+                written.setdefault(count, []).append(float(Spent.of(agents.pid()).written - spent.written))
+            took_s, taken = await restarted(agents)
+            started[count], read[count] = [took_s], [taken]
+            if count == scene.size.play.sizes[0]:
+                await longer(scene, agents, hollows_count=count, took_s=took_s, taken=taken)
+    scene.add_slope("record.change.bytes", ROLE, X, "bytes a change", grown)
+    scene.add_slope("record.change.rows", ROLE, X, "rows a change", rows)
+    scene.add_slope("record.change.disk_bytes", ROLE, X, "bytes written to disk a change", written,
+                    "the agent's write_bytes, heartbeats' marks among them")
+    scene.add_slope("record.restart.seconds", ROLE, X, "s", started,
+                    f"from SIGTERM's end to the agent's address, after {FEW + 1} changes")
+    scene.add_slope("record.restart.read_bytes", ROLE, X, "bytes read", read)
+
+
+async def settled(agents: Agents) -> None:
+    """Until nothing but marks is written: what instances showed is saved a little after they did."""
+    was, until_s = -1.0, time.monotonic() + 10
+    while time.monotonic() < until_s:
+        state = agents.record_state()
+        if state["bytes"] == was:
+            return
+        was = state["bytes"]
+        await asyncio.sleep(1.2)
+
+
+async def restarted(agents: Agents) -> tuple[float, float]:
+    """Seconds from the start of the next process until it answers, and bytes that it had read by then."""
+    process = agents.running[0]
+    assert process is not None
+    agents.crew.end(process, number=signal.SIGTERM, within_s=10)
+    agents.running[0] = None
+    (agents.folder / "agent-0" / "address").unlink(missing_ok=True)
+    at_s = time.monotonic()
+    agents.launch(0)
+    await agents.until(lambda: (agents.folder / "agent-0" / "address").exists(), "agent-0 did not start again")
+    return time.monotonic() - at_s, float(Spent.of(agents.pid()).read)
+
+
+async def longer(scene: Scene, agents: Agents, hollows_count: int, took_s: float, taken: float) -> None:
+    """The same instances after more changes: does a restart read the whole history?"""
+    await agents.until_ready(hollows_count)
+    for _ in range(MANY):
+        _, operation, _, _ = await agents.apply()
+        await agents.closed(operation)
+    again_s, again = await restarted(agents)
+    scene.add_reading("record.restart.more_history_s", ROLE, "s", [again_s - took_s],
+                      f"{MANY} changes of {hollows_count} more in the record")
+    scene.add_reading("record.restart.more_history_bytes", ROLE, "bytes read", [again - taken],
+                      f"{MANY} changes of {hollows_count} more in the record")
--- /dev/null
+++ b/ironscale/scale/run.py
@@ -0,0 +1,146 @@
+"""One scale run: bounds, the pieces that were asked for, and the result that they are merged into."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import platform
+import shutil
+import signal
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from ironscale.scale.agents import Agents, AgentsError
+from ironscale.scale.bounds import Bounds, Crew, Plan, machine
+from ironscale.scale.fit import FitError
+from ironscale.scale.hollow import HollowError, Hollows
+from ironscale.scale.result import Reading, Result, slope
+from ironscale.scale.size import Size
+
+# Each is a module of this package with `async def measure(scene)`; the order is that of a whole run.
+PIECES = ("control", "agent", "takeover", "record", "path", "chain", "discovery")
+
+
+class RunError(Exception):
+    """A run that could not be done; the text is one line."""
+
+
+@dataclass(slots=True)
+class Scene:
+    """What a piece has at hand: the size, a folder of its own, what it starts, and where its figures go."""
+
+    size: Size
+    folder: Path
+    crew: Crew
+    bounds: Bounds
+    result: Result
+    progress: Callable[[str], None]
+
+    def add_slope(self, name: str, role: str, x: str, unit: str, points: Mapping[int, Iterable[float]],
+                  note: str = "") -> None:
+        """Points by size, a list of repeats each. Raises FitError under three sizes."""
+        found = slope(name, role, x, unit, {float(size): values for size, values in points.items()}, now(), note)
+        self.result.add(found)
+        self.progress(f"{name}: " + ", ".join(f"{p.value:.4g} at {p.size:g}" for p in found.points)
+                      + f" {unit}; {found.fit.verdict}")
+
+    def add_reading(self, name: str, role: str, unit: str, repeats: Iterable[float], note: str = "") -> None:
+        found = Reading(name, role, unit, tuple(float(v) for v in repeats), now(), note)
+        self.result.add(found)
+        self.progress(f"{name}: {found.value:.4g} {unit}")
+
+    def check(self, hollow: int, agents: int, real: int = 0, others: int = 0) -> None:
+        """Raises BoundsError where starting so many would take too much."""
+        self.bounds.check(Plan(hollow, self.size.play.hollow_each, agents, real, others))
+
+    @asynccontextmanager
+    async def fleet(self, count: int, agents: int = 1, term_s: float | None = None
+                    ) -> AsyncIterator[tuple[Agents, Hollows]]:
+        """So many hollow instances at one agent or several, all seen ready; ended with the block."""
+        self.check(count, agents)
+        play = self.size.play
+        folder = Path(tempfile.mkdtemp(prefix="fleet-", dir=self.folder))
+        hollows = Hollows(self.crew, play.hollow_each, self.size.fleet.zones, play.seed, folder / "hollow.log")
+        found = Agents(self.crew, folder, agents, play, term_s)
+        try:
+            await found.start()
+            await hollows.start(count, found.addresses, found.token_file)
+            await found.until_ready(count)
+            yield found, hollows
+        finally:
+            await hollows.end()
+            await found.close()
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+def now() -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
+
+
+def machine_facts() -> dict[str, Any]:
+    found = machine()
+    return {"cores": found.cores, "memory_mb": round(found.memory_mb), "available_mb": round(found.available_mb),
+            "python": platform.python_version(), "system": f"{platform.system()} {platform.release()}"}
+
+
+def with_sizes(size: Size, sizes: tuple[int, ...]) -> Size:
+    return replace(size, play=replace(size.play, sizes=sizes))
+
+
+async def run(size: Size, pieces: Sequence[str], result: Result, progress: Callable[[str], None],
+              write: Callable[[Result], None]) -> None:
+    """The pieces in turns; `write` is called after each. Ctrl-C and SIGTERM end it, and all that it started. Raises
+    RunError, BoundsError."""
+    bounds = Bounds(size.play.most_processes, size.play.most_memory_share)
+    bounds.check(Plan(max(size.play.sizes), size.play.hollow_each, size.play.agents, size.play.real))
+    crew = Crew(bounds)
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    assert task is not None
+    stopped = False
+
+    def stop() -> None:
+        nonlocal stopped
+        if not stopped:  # the second one must not break off what ends the processes
+            stopped = True
+            task.cancel()
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop)
+    folder = Path(tempfile.mkdtemp(prefix="ironscale-scale-"))
+    try:
+        for piece in pieces:
+            progress(f"== {piece}")
+            scene = Scene(size, folder, crew, bounds, result, progress)
+            await watched(crew, importlib.import_module(f"ironscale.scale.{piece}").measure(scene))
+            write(result)
+    except asyncio.CancelledError:
+        if not stopped:
+            raise
+        raise RunError("stopped") from None
+    except (AgentsError, HollowError, FitError, OSError, httpx.HTTPError) as error:
+        raise RunError(f"{piece}: {error}") from error
+    finally:
+        crew.end()
+        shutil.rmtree(folder, ignore_errors=True)
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.remove_signal_handler(number)
+
+
+async def watched(crew: Crew, work: Any) -> None:
+    """Under the watchdog: the run ends with the first of the two that fails."""
+    tasks = {asyncio.ensure_future(work), asyncio.ensure_future(crew.watch())}
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/ironscale/scale/size.py
+++ b/ironscale/scale/size.py
@@ -81,7 +81,13 @@
     budget: Budget
     failures: Failures
     play: Play
-    digest: str  # of the file's bytes: a result belongs to it
+
+    @property
+    def digest(self) -> str:
+        """Of all that a figure depends on: a result belongs to it. How much is started and how often is not in it."""
+        play = self.play
+        what = (self.fleet, self.promises, self.budget, self.failures, play.heartbeat_s, play.lease_s, play.term_s)
+        return hashlib.sha256(repr(what).encode()).hexdigest()[:16]
 
     def figure(self, key: str) -> float:
         """By its path in the file, as `fleet.sidecars`. Raises KeyError."""
@@ -139,8 +145,8 @@
         _whole_numbers(table, "sizes", 1, 20_000, (3, 10), (250, 750, 2300)),
         _whole_numbers(table, "lists", 1, 20_000, (3, 10), (10, 100, 2300)),
         table.whole("real", 0, 200, 30), table.whole("agents", 1, 8, 3), table.whole("hollow_each", 1, 2_000, 400),
-        table.whole("repeats", 1, 20, 3), beat_s, table.seconds("lease_s", 0.1, 600, 10.0),
-        table.seconds("term_s", 0.2, 600, 5.0), table.whole("most_processes", 4, 300, 300),
+        table.whole("repeats", 1, 20, 3), beat_s, table.seconds("lease_s", 0.1, 600, 6.0),
+        table.seconds("term_s", 0.5, 60, 10.0), table.whole("most_processes", 4, 300, 300),
         table.number("most_memory_share", 0.01, 0.5, 0.5), table.whole("seed", 0, 2**32, 1),
     )
     if found.lease_s < 2 * beat_s:
@@ -164,7 +170,7 @@
         Failures(failures.number("machines_per_day", 0, 1e6), failures.number("replaced_per_day", 0, 1e7),
                  failures.number("rack_each_days", 0.1, 1e5), failures.number("zone_each_days", 0.1, 1e5),
                  failures.seconds("link_cut_s", 0, 1e7)),
-        _play(play), hashlib.sha256(text.encode()).hexdigest()[:16],
+        _play(play),
     )
     for table in (fleet, promises, budget, failures, play, root):
         table.end()
--- /dev/null
+++ b/ironscale/scale/takeover.py
@@ -0,0 +1,47 @@
+"""An agent that stands by, and the fleet when the one that leads is killed and doesn't come back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ironscale.scale.agents import Agents, at_rest
+from ironscale.scale.hollow import Hollows
+from ironscale.scale.run import Scene
+
+ROLE, X = "agent that stands by", "instances"
+UNITS = {
+    "standby.rest.cpu_percent": "% of a core", "standby.rest.memory_mb": "MB",
+    "takeover.all_ready_s": "s", "takeover.told_s": "s", "takeover.change_p50_s": "s",
+    "takeover.change_p99_s": "s", "takeover.change_last_s": "s",
+}
+
+
+async def measure(scene: Scene) -> None:
+    found: dict[str, dict[int, list[float]]] = {name: {} for name in UNITS}
+    play = scene.size.play
+    for count in play.sizes:
+        scene.progress(f"takeover: {count} hollow instances, {play.agents} agents")
+        async with scene.fleet(count, play.agents) as (agents, hollows):
+            for name, value in (await one(agents, hollows, count, play.heartbeat_s)).items():
+                found[name].setdefault(count, []).append(value)
+    for name, points in found.items():
+        scene.add_slope(name, ROLE, X, UNITS[name], points, f"a term of {play.term_s:g} s")
+
+
+async def one(agents: Agents, hollows: Hollows, count: int, beat_s: float) -> dict[str, float]:
+    await agents.change(hollows)
+    await asyncio.sleep(beat_s)
+    percent, megabytes, _ = await at_rest(agents.pid(1), 2 * beat_s)
+    killed_s = agents.kill(0)
+    agents.turn = 1
+    ready = asyncio.ensure_future(agents.until_ready(count))
+    try:
+        change = await agents.change(hollows, since_s=killed_s)
+        all_s = await ready - killed_s
+    finally:
+        ready.cancel()
+    return {
+        "standby.rest.cpu_percent": percent, "standby.rest.memory_mb": megabytes, "takeover.all_ready_s": all_s,
+        "takeover.told_s": change.told_s, "takeover.change_p50_s": change.p(0.5),
+        "takeover.change_p99_s": change.p(0.99), "takeover.change_last_s": change.latencies_s[-1],
+    }
--- a/tests/scale/test_size.py
+++ b/tests/scale/test_size.py
@@ -49,7 +49,13 @@
     assert re.search(line, str(found.value)) and "\n" not in str(found.value)
 
 
-def test_the_digest_is_of_the_file() -> None:
+def test_the_digest_is_of_what_a_figure_depends_on() -> None:
     text = EXAMPLE.read_text(encoding="utf-8")
-    other = text.replace("depth = 22", "depth = 21")
-    assert parse(text, "a").digest == parse(text, "b").digest != parse(other, "a").digest
+
+    def digest(was: str, now: str) -> str:
+        assert was in text
+        return parse(text.replace(was, now), "a").digest
+
+    same = {parse(text, "a").digest, digest("# each with its sidecar", ""), digest("repeats = 3", "repeats = 2")}
+    others = {digest("depth = 22", "depth = 21"), digest("repeats = 3", "term_s = 3"), digest("= 12  ", "= 11  ")}
+    assert len(same) == 1 and len(others) == 3 and not same & others
