--- /dev/null
+++ b/ironscale/scale/control.py
@@ -0,0 +1,121 @@
+"""What control costs a sidecar: real ones with an agent beside others without, with lists of several lengths."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+from collections.abc import Sequence
+
+from ironscale.control.processes import cpu_s
+from ironscale.scale.agents import Agents, at_rest
+from ironscale.scale.bounds import memory_mb
+from ironscale.scale.reals import Reals
+from ironscale.scale.run import Scene
+
+ROLE, LIST = "sidecar control", "upstreams in the list"
+EACH = 4  # sidecars with an agent, and as many without
+LISTS, ENTRIES, CHANGES = 4, 40, 6
+QUIET_S = 0.7
+UNITS = {
+    "control.list.memory_mb": "MB", "control.list.alone_memory_mb": "MB",
+    "control.list.rest.cpu_percent": "% of a core", "control.list.rest.alone_cpu_percent": "% of a core",
+    "control.list.whole_cpu_ms": "ms", "control.list.entry_cpu_us": "us",
+    "control.list.whole_bytes": "bytes", "control.list.entry_bytes": "bytes",
+    "control.list.change_cpu_us": "us a change",
+}
+NOTES = {
+    "control.list.memory_mb": "the whole process, with an agent",
+    "control.list.alone_memory_mb": "the whole process, without an agent",
+    "control.list.rest.cpu_percent": "the whole process, with an agent, no traffic",
+    "control.list.rest.alone_cpu_percent": "the whole process, without an agent, no traffic",
+    "control.list.change_cpu_us": "a change of configuration by the agent, with its answer and report",
+}
+
+
+async def measure(scene: Scene) -> None:
+    found: dict[str, dict[int, list[float]]] = {name: {} for name in UNITS}
+    added_cpu: list[float] = []
+    added_mb: list[float] = []
+    for length in scene.size.play.lists:
+        scene.progress(f"control: lists of {length}")
+        scene.check(0, 1, 2 * EACH)
+        async with scene.fleet(0) as (agents, _), Reals.among(scene.crew, scene.folder, 2 * EACH, length) as reals:
+            without = await reals.start(EACH)
+            with_agent = await reals.start(EACH, agents.addresses, agents.token_file)
+            await agents.until_ready(EACH)
+            one = await of_list(scene, agents, reals, with_agent, without)
+        for name, values in one.items():
+            found[name][length] = values
+        usual = length == scene.size.play.lists[0]
+        if usual:
+            added_cpu = [a - b for a, b in zip(one["control.list.rest.cpu_percent"],
+                                               one["control.list.rest.alone_cpu_percent"], strict=True)]
+            added_mb = [a - b for a, b in zip(sorted(one["control.list.memory_mb"]),
+                                              sorted(one["control.list.alone_memory_mb"]), strict=True)]
+    for name, points in found.items():
+        scene.add_slope(name, ROLE, LIST, UNITS[name], points, NOTES.get(name, ""))
+    least = scene.size.play.lists[0]
+    scene.add_reading("control.real.rest.added_cpu_percent", ROLE, "% of a core", added_cpu,
+                      f"with an agent less without, lists of {least}")
+    scene.add_reading("control.real.added_memory_mb", ROLE, "MB", added_mb,
+                      f"with an agent less without, lists of {least}")
+
+
+async def of_list(scene: Scene, agents: Agents, reals: Reals, with_agent: Sequence[subprocess.Popen[bytes]],
+                  without: Sequence[subprocess.Popen[bytes]]) -> dict[str, list[float]]:
+    discovery = reals.discovery
+    await asyncio.sleep(2.0)
+    beat_s = scene.size.play.heartbeat_s
+    rests = await asyncio.gather(*(at_rest(p.pid, 4 * beat_s) for p in (*with_agent, *without)))
+    percent = [rest[0] for rest in rests]
+    found = {
+        "control.list.rest.cpu_percent": percent[:EACH], "control.list.rest.alone_cpu_percent": percent[EACH:],
+        "control.list.whole_bytes": [float(len(discovery.chunk(discovery.whole())))],
+    }
+
+    async def cost(times: int, pause_s: float, work: object) -> list[float]:
+        """CPU seconds each of the sidecars without an agent took for one, less what it takes at rest."""
+        assert callable(work)
+        before, began_s = [cpu_s(p.pid) for p in without], asyncio.get_running_loop().time()
+        for _ in range(times):
+            work()
+            await asyncio.sleep(pause_s)
+        await asyncio.sleep(QUIET_S)
+        took_s = asyncio.get_running_loop().time() - began_s
+        return [max(0.0, cpu_s(p.pid) - was - rest / 100 * took_s) / times
+                for p, was, rest in zip(without, before, percent[EACH:], strict=True)]
+
+    def whole() -> None:
+        discovery.generation += 1
+        discovery.tell(discovery.whole())
+
+    entries = [dict(entry) for entry in list(discovery.entries.values())[:ENTRIES]]
+    turn = 0
+
+    def entry() -> None:
+        nonlocal turn
+        changed = entries[turn % len(entries)]
+        changed["weight"] = 1.0 + (turn % 7) / 100
+        turn += 1
+        discovery.put(changed)
+
+    found["control.list.whole_cpu_ms"] = [s * 1e3 for s in await cost(LISTS, QUIET_S, whole)]
+    found["control.list.entry_cpu_us"] = [s * 1e6 for s in await cost(ENTRIES, 0.03, entry)]
+    found["control.list.entry_bytes"] = [float(len(discovery.chunk({
+        "generation": 1, "reset": False, "instances": entries[:1]})))]
+    found["control.list.change_cpu_us"] = await of_changes(agents, with_agent, percent[:EACH])
+    found["control.list.memory_mb"] = [memory_mb(p.pid) for p in with_agent]
+    found["control.list.alone_memory_mb"] = [memory_mb(p.pid) for p in without]
+    return found
+
+
+async def of_changes(agents: Agents, with_agent: Sequence[subprocess.Popen[bytes]], rests: Sequence[float]
+                     ) -> list[float]:
+    before, began_s = [cpu_s(p.pid) for p in with_agent], asyncio.get_running_loop().time()
+    for _ in range(CHANGES):
+        _, operation, _, _ = await agents.apply()
+        await agents.closed(operation)
+    await asyncio.sleep(QUIET_S)
+    took_s = asyncio.get_running_loop().time() - began_s
+    return [max(0.0, cpu_s(p.pid) - was - rest / 100 * took_s) / CHANGES * 1e6
+            for p, was, rest in zip(with_agent, before, rests, strict=True)]
--- a/ironscale/scale/page.py
+++ b/ironscale/scale/page.py
@@ -185,7 +185,8 @@
     play = size.play
     return (f"Measured on one machine ({facts['cores']:g} cores, {facts['memory_mb']:,.0f} MB, shared with other "
             f"work), size file {result.size_digest}; heartbeat {play.heartbeat_s:g} s, an instance's lease "
-            f"{play.lease_s:g} s, the leader's term {play.term_s:g} s. {len(result.slopes)} slopes and {len(result.readings)} readings.")
+            f"{play.lease_s:g} s, the "
+            f"leader's term {play.term_s:g} s. {len(result.slopes)} slopes and {len(result.readings)} readings.")
 
 
 def tables(size: Size, result: Result) -> dict[str, str]:
--- /dev/null
+++ b/ironscale/scale/reals.py
@@ -0,0 +1,101 @@
+"""Real sidecars of a scale run: processes with a data path, and the discovery that tells them their list."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from ironscale.control.processes import cpu_s
+from ironscale.scale.bounds import Crew
+from ironscale.stage.relay import Port
+from ironscale.stage.run import Stage
+from ironscale.standins.discovery import ListedDiscovery
+from ironscale.standins.settings import SETTINGS
+from ironscale.standins.upstream import Peer
+
+START_S = 60.0
+USUAL_LIST = 10  # upstreams of one service
+NOT_OURS = ("GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_OPERATOR", "GW_OVERLAY", "GW_AGENT", "GW_AGENT_TOKEN_FILE")
+
+
+class RealsError(Exception):
+    """Real sidecars that don't start; the text is one line."""
+
+
+class Reals:
+    """So many sidecars with one list of upstreams; more can be started with another agent or none."""
+
+    def __init__(self, crew: Crew, folder: Path, discovery: ListedDiscovery, peer: Peer) -> None:
+        self.crew, self.folder, self.discovery, self.peer = crew, folder, discovery, peer
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.ports: list[Port] = []
+
+    @classmethod
+    @asynccontextmanager
+    async def among(cls, crew: Crew, folder: Path, count: int, upstreams: int = USUAL_LIST) -> AsyncIterator[Reals]:
+        """With discovery and one upstream that all entries of the list lead to. Starts no sidecar yet."""
+        peer, discovery = Peer(), ListedDiscovery()
+        peer.keep_messages = False
+        found = cls(crew, folder, discovery, peer)
+        if not count:
+            yield found
+            return
+        await peer.start()
+        discovery.put(*(peer.entry(f"node-{n:05}") for n in range(upstreams)))
+        await discovery.start()
+        try:
+            yield found
+        finally:
+            found.end()
+            await discovery.stop()
+            await peer.stop()
+
+    async def start(self, count: int, agents: Sequence[tuple[str, int]] = (), token_file: Path | None = None
+                    ) -> list[subprocess.Popen[bytes]]:
+        """Returns when all serve. Raises RealsError."""
+        started = [self.launch(agents, token_file) for _ in range(count)]
+        try:
+            async with asyncio.timeout(START_S):
+                for process, port in zip(started, self.ports[len(self.ports) - count:], strict=True):
+                    while not await Stage.serves(port.number):
+                        if process.poll() is not None:
+                            raise RealsError(f"sidecar of process {process.pid} ended with status "
+                                             f"{process.returncode}; see {self.folder / 'real.log'}")
+                        await asyncio.sleep(0.05)
+        except TimeoutError:
+            raise RealsError(f"{count} sidecars did not serve within {START_S:g} s") from None
+        return started
+
+    def launch(self, agents: Sequence[tuple[str, int]], token_file: Path | None) -> subprocess.Popen[bytes]:
+        number, port = len(self.processes), Port()
+        name = f"real-{number:03}"
+        file = self.folder / f"{name}.json"
+        file.write_text(json.dumps({
+            "name": name, "listen": f"127.0.0.1:{port.number}", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": f"{number + 1:x}", "limits": {"sockets": 256},
+            "settings": {**SETTINGS, "instances": 200, "self-index": number}}), encoding="utf-8")
+        environ = {key: value for key, value in os.environ.items() if key not in NOT_OURS}
+        environ["GW_CONFIG"] = str(file)
+        if agents:
+            environ |= {"GW_AGENT": ",".join(f"{host}:{number}" for host, number in agents),
+                        "GW_AGENT_TOKEN_FILE": str(token_file)}
+        process = self.crew.start(name, "ironscale", environ=environ, log=self.folder / "real.log")
+        self.processes.append(process)
+        self.ports.append(port)
+        return process
+
+    def cpu_s(self) -> list[float]:
+        return [cpu_s(process.pid) for process in self.processes]
+
+    def end(self) -> None:
+        if self.processes:
+            self.crew.end(*self.processes)
+        for port in self.ports:
+            port.close()
+        self.processes.clear()
+        self.ports.clear()
--- a/ironscale/scale/run.py
+++ b/ironscale/scale/run.py
@@ -21,6 +21,7 @@
 from ironscale.scale.bounds import Bounds, Crew, Plan, machine
 from ironscale.scale.fit import FitError
 from ironscale.scale.hollow import HollowError, Hollows
+from ironscale.scale.reals import Reals, RealsError
 from ironscale.scale.result import Reading, Result, slope
 from ironscale.scale.size import Size
 
@@ -61,10 +62,11 @@
         self.bounds.check(Plan(hollow, self.size.play.hollow_each, agents, real, others))
 
     @asynccontextmanager
-    async def fleet(self, count: int, agents: int = 1, term_s: float | None = None
+    async def fleet(self, count: int, agents: int = 1, term_s: float | None = None, real: int = 0
                     ) -> AsyncIterator[tuple[Agents, Hollows]]:
-        """So many hollow instances at one agent or several, all seen ready; ended with the block."""
-        self.check(count, agents)
+        """So many hollow instances at one agent or several, and so many real ones, all seen ready; ended with the
+        block."""
+        self.check(count, agents, real)
         play = self.size.play
         folder = Path(tempfile.mkdtemp(prefix="fleet-", dir=self.folder))
         hollows = Hollows(self.crew, play.hollow_each, self.size.fleet.zones, play.seed, folder / "hollow.log")
@@ -72,8 +74,10 @@
         try:
             await found.start()
             await hollows.start(count, found.addresses, found.token_file)
-            await found.until_ready(count)
-            yield found, hollows
+            async with Reals.among(self.crew, folder, real) as reals:
+                await reals.start(real, found.addresses, found.token_file)
+                await found.until_ready(count + real)
+                yield found, hollows
         finally:
             await hollows.end()
             await found.close()
@@ -124,7 +128,7 @@
         if not stopped:
             raise
         raise RunError("stopped") from None
-    except (AgentsError, HollowError, FitError, OSError, httpx.HTTPError) as error:
+    except (AgentsError, HollowError, RealsError, FitError, OSError, httpx.HTTPError) as error:
         raise RunError(f"{piece}: {error}") from error
     finally:
         crew.end()
--- /dev/null
+++ b/tests/scale/test_bounds.py
@@ -0,0 +1,202 @@
+"""Bounds: nothing begins beyond them, the watchdog ends what grows past them, and nothing is left behind."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+import time
+import types
+from pathlib import Path
+
+import pytest
+
+from ironscale.control.processes import start_ticks
+from ironscale.scale.bounds import Bounds, BoundsError, Crew, Machine, Plan, machine
+
+HERE = Machine(8, 24_000, 16_000)
+SLEEPER = "tests.scale.sleeper"
+
+
+@pytest.mark.parametrize(("plan", "found", "line"), [
+    (Plan(100_000, 300, 1), HERE, "processes: expected 300 at most, got 335 to start"),
+    (Plan(2300, 400, 3, 290), HERE, "processes: expected 300 at most, got 299|processes"),
+    (Plan(2300, 400, 3, 30), Machine(8, 24_000, 1_000), r"memory: expected 1,000 MB at most \(1,000 MB available"),
+    (Plan(2300, 400, 3, 30), Machine(8, 3_000, 2_900), "memory: expected 1,500 MB at most"),
+    (Plan(10**8, 10**6, 1), Machine(8, 1e9, 1e9), "descriptors: expected .* at most"),
+])
+def test_beyond_the_bounds_nothing_begins(plan: Plan, found: Machine, line: str) -> None:
+    if "got 299" in line:  # just within
+        Bounds(300, 0.5).check(plan, Machine(8, 48_000, 40_000))
+        line, plan = "processes: expected 300 at most, got 301 to start", Plan(2300, 400, 3, 292)
+    with pytest.raises(BoundsError, match=line) as error:
+        Bounds(300, 0.5).check(plan, found)
+    assert "\n" not in str(error.value)
+
+
+def test_this_machine_is_read() -> None:
+    found = machine()
+    assert found.cores >= 1 and 0 < found.available_mb <= found.memory_mb
+    assert Bounds(300, 0.5).memory_mb(found) == min(found.memory_mb / 2, found.available_mb)
+
+
+def test_the_crew_starts_no_more_than_it_may_and_ends_all(tmp_path: Path) -> None:
+    crew = Crew(Bounds(2, 0.5))
+    try:
+        first = crew.start("one", SLEEPER, str(tmp_path / "one"))
+        second = crew.start("two", SLEEPER, str(tmp_path / "two"), "deaf")
+        with pytest.raises(BoundsError, match="processes: expected 2 at most, got one more: three"):
+            crew.start("three", SLEEPER, str(tmp_path / "three"))
+        wait_for(lambda: (tmp_path / "one").exists() and (tmp_path / "two").exists())
+        assert crew.memory_mb() > 5
+    finally:
+        crew.end(within_s=0.5)
+    assert first.returncode == -signal.SIGTERM and second.returncode == -signal.SIGKILL and not crew.running
+
+
+def test_the_watchdog_ends_a_run_that_grows(tmp_path: Path) -> None:
+    from ironscale.scale.run import watched
+
+    crew = Crew(Bounds(4, 0.0001))  # 2.4 MB of 24 GB: what Python takes is more
+
+    async def work() -> None:
+        crew.start("one", SLEEPER, str(tmp_path / "one"))
+        await asyncio.Event().wait()
+
+    try:
+        with pytest.raises(BoundsError, match="memory: expected .* MB at most, the run took .* MB and was ended"):
+            asyncio.run(watched(crew, work()))
+    finally:
+        crew.end()
+
+
+def wait_for(condition: object, within_s: float = 30.0) -> None:
+    assert callable(condition)
+    until_s = time.monotonic() + within_s
+    while not condition():
+        assert time.monotonic() < until_s, "not within its time"
+        time.sleep(0.01)
+
+
+def children(pid: int) -> set[int]:
+    found: set[int] = set()
+    for task in Path(f"/proc/{pid}/task").glob("*/children"):
+        found.update(int(child) for child in task.read_text(encoding="ascii").split())
+    return found
+
+
+SMALL = """title = "small"
+[fleet]
+upstreams = 20
+services = 2
+regions = 1
+zones = 2
+calls_per_s = 100
+depth = 2
+[promises]
+added_p99_ms = 1.5
+changes_per_day = 10
+force_s = 12
+[budget]
+cpu_percent = 3.3
+memory_mb = 64
+bytes_per_s = 27000
+machines = 1
+[failures]
+machines_per_day = 1
+replaced_per_day = 1
+rack_each_days = 45
+zone_each_days = 60
+link_cut_s = 60
+[play]
+sizes = [5, 10, 20]
+agents = 2
+real = 1
+hollow_each = 10
+repeats = 1
+heartbeat_s = 0.2
+lease_s = 1
+term_s = 1
+"""
+
+
+def start(folder: Path, *options: str) -> subprocess.Popen[str]:
+    (folder / "small.toml").write_text(SMALL, encoding="utf-8")
+    return subprocess.Popen(
+        [sys.executable, "-m", "ironscale.cli", "scale", "run", str(folder / "small.toml"), "--out",
+         str(folder / "r.json"), *options], stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
+        start_new_session=True)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_signal_at_any_moment_leaves_nothing_behind(tmp_path: Path, number: signal.Signals, seed: int) -> None:
+    """At a moment drawn by the seed, from before the first process to the middle of a measurement."""
+    rng = random.Random(seed * 100 + number)
+    process = start(tmp_path, "--only", "agent,takeover")
+    try:
+        seen: dict[int, int] = {}
+        wanted = rng.randrange(0, 3)  # processes that are there when it is struck
+        until_s = time.monotonic() + 30
+        while len(children(process.pid)) < wanted and time.monotonic() < until_s:
+            time.sleep(0.005)
+        time.sleep(rng.uniform(0, 0.4))
+        seen.update({pid: start_ticks(pid) or 0 for pid in children(process.pid)})
+        process.send_signal(number)
+        time.sleep(rng.uniform(0, 0.1))
+        process.send_signal(number)  # impatient: the second one breaks nothing off
+        _, told = process.communicate(timeout=30)
+    finally:
+        if process.poll() is None:
+            process.kill()
+            process.communicate()
+    for pid, ticks in seen.items():
+        assert start_ticks(pid) != ticks, f"seed {seed}: process {pid} is left: {told}"
+    if "== agent" in told:  # before that it is Python that starts, and tells its own end
+        assert "Traceback" not in told and process.returncode == 130, f"seed {seed}: {told}"
+    assert not (tmp_path / "r.json").exists()
+
+
+def test_a_small_run_ends_clean_with_its_figures(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One agent, up to 20 hollow instances and a real sidecar: a change comes to each, and the run adds by name."""
+    from ironscale.scale.result import Result
+    from ironscale.scale.run import Scene, run
+    from ironscale.scale.size import parse
+
+    pids: set[int] = set()
+
+    async def measure(scene: Scene) -> None:
+        rows: dict[int, list[float]] = {}
+        for count in scene.size.play.sizes:
+            async with scene.fleet(count, real=1 if count == 20 else 0) as (agents, hollows):
+                change = await agents.change(hollows)
+                assert len(change.latencies_s) == count and 0 < change.latencies_s[-1] < change.closed_s
+                rows[count] = [agents.record_state()["targets"]]
+                assert (await hollows.total())["welcomed"] == count
+                pids.update(scene.crew.running)
+            assert not scene.crew.running
+        scene.add_slope("record.change.targets", "record", "instances", "rows", rows)
+
+    monkeypatch.setitem(sys.modules, "ironscale.scale.probe", types.SimpleNamespace(measure=measure))
+    size = parse(SMALL, "small")
+    result = Result(size.digest, {"cores": 8, "memory_mb": 1})
+    written: list[int] = []
+    asyncio.run(run(size, ["probe"], result, lambda text: None, lambda found: written.append(len(found.slopes))))
+    found = result.slopes["record.change.targets"]
+    assert [(p.size, p.value) for p in found.points] == [(5, 5), (10, 10), (20, 21)] and written == [1]
+    assert found.fit.verdict == "proportional"
+    assert pids and not any(start_ticks(pid) for pid in pids)
+
+
+@pytest.mark.parametrize(("options", "line"), [
+    (("--only", "agents"), "--only: expected some of control, agent"),
+    (("--sizes", "5,10"), "--sizes: expected three rising whole numbers or more"),
+    (("--sizes", "10,5,20"), "--sizes: expected three rising"),
+    (("--sizes", "5,10,20000"), "small.toml: play: processes: expected 300 at most"),
+])
+def test_bad_options_are_one_line_and_nothing_begins(tmp_path: Path, options: tuple[str, ...], line: str) -> None:
+    process = start(tmp_path, *options)
+    _, told = process.communicate(timeout=30)
+    assert process.returncode == 2 and line in told and told.count("\n") == 1, told
