--- a/ironscale/scale/agent.py
+++ b/ironscale/scale/agent.py
@@ -9,31 +9,50 @@
 from ironscale.scale.hollow import Hollows
 from ironscale.scale.run import Scene
 
-LEADS, X = "agent that leads", "instances"
+LEADS, CONTROL, X = "agent that leads", "sidecar control", "instances"
+BACK = 2  # times that it is killed
 OVERLAPPING = 5  # changes, each before the one before has come to all
 Points = dict[str, dict[int, list[float]]]
 
 
 async def measure(scene: Scene) -> None:
     found: Points = {}
-    for count in scene.size.play.sizes:
-        scene.progress(f"agent: {count} hollow instances")
-        async with scene.fleet(count) as (agents, hollows):
+    play = scene.size.play
+    for count in play.sizes:
+        # tens of real ones beside the largest: what is told of all is told of them too
+        real = play.real if count == play.sizes[-1] else 0
+        scene.progress(f"agent: {count} instances, {real} of them real")
+        async with scene.fleet(count - real, real=real) as (agents, hollows):
             for name, values in (await one(scene, agents, hollows, count)).items():
                 found.setdefault(name, {})[count] = values
     for name, points in found.items():
-        scene.add_slope(f"agent.{name}", LEADS, X, UNITS[name], points)
+        role = CONTROL if name.startswith("control.") else LEADS
+        scene.add_slope(name, role, X, UNITS[name], points, NOTES.get(name, ""))
 
 
 UNITS = {
-    "rest.cpu_percent": "% of a core", "rest.memory_mb": "MB", "rest.sent_bytes_s": "bytes/s",
-    "rest.received_bytes_s": "bytes/s", "rest.record_writes_s": "writes/s", "rest.disk_bytes_s": "bytes/s",
-    "change.cpu_ms": "ms", "change.sent_bytes": "bytes",
-    "change.received_bytes": "bytes", "change.told_s": "s", "change.p50_s": "s", "change.p99_s": "s",
-    "change.last_s": "s", "change.closed_s": "s",
-    "overlap.last_s": "s", "overlap.cpu_ms": "ms",
-    "back.all_ready_s": "s", "back.change_p50_s": "s", "back.change_p99_s": "s", "back.change_last_s": "s",
-    "back.cpu_ms": "ms",
+    "agent.rest.cpu_percent": "% of a core", "agent.rest.memory_mb": "MB", "agent.rest.sent_bytes_s": "bytes/s",
+    "agent.rest.received_bytes_s": "bytes/s", "agent.rest.record_writes_s": "writes/s",
+    "agent.rest.disk_bytes_s": "bytes/s", "agent.change.cpu_ms": "ms", "agent.change.sent_bytes": "bytes",
+    "agent.change.received_bytes": "bytes", "agent.change.told_s": "s", "agent.change.p50_s": "s",
+    "agent.change.p99_s": "s", "agent.change.last_s": "s", "agent.change.closed_s": "s", "agent.overlap.last_s": "s",
+    "agent.overlap.cpu_ms": "ms", "agent.back.all_ready_s": "s", "agent.back.change_p50_s": "s",
+    "agent.back.change_p99_s": "s", "agent.back.change_last_s": "s", "agent.back.cpu_ms": "ms",
+    "control.rest.bytes_s": "bytes/s", "control.hollow.rest.cpu_percent": "% of a core",
+    "control.change.bytes": "bytes", "control.hollow.change.cpu_us": "us",
+}
+NOTES = {
+    "agent.change.told_s": "until the agent had committed it",
+    "agent.change.last_s": "until the last had it in force, from the moment it was asked for",
+    "agent.change.closed_s": "until the agent had heard so of all, real sidecars too",
+    "agent.overlap.last_s": f"{OVERLAPPING} changes, each in place of the one before; from the last's asking",
+    "agent.overlap.cpu_ms": f"of {OVERLAPPING} changes",
+    "agent.back.all_ready_s": "from its SIGKILL, started again at once",
+    "agent.back.change_last_s": "from its SIGKILL, started again at once, a change as soon as it is taken",
+    "agent.back.cpu_ms": "of the new process, until the change was closed",
+    "control.rest.bytes_s": "each, to and from the agent",
+    "control.hollow.rest.cpu_percent": "each, hollow", "control.change.bytes": "each, to and from the agent",
+    "control.hollow.change.cpu_us": "each, hollow",
 }
 
 
@@ -46,19 +65,24 @@
 
     await agents.change(hollows)  # the first of a process takes longer: imports, plans
     await asyncio.sleep(2 * play.heartbeat_s)
-    rest_cpu = 0.0
+    rest_cpu = hollow_cpu = 0.0
+    whole = count / hollows.count  # bytes are counted at the hollow ones
     for _ in range(play.repeats):
         before, writes, started_s = await hollows.total(), agents.record_state()["writes"], time.monotonic()
         percent, megabytes, written = await at_rest(agents.pid(), 2 * play.heartbeat_s)
         after, writes_after, took_s = await hollows.total(), agents.record_state()["writes"], time.monotonic()
         took_s -= started_s
         rest_cpu = percent / 100
-        add("rest.cpu_percent", percent)
-        add("rest.memory_mb", megabytes)
-        add("rest.disk_bytes_s", written)
-        add("rest.record_writes_s", (writes_after - writes) / took_s)
-        add("rest.sent_bytes_s", (after["received"] - before["received"]) / took_s)
-        add("rest.received_bytes_s", (after["sent"] - before["sent"]) / took_s)
+        add("agent.rest.cpu_percent", percent)
+        add("agent.rest.memory_mb", megabytes)
+        add("agent.rest.disk_bytes_s", written)
+        add("agent.rest.record_writes_s", (writes_after - writes) / took_s)
+        add("agent.rest.sent_bytes_s", (after["received"] - before["received"]) / took_s * whole)
+        add("agent.rest.received_bytes_s", (after["sent"] - before["sent"]) / took_s * whole)
+        passed = after["sent"] + after["received"] - before["sent"] - before["received"]
+        add("control.rest.bytes_s", passed / took_s / hollows.count)
+        hollow_cpu = (after["cpu_s"] - before["cpu_s"]) / took_s
+        add("control.hollow.rest.cpu_percent", hollow_cpu / hollows.count * 100)
     for _ in range(play.repeats):
         before, spent = await hollows.total(), Spent.of(agents.pid())
         change = await agents.change(hollows)
@@ -66,17 +90,23 @@
         took_s = used.at_s - spent.at_s
         # less what it takes at rest: the change's own
         cpu_ms = max(0.0, used.cpu_s - spent.cpu_s - rest_cpu * took_s) * 1000
-        add("change.cpu_ms", cpu_ms)
-        rest_sent, rest_received = found["rest.sent_bytes_s"][-1], found["rest.received_bytes_s"][-1]
-        add("change.sent_bytes", after["received"] - before["received"] - rest_sent * took_s)
-        add("change.received_bytes", after["sent"] - before["sent"] - rest_received * took_s)
-        add("change.told_s", change.told_s)
-        add("change.p50_s", change.p(0.5))
-        add("change.p99_s", change.p(0.99))
-        add("change.last_s", change.latencies_s[-1])
-        add("change.closed_s", change.closed_s)
+        add("agent.change.cpu_ms", cpu_ms)
+        rest_sent, rest_received = found["agent.rest.sent_bytes_s"][-1], found["agent.rest.received_bytes_s"][-1]
+        add("agent.change.sent_bytes", (after["received"] - before["received"]) * whole - rest_sent * took_s)
+        add("agent.change.received_bytes", (after["sent"] - before["sent"]) * whole - rest_received * took_s)
+        add("control.change.bytes", (found["agent.change.sent_bytes"][-1] + found["agent.change.received_bytes"][-1])
+            / count)
+        hollow_s = after["cpu_s"] - before["cpu_s"] - hollow_cpu * took_s
+        add("control.hollow.change.cpu_us", max(0.0, hollow_s) / hollows.count * 1e6)
+        add("agent.change.told_s", change.told_s)
+        add("agent.change.p50_s", change.p(0.5))
+        add("agent.change.p99_s", change.p(0.99))
+        add("agent.change.last_s", change.latencies_s[-1])
+        add("agent.change.closed_s", change.closed_s)
     await overlapping(agents, hollows, add)
-    await back(agents, hollows, add, count)
+    for _ in range(BACK):
+        await back(agents, hollows, add, count)
+        await asyncio.sleep(play.heartbeat_s)
     return found
 
 
@@ -90,8 +120,8 @@
             await asyncio.sleep(0.05)
     times = await agents.in_force(hollows, generation)
     await agents.closed(operation)
-    add("overlap.last_s", times[-1] - asked_s)
-    add("overlap.cpu_ms", (Spent.of(agents.pid()).cpu_s - spent.cpu_s) * 1000)
+    add("agent.overlap.last_s", times[-1] - asked_s)
+    add("agent.overlap.cpu_ms", (Spent.of(agents.pid()).cpu_s - spent.cpu_s) * 1000)
 
 
 async def back(agents: Agents, hollows: Hollows, add: object, count: int) -> None:
@@ -103,10 +133,10 @@
     ready = asyncio.ensure_future(agents.until_ready(count))
     try:
         change = await agents.change(hollows, since_s=killed_s)
-        add("back.all_ready_s", await ready - killed_s)
+        add("agent.back.all_ready_s", await ready - killed_s)
     finally:
         ready.cancel()
-    add("back.change_p50_s", change.p(0.5))
-    add("back.change_p99_s", change.p(0.99))
-    add("back.change_last_s", change.latencies_s[-1])
-    add("back.cpu_ms", Spent.of(agents.pid()).cpu_s * 1000)
+    add("agent.back.change_p50_s", change.p(0.5))
+    add("agent.back.change_p99_s", change.p(0.99))
+    add("agent.back.change_last_s", change.latencies_s[-1])
+    add("agent.back.cpu_ms", Spent.of(agents.pid()).cpu_s * 1000)
