Bench of the fleet and of heartbeats on the scale run's kit; listing, inspecting, releases as slopes

bench/fleet.py had its own herd of light instances, its own agent and waits: all of that is ironscale.scale now.

--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -20,8 +20,10 @@
 
 import uvloop
 
-from bench.fleet import ROOT, Fleet
+from bench.fleet import size_of
 from ironscale.control.processes import cpu_s
+from ironscale.scale.agents import Agents
+from ironscale.scale.bounds import Bounds, Crew
 from ironscale.standins.discovery import ListedDiscovery, listing
 from ironscale.standins.http import read_message
 from ironscale.standins.settings import SETTINGS
@@ -52,7 +54,7 @@
     return done
 
 
-async def one(folder: Path, peers: list[Peer], discovery: ListedDiscovery, fleet: Fleet | None,
+async def one(folder: Path, peers: list[Peer], discovery: ListedDiscovery, agents: Agents | None,
               seconds: float) -> float:
     """CPU in microseconds a request of one sidecar process."""
     config = folder / "app.json"
@@ -63,10 +65,9 @@
     with socket.create_server(("127.0.0.1", 0)) as found:
         port = found.getsockname()[1]
     environ = {**os.environ, "GW_CONFIG": str(config), "GW_LISTEN": f"127.0.0.1:{port}"}
-    if fleet is not None:
-        environ |= {"GW_AGENT": f"127.0.0.1:{fleet.control}",
-                    "GW_AGENT_TOKEN_FILE": str(fleet.folder / "data" / "instance.token")}
-    process = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], cwd=ROOT, env=environ)
+    if agents is not None:
+        environ |= {"GW_AGENT": f"127.0.0.1:{agents.ports[0].number}", "GW_AGENT_TOKEN_FILE": str(agents.token_file)}
+    process = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], env=environ)
     try:
         while True:
             try:
@@ -80,8 +81,8 @@
         await load(port, 1.0)
         start_s = cpu_s(process.pid)
         done = await load(port, seconds)
-        if fleet is not None:
-            report = fleet.api.call('{ instance(name: "app-0") { report { controlCpuSeconds } } }')
+        if agents is not None:
+            report = await agents.call('{ instance(name: "app-0") { report { controlCpuSeconds } } }')
             control_s = report["instance"]["report"]["controlCpuSeconds"]
             print(f"  control work by its own account: {control_s / (seconds + 1) * 100:.3f} % of a core, "
                   f"{control_s / (done * (seconds + 1) / seconds) * 1e6:.1f} us a request", flush=True)
@@ -99,18 +100,21 @@
             peer.keep_messages = False
         discovery = await ListedDiscovery().start()
         discovery.put(*(peer.entry(f"s-{i}") for i, peer in enumerate(peers)))
-        fleet = Fleet(folder, 10.0, beat_s)
+        crew = Crew(Bounds(300, 0.5))
+        agents = Agents(crew, folder, 1, size_of((1, 2, 3), beat_s, 5 * beat_s).play)
         ratios = []
         try:
+            await agents.start()
             for n in range(rounds):
-                order = (None, fleet) if n % 2 == 0 else (fleet, None)
+                order = (None, agents) if n % 2 == 0 else (agents, None)
                 found = {which is not None: await one(folder, peers, discovery, which, seconds)
                          for which in order}
                 ratios.append(found[True] / found[False])
                 print(f"round {n + 1}: {found[False]:.0f} us a request without an agent, {found[True]:.0f} with, "
                       f"ratio {ratios[-1]:.3f}", flush=True)
         finally:
-            fleet.close()
+            await agents.close()
+            crew.end()
             for peer in peers:
                 await peer.stop()
             await discovery.stop()
--- a/ironscale/scale/agents.py
+++ b/ironscale/scale/agents.py
@@ -178,14 +178,16 @@
 
     # Changes
 
-    async def apply(self, within_s: float = START_S, supersede: bool = False) -> tuple[int, int, float, float]:
+    async def apply(self, within_s: float = START_S, supersede: bool = False, policy: Mapping[str, Any] | None = None
+                    ) -> tuple[int, int, float, float]:
         """Generation and operation, the moment the first try was made, and the one it was told as committed."""
         generation = (await self.call(FLEET, within_s))["fleet"]["generation"]
         asked_s = time.monotonic()
         # a value of its own each time, of which every sidecar can be told
         overlay = {"settings": {"bounds": {"max-retry-after": 900_000 + 10 * generation}}}
         told = await self.call(APPLY, within_s, input={"overlay": overlay, "expectGeneration": generation,
-                                                       "supersede": supersede, "policy": {"answerMs": 60_000}})
+                                                       "supersede": supersede,
+                                                       "policy": {"answerMs": 60_000, **(policy or {})}})
         return told["apply"]["generation"], told["apply"]["id"], asked_s, time.monotonic()
 
     async def closed(self, operation: int, within_s: float = START_S) -> float:
--- /dev/null
+++ b/ironscale/scale/operator.py
@@ -0,0 +1,68 @@
+"""What operators' commands take: listing and inspecting instances, and a release in ten waves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from ironscale.scale.agents import Agents, Spent
+from ironscale.scale.run import Scene
+
+ROLE, X = "operator", "instances"
+WAVES = 10
+INSPECTED = 50
+UNITS = {"operator.list_s": "s", "operator.inspect_ms": "ms", "operator.release_s": "s",
+         "operator.release.cpu_ms": "ms"}
+NOTES = {"operator.list_s": "all instances with their reports, in pages of 250",
+         "operator.inspect_ms": "one instance's view of its upstreams, through the agent",
+         "operator.release_s": f"a change in {WAVES} waves, until all have shown it",
+         "operator.release.cpu_ms": f"of the agent, for a change in {WAVES} waves"}
+LIST = """query($after: String) { instances(first: 250, after: $after) { pageInfo { hasNextPage endCursor }
+  edges { node { name state zone version generation lastHeard report { ready draining open connections upstreams
+  upstreamsReady cpuSeconds memoryKb classes { name served refused failed } } } } } }"""
+INSPECT = "query($n: String!) { instance(name: $n) { inspect { upstreams { name } } } }"
+
+
+async def measure(scene: Scene) -> None:
+    found: dict[str, dict[int, list[float]]] = {name: {} for name in UNITS}
+    for count in scene.size.play.sizes:
+        scene.progress(f"operator: {count} hollow instances")
+        async with scene.fleet(count) as (agents, _):
+            for name, values in (await one(agents, count, scene.size.play.repeats)).items():
+                found[name][count] = values
+    for name, points in found.items():
+        scene.add_slope(name, ROLE, X, UNITS[name], points, NOTES[name])
+
+
+async def one(agents: Agents, count: int, repeats: int) -> dict[str, list[float]]:
+    found: dict[str, list[float]] = {name: [] for name in UNITS}
+    await agents.apply()  # so that a generation is there
+    names = await listed(agents)
+    for turn in range(repeats):
+        start_s = time.monotonic()
+        names = await listed(agents)
+        found["operator.list_s"].append(time.monotonic() - start_s)
+        some = random.Random(turn).sample(names, min(INSPECTED, count))
+        start_s = time.monotonic()
+        for name in some:
+            await agents.call(INSPECT, n=name)
+        found["operator.inspect_ms"].append((time.monotonic() - start_s) / len(some) * 1000)
+    for _ in range(min(2, repeats)):
+        spent = Spent.of(agents.pid())
+        _, operation, asked_s, _ = await agents.apply(policy={"wave": max(1, -(-count // WAVES))})
+        found["operator.release_s"].append(await agents.closed(operation) - asked_s)
+        found["operator.release.cpu_ms"].append((Spent.of(agents.pid()).cpu_s - spent.cpu_s) * 1000)
+        await asyncio.sleep(0.5)
+    return found
+
+
+async def listed(agents: Agents) -> list[str]:
+    names: list[str] = []
+    after = None
+    while True:
+        page = (await agents.call(LIST, after=after))["instances"]
+        names += [edge["node"]["name"] for edge in page["edges"]]
+        if not page["pageInfo"]["hasNextPage"]:
+            return names
+        after = page["pageInfo"]["endCursor"]
--- a/ironscale/scale/run.py
+++ b/ironscale/scale/run.py
@@ -9,7 +9,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -26,7 +26,7 @@
 from ironscale.scale.size import Size
 
 # Each is a module of this package with `async def measure(scene)`; the order is that of a whole run.
-PIECES = ("control", "agent", "takeover", "record", "path", "chain", "discovery")
+PIECES = ("control", "agent", "takeover", "record", "operator", "path", "chain", "discovery")
 
 
 class RunError(Exception):
@@ -84,6 +84,9 @@
             shutil.rmtree(folder, ignore_errors=True)
 
 
+Measure = Callable[[Scene], Awaitable[None]]
+
+
 def now() -> str:
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
 
@@ -100,6 +103,13 @@
 
 async def run(size: Size, pieces: Sequence[str], result: Result, progress: Callable[[str], None],
               write: Callable[[Result], None]) -> None:
+    """The pieces of that name, in turns. As `run_with`."""
+    found = {piece: importlib.import_module(f"ironscale.scale.{piece}").measure for piece in pieces}
+    await run_with(size, found, result, progress, write)
+
+
+async def run_with(size: Size, pieces: Mapping[str, Measure], result: Result, progress: Callable[[str], None],
+                   write: Callable[[Result], None]) -> None:
     """The pieces in turns; `write` is called after each. Ctrl-C and SIGTERM end it, and all that it started. Raises
     RunError, BoundsError."""
     bounds = Bounds(size.play.most_processes, size.play.most_memory_share)
@@ -119,10 +129,9 @@
         loop.add_signal_handler(number, stop)
     folder = Path(tempfile.mkdtemp(prefix="ironscale-scale-"))
     try:
-        for piece in pieces:
+        for piece, measure in pieces.items():
             progress(f"== {piece}")
-            scene = Scene(size, folder, crew, bounds, result, progress)
-            await watched(crew, importlib.import_module(f"ironscale.scale.{piece}").measure(scene))
+            await watched(crew, measure(Scene(size, folder, crew, bounds, result, progress)))
             write(result)
     except asyncio.CancelledError:
         if not stopped:
@@ -137,7 +146,7 @@
             loop.remove_signal_handler(number)
 
 
-async def watched(crew: Crew, work: Any) -> None:
+async def watched(crew: Crew, work: Awaitable[None]) -> None:
     """Under the watchdog: the run ends with the first of the two that fails."""
     tasks = {asyncio.ensure_future(work), asyncio.ensure_future(crew.watch())}
     try:
--- a/tests/scale/test_bounds.py
+++ b/tests/scale/test_bounds.py
@@ -8,7 +8,6 @@
 import subprocess
 import sys
 import time
-import types
 from pathlib import Path
 
 import pytest
@@ -159,10 +158,10 @@
     assert not (tmp_path / "r.json").exists()
 
 
-def test_a_small_run_ends_clean_with_its_figures(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_small_run_ends_clean_with_its_figures(tmp_path: Path) -> None:
     """One agent, up to 20 hollow instances and a real sidecar: a change comes to each, and the run adds by name."""
     from ironscale.scale.result import Result
-    from ironscale.scale.run import Scene, run
+    from ironscale.scale.run import Scene, run_with
     from ironscale.scale.size import parse
 
     pids: set[int] = set()
@@ -179,11 +178,11 @@
             assert not scene.crew.running
         scene.add_slope("record.change.targets", "record", "instances", "rows", rows)
 
-    monkeypatch.setitem(sys.modules, "ironscale.scale.probe", types.SimpleNamespace(measure=measure))
     size = parse(SMALL, "small")
     result = Result(size.digest, {"cores": 8, "memory_mb": 1})
     written: list[int] = []
-    asyncio.run(run(size, ["probe"], result, lambda text: None, lambda found: written.append(len(found.slopes))))
+    asyncio.run(run_with(size, {"probe": measure}, result, lambda text: None,
+                         lambda found: written.append(len(found.slopes))))
     found = result.slopes["record.change.targets"]
     assert [(p.size, p.value) for p in found.points] == [(5, 5), (10, 10), (20, 21)] and written == [1]
     assert found.fit.verdict == "proportional"
--- /dev/null
+++ b/tests/scale/test_page.py
@@ -0,0 +1,122 @@
+"""The capacity page, the result file and the size file belong together; and the tables are what they say."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from ironscale.scale import page, result, size
+from ironscale.scale.result import ROLES, Reading, Result, slope
+from ironscale.scale.size import Size
+
+EXAMPLE = Path("ironscale/scale/examples/coming.toml")
+MEASURED = Path("docs/capacity/measured.json")
+PAGE = Path("docs/CAPACITY.md")
+AT = "2026-01-01T00:00:00Z"
+
+
+@pytest.fixture
+def coming() -> Size:
+    return size.load(EXAMPLE)
+
+
+def sample(coming: Size) -> Result:
+    found = Result(coming.digest, {"cores": 8, "memory_mb": 24_000})
+    found.add(
+        slope("agent.change.last_s", "agent that leads", "instances", "s", {250: [1.0], 750: [3.0], 1000: [4.0]}, AT),
+        slope("agent.back.change_last_s", "agent that leads", "instances", "s",
+              {250: [3.0, 3.1], 750: [5.0, 5.1], 2300: [15.0, 18.0]}, AT, "killed"),
+        slope("record.change.bytes", "record", "instances", "bytes a change",
+              {250: [50_000], 750: [150_000], 2300: [460_000]}, AT),
+        Reading("control.real.rest.added_cpu_percent", "sidecar control", "% of a core", (0.2, 0.3), AT))
+    return found
+
+
+def test_the_page_is_that_of_its_result_and_size_file(coming: Size) -> None:
+    """Where one of the three was changed alone: `ironscale scale page docs/capacity/measured.json SIZE.toml`."""
+    measured = result.load(MEASURED)
+    assert measured.size_digest == coming.digest
+    assert set(page.AXES.values()) <= {f"fleet.{name}" for name in coming.fleet.__slots__}
+    if PAGE.exists():
+        assert page.drift(PAGE.read_text(encoding="utf-8"), coming, measured, str(PAGE)) == []
+
+
+def test_slope_times_size(coming: Size) -> None:
+    """Beyond the largest that was measured the line tells; where the size itself was measured, the measurement."""
+    found = sample(coming)
+    assert page.value_of(coming, found, "agent.change.last_s") == pytest.approx(9.2)  # 0.004 x 2,300
+    assert page.value_of(coming, found, "agent.back.change_last_s") == pytest.approx(16.5)
+    larger = replace(coming, fleet=replace(coming.fleet, sidecars=4600))
+    assert page.value_of(larger, found, "record.change.bytes") == pytest.approx(920_000)
+    assert page.value_of(coming, found, "not.measured") is None
+    rows = page.day(coming, found)
+    assert "2.62 GB" in rows and "78.7 GB" in rows  # 460,000 x 5,700 a day, and thirty of them
+
+
+def test_the_largest_ratio_comes_first_and_the_unmeasured_last(coming: Size) -> None:
+    lines = page.needs(coming, sample(coming)).splitlines()[2:]
+    assert "killed" in lines[0] and "**1.38**" in lines[0] and "12 s (`promises.force_s`)" in lines[0]
+    assert "0.77" in lines[1] and "0.08" in lines[2] and "not measured" in lines[-1]
+    assert len(lines) == len(page.NEEDS)
+
+
+def test_every_role_has_its_table(coming: Size) -> None:
+    found = page.tables(coming, sample(coming))
+    for role in ROLES:
+        assert found[page.role_name(role)]
+    assert "Not measured." in found["upstream"]
+    row = next(line for line in found["record"].splitlines() if "record.change.bytes" in line)
+    assert "460,000 at 2,300" in row and "proportional" in row and "460 KB a change at `fleet.sidecars` 2,300" in row
+
+
+TEXT = "# Page\n\n<!-- scale:needs -->\nold\n<!-- /scale:needs -->\nwords\n<!-- scale:size -->\n<!-- /scale:size -->\n"
+
+
+def test_tables_are_written_between_markers_and_drift_is_told(coming: Size) -> None:
+    found = sample(coming)
+    assert page.drift(TEXT, coming, found, "p") == ["needs", "size"]
+    written = page.filled(TEXT, coming, found, "p")
+    assert page.drift(written, coming, found, "p") == [] and page.filled(written, coming, found, "p") == written
+    assert written.startswith("# Page\n\n<!-- scale:needs -->\n| role") and "\nwords\n" in written
+    assert page.drift(written.replace("0.77", "0.70"), coming, found, "p") == ["needs"]
+    found.add(Reading("agent.change.last_s", "agent that leads", "s", (2.0,), AT))
+    assert page.drift(written, coming, found, "p") == ["needs"]
+
+
+@pytest.mark.parametrize(("was", "now", "line"), [
+    ("<!-- /scale:needs -->", "", "p: expected <!-- scale:needs --> and <!-- /scale:needs --> once each"),
+    ("scale:size", "scale:sizes", "p: expected a table of .*, got 'sizes'"),
+    ("words", "<!-- scale:size -->\n<!-- /scale:size -->", "scale:size --> once each"),
+    (TEXT, "nothing", "got no table's place"),
+])
+def test_a_page_that_cannot_be_filled_is_one_line(coming: Size, was: str, now: str, line: str) -> None:
+    with pytest.raises(page.PageError, match=line) as error:
+        page.filled(TEXT.replace(was, now), coming, sample(coming), "p")
+    assert "\n" not in str(error.value)
+
+
+def test_a_result_of_another_size_is_refused(coming: Size) -> None:
+    other = replace(coming, fleet=replace(coming.fleet, zones=11))
+    with pytest.raises(page.PageError, match="p: expected a result of size file"):
+        page.filled(TEXT, other, sample(coming), "p")
+
+
+def test_the_command_writes_and_checks(coming: Size, tmp_path: Path) -> None:
+    sample(coming).write(tmp_path / "r.json")
+    (tmp_path / "p.md").write_text(TEXT, encoding="utf-8")
+
+    def call(*options: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "ironscale.cli", "scale", "page", str(tmp_path / "r.json"), str(EXAMPLE), "--page",
+             str(tmp_path / "p.md"), *options], capture_output=True, text=True, timeout=60, check=False)
+
+    drifted = call("--check")
+    assert drifted.returncode == 1 and "needs, size: not what" in drifted.stderr and drifted.stderr.count("\n") == 1
+    assert (tmp_path / "p.md").read_text(encoding="utf-8") == TEXT
+    assert call().returncode == 0 and call("--check").returncode == 0
+    (tmp_path / "r.json").write_text("{", encoding="utf-8")
+    assert call().returncode == 2
