--- a/ironscale/scale/fit.py
+++ b/ironscale/scale/fit.py
@@ -12,7 +12,6 @@
 LEAST_SIZES = 3
 FLAT, PROPORTIONAL, WITH_BASE, FASTER, FALLS = (
     "flat", "proportional", "proportional with a base", "grows faster", "falls")
-VERDICTS = (FLAT, PROPORTIONAL, WITH_BASE, FASTER, FALLS)
 # Over the measured sizes the line moves by less than this share of its middle, or by less than its scatter.
 FLAT_SHARE = 0.15
 # The base's share of the value at the largest size under which there is no base to speak of.
@@ -68,8 +67,10 @@
         return FALLS
     first = (middles[1] - middles[0]) / (sizes[1] - sizes[0])
     last = (middles[-1] - middles[-2]) / (sizes[-1] - sizes[-2])
-    # a steeper last stretch counts where it lifts the end by more than repeats at one size differ
-    if last > STEEPER * max(first, 0.0) and (last - first) * (sizes[-1] - sizes[-2]) > max(
+    # faster than in proportion: the last stretch is steeper than the first, multiplies the value by more than the size,
+    # and lifts the end by more than repeats at one size differ
+    grown = middles[-1] * sizes[-2] > middles[-2] * sizes[-1]
+    if grown and last > STEEPER * max(first, 0.0) and (last - first) * (sizes[-1] - sizes[-2]) > max(
             scatter, FLAT_SHARE * abs(middles[-1])):
         return FASTER
     return WITH_BASE if abs(intercept) > BASE_SHARE * abs(middles[-1]) else PROPORTIONAL
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -46,6 +46,11 @@
     assert fit([(250, 1), (250, 9), (750, 2), (750, 8), (2300, 3), (2300, 9)]).verdict == FLAT
 
 
+def test_a_bend_that_stays_under_proportion_is_no_faster_growth() -> None:
+    """As measured once: the smallest size took longer than the next."""
+    assert fit([(250, 0.27), (750, 0.23), (2300, 0.66)]).verdict == WITH_BASE
+
+
 @pytest.mark.parametrize("points", [[], [(1, 1)], [(1, 1), (2, 2), (2, 2.5)], [(1, 1), (2, 2), (3, float("nan"))]])
 def test_too_few_sizes_or_no_numbers_are_refused(points: list[tuple[float, float]]) -> None:
     with pytest.raises(FitError):
