--- a/ironscale/scale/fit.py
+++ b/ironscale/scale/fit.py
@@ -13,7 +13,7 @@
 FLAT, PROPORTIONAL, WITH_BASE, FASTER, FALLS = (
     "flat", "proportional", "proportional with a base", "grows faster", "falls")
 # Over the measured sizes the line moves by less than this share of its middle, or by less than its scatter.
-FLAT_SHARE = 0.15
+FLAT_SHARE = 0.1
 # The base's share of the value at the largest size under which there is no base to speak of.
 BASE_SHARE = 0.1
 # From the first stretch between sizes to the last, the steepness grows by more than this.
