--- a/ironscale/cli/scale.py
+++ b/ironscale/cli/scale.py
@@ -5,12 +5,16 @@
 import contextlib
 from collections.abc import Iterator
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from ironscale.cli.common import output_option
 from ironscale.cli.output import Exit, err, fail, out, print_json, table
 
+if TYPE_CHECKING:
+    from ironscale.scale.result import Result
+
 PAGE = Path("docs/CAPACITY.md")
 
 
@@ -46,6 +50,15 @@
     return found
 
 
+def drawn(result: Result, charts: Path | None) -> None:
+    if charts is not None:
+        from ironscale.scale.chart import draw
+
+        charts.mkdir(parents=True, exist_ok=True)
+        for slope in result.slopes.values():
+            draw(slope, charts)
+
+
 @scale.command("run")
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--out", "-O", "to", required=True, type=click.Path(path_type=Path),
@@ -86,23 +99,27 @@
             fail(Exit.USAGE, f"{file}: play: {error}")
         uvloop.run(running.run(size, pieces, result, lambda text: err.print(text, markup=False),
                                lambda found: found.write(to)))
-        if charts is not None:
-            from ironscale.scale.chart import draw
-
-            charts.mkdir(parents=True, exist_ok=True)
-            for slope in result.slopes.values():
-                draw(slope, charts)
+        drawn(result, charts)
 
 
 @scale.command("show")
 @click.argument("file", type=click.Path(path_type=Path))
+@click.argument("names", nargs=-1)
+@click.option("--charts", type=click.Path(path_type=Path), help="A folder for a chart a slope.")
 @output_option
-def show(file: Path, output: str) -> None:
-    """The slopes and readings of the result FILE."""
+def show(file: Path, names: tuple[str, ...], charts: Path | None, output: str) -> None:
+    """The slopes and readings of the result FILE; with NAMES, these alone."""
     with foreseen():
         from ironscale.scale.result import load
 
         result = load(file)
+        for name in names:
+            if name not in result.slopes and name not in result.readings:
+                fail(Exit.USAGE, f"{file}: expected a slope or reading of that name, got {name!r}")
+        if names:
+            result.slopes = {name: s for name, s in result.slopes.items() if name in names}
+            result.readings = {name: r for name, r in result.readings.items() if name in names}
+        drawn(result, charts)
     rows = [{"figure": s.name, "measured": ", ".join(f"{p.value:.4g} at {p.size:g}" for p in s.points), "unit": s.unit,
              "slope": f"{s.fit.slope:.4g} +- {s.fit.slope_error:.2g}", "verdict": s.fit.verdict}
             for s in result.slopes.values()]
--- /dev/null
+++ b/ironscale/scale/cut.py
@@ -0,0 +1,51 @@
+"""A region whose link is cut and mended: when its instances have the change that was made meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ironscale.scale.run import Scene
+from ironscale.stage.relay import Relay
+
+ROLE = "agent that leads"
+CUT_S = 75.0  # long enough for the longest wait between two dials
+WAIT_S = 60.0
+
+
+async def measure(scene: Scene) -> None:
+    size = scene.size
+    count, regions = size.play.sizes[-1], size.fleet.regions
+    away = count // regions
+    scene.progress(f"cut: {away} of {count} hollow instances for {CUT_S:g} s")
+    async with scene.fleet(count - away) as (agents, hollows):
+        relay = await Relay(agents.addresses[0]).start()
+        near = hollows.herders[:]
+        try:
+            await hollows.start(away, [("127.0.0.1", relay.port)], agents.token_file)
+            far = hollows.herders[len(near):]
+            await agents.until_ready(count)
+            relay.cut()
+            cut_s = time.monotonic()
+            await asyncio.sleep(CUT_S - 3)
+            generation, _, asked_s, _ = await agents.apply()
+            await asyncio.sleep(max(0.0, cut_s + CUT_S - time.monotonic()))
+            relay.mend()
+            mended_s = time.monotonic()
+            times: list[float] = []
+            while len(times) < away and time.monotonic() < mended_s + WAIT_S:
+                await asyncio.sleep(0.25)
+                parts = [await herder.ask(ask="in force", generation=generation) for herder in far]
+                times = sorted(at - mended_s for part in parts for at in part["at"])
+            others = [await herder.ask(ask="in force", generation=generation) for herder in near]
+        finally:
+            relay.close()
+    note = f"{away} of {count} cut for {CUT_S:g} s, a change 3 s before the link was back"
+    kept = sorted(at - asked_s for part in others for at in part["at"])
+    scene.add_reading("cut.others.change_last_s", ROLE, "s", [kept[-1]], f"{note}; {len(kept)} that were not cut")
+    scene.add_reading("cut.region.missed", ROLE, "instances", [away - len(times)],
+                      f"{note}; without the change {WAIT_S:g} s after")
+    if times:
+        for label, share in (("p50", 0.5), ("p99", 0.99), ("last", 1.0)):
+            value = times[min(len(times) - 1, int(share * len(times)))]
+            scene.add_reading(f"cut.region.change_{label}_s", ROLE, "s", [value], f"{note}; from the link's return")
--- a/ironscale/scale/page.py
+++ b/ironscale/scale/page.py
@@ -111,6 +111,8 @@
          "agent.back.change_last_s", "promises.force_s", "s"),
     Need(STANDS_BY, "the leader's machine gone: from its loss until the last has the next change",
          "takeover.change_last_s", "promises.force_s", "s"),
+    Need(LEADS, "a region's link back: until the last there has the change", "cut.region.change_last_s",
+         "promises.force_s", "s"),
     Need(LEADS, "processor at rest", "agent.rest.cpu_percent", "one core: an agent is one thread", "% of a core",
          lambda size: 100.0),
     Need(LEADS, "processor while the fleet comes back", "agent.back.cpu_ms", "one core for `promises.force_s`", "ms",
--- a/ironscale/scale/run.py
+++ b/ironscale/scale/run.py
@@ -26,7 +26,7 @@
 from ironscale.scale.size import Size
 
 # Each is a module of this package with `async def measure(scene)`; the order is that of a whole run.
-PIECES = ("control", "agent", "takeover", "record", "operator", "path", "chain", "discovery")
+PIECES = ("control", "agent", "takeover", "cut", "record", "operator", "path", "chain", "discovery")
 
 
 class RunError(Exception):
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -120,3 +120,12 @@
     assert call().returncode == 0 and call("--check").returncode == 0
     (tmp_path / "r.json").write_text("{", encoding="utf-8")
     assert call().returncode == 2
+
+
+def test_charts_without_their_library_are_one_line(
+        coming: Size, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    from ironscale.scale.chart import ChartError, draw
+
+    monkeypatch.setitem(sys.modules, "matplotlib", None)
+    with pytest.raises(ChartError, match=r"charts: expected matplotlib \(pip install 'ironscale\[scale\]'\), got"):
+        draw(sample(coming).slopes["agent.change.last_s"], tmp_path)
