--- a/ironscale/scale/cut.py
+++ b/ironscale/scale/cut.py
@@ -32,6 +32,7 @@
             await asyncio.sleep(max(0.0, cut_s + CUT_S - time.monotonic()))
             relay.mend()
             mended_s = time.monotonic()
+            back_s = await agents.until_ready(count) - mended_s
             times: list[float] = []
             while len(times) < away and time.monotonic() < mended_s + WAIT_S:
                 await asyncio.sleep(0.25)
@@ -43,6 +44,7 @@
     note = f"{away} of {count} cut for {CUT_S:g} s, a change 3 s before the link was back"
     kept = sorted(at - asked_s for part in others for at in part["at"])
     scene.add_reading("cut.others.change_last_s", ROLE, "s", [kept[-1]], f"{note}; {len(kept)} that were not cut")
+    scene.add_reading("cut.region.ready_s", ROLE, "s", [back_s], f"{note}; from the link's return, the last is ready")
     scene.add_reading("cut.region.missed", ROLE, "instances", [away - len(times)],
                       f"{note}; without the change {WAIT_S:g} s after")
     if times:
--- a/ironscale/scale/page.py
+++ b/ironscale/scale/page.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -113,6 +114,8 @@
          "takeover.change_last_s", "promises.force_s", "s"),
     Need(LEADS, "a region's link back: until the last there has the change", "cut.region.change_last_s",
          "promises.force_s", "s"),
+    Need(LEADS, "instances that never had a change made while their region was cut", "cut.region.missed", "none",
+         "instances", lambda size: 0.0),
     Need(LEADS, "processor at rest", "agent.rest.cpu_percent", "one core: an agent is one thread", "% of a core",
          lambda size: 100.0),
     Need(LEADS, "processor while the fleet comes back", "agent.back.cpu_ms", "one core for `promises.force_s`", "ms",
@@ -134,6 +137,12 @@
     return result.readings[name].value if name in result.readings else None
 
 
+def trial(result: Result, name: str) -> str:
+    """A figure whose note says that it is a trial is told as one wherever it goes."""
+    entry = result.slopes.get(name) or result.readings.get(name)
+    return " (trial)" if entry is not None and entry.note.startswith("trial") else ""
+
+
 def needs(size: Size, result: Result) -> str:
     """The largest ratio of need to budget first; what was not measured last."""
     found: list[tuple[float, tuple[str, ...]]] = []
@@ -142,13 +151,14 @@
         value = value_of(size, result, need.name, at)
         budget = need.most(size) if need.most is not None else size.figure(need.budget)
         limit = need.budget if need.most is not None else f"{scaled(budget, need.unit)} (`{need.budget}`)"
-        name = f"`{need.name}`" + (f" at {at:g}" if at is not None else "")
+        name = f"`{need.name}`" + (f" at {at:g}" if at is not None else "") + trial(result, need.name)
         if value is None:
             found.append((-1.0, (need.role, need.what, "not measured", name, limit, "")))
             continue
-        ratio = value / budget
+        ratio = value / budget if budget else math.inf if value else 0.0
+        told = "never kept" if ratio == math.inf else f"{ratio:.2f}"
         found.append((ratio, (need.role, need.what, scaled(value, need.unit), name, limit,
-                              f"**{ratio:.2f}**" if ratio > 1 else f"{ratio:.2f}")))
+                              f"**{told}**" if ratio > 1 else told)))
     found.sort(key=lambda entry: -entry[0])
     return table(("role", "what", "need", "from", "budget", "need / budget"), [row for _, row in found])
 
@@ -163,7 +173,7 @@
         if value is None:
             rows.append((what, f"`{name}`", by, "not measured", ""))
             return
-        rows.append((what, f"`{name}` {number(value)}", by, scaled(value * factor, unit),
+        rows.append((what, f"`{name}` {number(value)}{trial(result, name)}", by, scaled(value * factor, unit),
                      scaled(value * factor * MONTH_DAYS, unit) if month else ""))
 
     by = f"`promises.changes_per_day` {changes:,.0f}"
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -64,6 +64,15 @@
     assert len(lines) == len(page.NEEDS)
 
 
+def test_a_promise_that_is_never_kept_goes_before_all(coming: Size) -> None:
+    found = sample(coming)
+    found.add(Reading("cut.region.missed", "agent that leads", "instances", (766,), AT, "trial, busy"))
+    line = page.needs(coming, found).splitlines()[2]
+    assert "766 instances" in line and "**never kept**" in line and "`cut.region.missed` (trial)" in line
+    found.add(Reading("cut.region.missed", "agent that leads", "instances", (0,), AT))
+    assert next(x for x in page.needs(coming, found).splitlines() if "cut.region.missed" in x).endswith("0.00 |")
+
+
 def test_every_role_has_its_table(coming: Size) -> None:
     found = page.tables(coming, sample(coming))
     for role in ROLES:
