--- a/ironscale/cli/scale.py
+++ b/ironscale/cli/scale.py
@@ -131,6 +131,24 @@
     out.print(table(("FIGURE", "MEASURED", "UNIT", "SLOPE", "VERDICT"), [tuple(row.values()) for row in rows]))
 
 
+@scale.command("merge")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.argument("others", nargs=-1, required=True, type=click.Path(path_type=Path))
+def merge(file: Path, others: tuple[Path, ...]) -> None:
+    """Add to the result FILE what the OTHERS have, by name; the later goes before."""
+    with foreseen():
+        from ironscale.scale.result import ResultError, load
+
+        result = load(file)
+        for other in others:
+            found = load(other)
+            if found.size_digest != result.size_digest:
+                raise ResultError(f"{other}: size_digest: expected {result.size_digest}, that of {file}, got "
+                                  f"{found.size_digest}")
+            result.add(*found.slopes.values(), *found.readings.values())
+        result.write(file)
+
+
 @scale.command("page")
 @click.argument("file", type=click.Path(path_type=Path))
 @click.argument("size_file", type=click.Path(path_type=Path))
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -131,6 +131,24 @@
     assert call().returncode == 2
 
 
+def test_results_are_merged_by_name(coming: Size, tmp_path: Path) -> None:
+    from click.testing import CliRunner
+
+    from ironscale.cli.scale import scale
+
+    first, second, alien = (tmp_path / name for name in ("a.json", "b.json", "c.json"))
+    sample(coming).write(first)
+    other = Result(coming.digest, {"cores": 8, "memory_mb": 1})
+    other.add(Reading("agent.change.last_s", "agent that leads", "s", (2.0,), AT))
+    other.write(second)
+    Result("another", {"cores": 8, "memory_mb": 1}).write(alien)
+    assert CliRunner().invoke(scale, ["merge", str(first), str(second)]).exit_code == 0
+    merged = result.load(first)
+    assert "agent.change.last_s" in merged.readings and "record.change.bytes" in merged.slopes
+    refused = CliRunner().invoke(scale, ["merge", str(first), str(alien)])
+    assert "c.json: size_digest: expected" in str(refused.exception) and result.load(first) == merged
+
+
 def test_charts_without_their_library_are_one_line(
         coming: Size, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     from ironscale.scale.chart import ChartError, draw
