Scale: what a call costs through one sidecar, and through a chain of them

Nothing measured what a sidecar adds to a call by the length of its list, nor what repeats come to over several hops.

path.py: one real sidecar between the paced generator and stand-ins, the same arrivals going straight and through a byte relay in the same run; processor a call, added latency, connections, memory.

--- /dev/null
+++ b/ironscale/scale/chain.py
@@ -0,0 +1,443 @@
+"""Calls through a chain of real sidecars: attempts at the bottom for one at the top, what is left of the deadline.
+
+Each hop is a sidecar of its own and an application that does nothing but ask the next sidecar; the last asks the
+bottom, a stand-in that is well, slow, or fails a drawn share. The same applications without sidecars between them say
+what they take themselves. No application repeats a call: all repeats are the sidecars' own. An application answers 500
+for what was not served to it, passes on what is left of its caller's deadline less its own time, and lets its call go
+when its caller has gone.
+
+`python -m ironscale.scale.chain` is the process of the applications and the bottom: in, a JSON object (`hops`,
+`copies`, `seed`), then a line each of `{"sidecars": [port, ...]}`, `{"bottom": {...}}`, `{"look": true}`; out, where it
+listens, and at a look what it counted since the one before, by run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import sys
+import time
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, cast
+
+import httptools
+import uvloop
+
+from ironscale.load.client import KindSpec
+from ironscale.load.outcome import Sample
+from ironscale.load.run import Address, child, started_sidecars
+from ironscale.scale.model import carry
+from ironscale.scale.path import ROLE, client_of, latencies_us, now, paced, percentile, scenario
+from ironscale.scale.result import Reading, Slope, slope
+from ironscale.scale.size import Size
+from ironscale.standins.discovery import ListedDiscovery
+
+KIND = KindSpec("view", "idempotent", 1_000_000, False)
+AIM_MS = 300
+COPIES = 3  # of each application: upstreams in each list
+LENGTHS = (1, 2, 4, 8)
+LEAD_S = 0.2
+NOTE = (f"{COPIES} copies of each application, aim {AIM_MS} ms, deadline {KIND.deadline_us // 1000} ms; applications "
+        "answer 500 for what was not served to them, and repeat nothing")
+# `first`: so many attempts of each call fail for sure
+WELL: Mapping[str, Any] = {"fails": 0.0, "first": 0, "slow_share": 0.0, "slow_ms": 0.0}
+BOTTOMS: dict[str, Mapping[str, Any]] = {
+    "well": WELL,
+    "fails 0.2": {**WELL, "fails": 0.2},
+    "fails 0.5": {**WELL, "fails": 0.5},
+    "fails 1": {**WELL, "fails": 1.0},
+    "slow 0.2": {**WELL, "slow_share": 0.2, "slow_ms": 400.0},
+    "slow 1": {**WELL, "slow_share": 1.0, "slow_ms": 400.0},
+}
+
+
+def answer(status: int, body: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+def left_us_of(value: bytes) -> int:
+    """`480m` or `480000u`; 0 for what is neither."""
+    number, unit = value[:-1], value[-1:]
+    return int(float(number) * {b"m": 1_000, b"u": 1}.get(unit, 0)) if number else 0
+
+
+class Seen:
+    """What one level counts of one run."""
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()  # by the call at the top that they are for
+        self.left_us: list[int] = []
+        self.got: Counter[str] = Counter()  # what the next level answered to this one's application
+
+
+class Caller(asyncio.Protocol):
+    """One connection from an application to the next sidecar, a call at a time."""
+
+    def __init__(self, level: Level) -> None:
+        self.level = level
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.on_end: Callable[[int], None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        assert self.parser is not None
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.drop()
+
+    def on_message_complete(self) -> None:
+        assert self.parser is not None and self.transport is not None
+        on_end, self.on_end = self.on_end, None
+        if self.parser.should_keep_alive():
+            self.level.idle.append(self)
+        else:
+            self.transport.close()
+        if on_end is not None:
+            on_end(self.parser.get_status_code())
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self in self.level.idle:
+            self.level.idle.remove(self)
+        self.parser = self.transport = None
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(0)
+
+
+class Served(asyncio.Protocol):
+    """One connection to an application or to the bottom."""
+
+    def __init__(self, level: Level) -> None:
+        self.level = level
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.fields: dict[bytes, bytes] = {}
+        self.calling: Caller | asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        assert self.parser is not None and self.transport is not None
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        self.fields = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields[name.lower()] = value
+
+    def on_message_complete(self) -> None:
+        self.level.on_call(self)
+
+    def say(self, status: int) -> None:
+        self.calling = None
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(answer(status, b"done" if status == 200 else b""))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.parser = self.transport = None
+        calling, self.calling = self.calling, None
+        if isinstance(calling, Caller):  # its caller has gone, and so goes what it asked for
+            calling.on_end = None
+            calling.drop()
+        elif calling is not None:
+            calling.cancel()
+
+
+class Level:
+    """All copies of the application at one depth, or the bottom; `following` is where it asks on."""
+
+    def __init__(self, world: World, depth: int) -> None:
+        self.world, self.depth = world, depth
+        self.following: Address | None = None
+        self.idle: list[Caller] = []
+        self.seen: defaultdict[str, Seen] = defaultdict(Seen)
+        self.servers: list[asyncio.Server] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, copies: int) -> list[int]:
+        loop = asyncio.get_running_loop()
+        self.servers = [await loop.create_server(lambda: Served(self), "127.0.0.1", 0) for _ in range(copies)]
+        return [server.sockets[0].getsockname()[1] for server in self.servers]
+
+    def on_call(self, served: Served) -> None:
+        root = served.fields.get(b"x-txn", b"").decode("latin-1").partition(".")[0]
+        left_us = left_us_of(served.fields.get(b"x-remaining", b"0u"))
+        seen = self.seen[root.partition("-")[0]]
+        seen.calls[root] += 1
+        seen.left_us.append(left_us)
+        if self.following is None:
+            self.world.at_bottom(served, seen.calls[root])
+            return
+        came_us = time.monotonic_ns() // 1000
+
+        def payload() -> bytes:
+            self.world.turn += 1
+            now_left_us = max(1, left_us - (time.monotonic_ns() // 1000 - came_us))
+            return (b"GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Txn: %s.%x\r\nX-Lane: view\r\nX-Org: t0\r\n"
+                    b"X-Remaining: %du\r\n\r\n" % (root.encode(), self.world.turn, now_left_us))
+
+        def on_end(status: int) -> None:
+            seen.got[str(status)] += 1
+            served.say(200 if status == 200 else 500)
+
+        if self.idle:
+            self.ask(self.idle.pop(), served, payload(), on_end)
+            return
+        task = asyncio.get_running_loop().create_task(self.connect(served, payload, on_end))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        served.calling = task
+
+    def ask(self, caller: Caller, served: Served, payload: bytes, on_end: Callable[[int], None]) -> None:
+        assert caller.transport is not None
+        served.calling, caller.on_end = caller, on_end
+        caller.transport.write(payload)
+
+    async def connect(self, served: Served, payload: Callable[[], bytes], on_end: Callable[[int], None]) -> None:
+        assert self.following is not None
+        caller = Caller(self)
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: caller, *self.following)
+        except OSError:
+            on_end(0)
+        else:
+            self.ask(caller, served, payload(), on_end)
+
+    def told(self) -> dict[str, Any]:
+        """What it counted since it told last, by run."""
+        found, self.seen = self.seen, defaultdict(Seen)
+        return {run: {"calls": len(s.calls), "attempts": s.calls.total(), "most": max(s.calls.values()),
+                      "left_ms": [percentile(s.left_us, share) / 1000 for share in (0.01, 0.5, 0.99)],
+                      "got": dict(s.got)} for run, s in found.items()}
+
+
+class World:
+    """The applications and the bottom of a chain, twice: below sidecars, and without any."""
+
+    def __init__(self, hops: int, copies: int, seed: str) -> None:
+        self.random = Random(seed)
+        self.copies, self.turn = copies, 0
+        self.bottom: Mapping[str, Any] = WELL
+        self.levels = [Level(self, depth) for depth in range(hops)]
+        self.bare = [Level(self, depth) for depth in range(hops)]
+        self.lists = [ListedDiscovery() for _ in range(hops)]
+
+    async def start(self) -> dict[str, Any]:
+        for depth, (level, listed) in enumerate(zip(self.levels, self.lists, strict=True)):
+            ports = await level.listen(self.copies)
+            await listed.start()
+            listed.put(*({"instanceId": f"s-{depth}-{i}", "hostPort": f"127.0.0.1:{port}", "zone": "a",
+                          "machineType": "large", "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}
+                         for i, port in enumerate(ports)))
+        ports = [(await level.listen(1))[0] for level in self.bare]
+        for level, port in zip(self.bare, ports[1:], strict=False):
+            level.following = ("127.0.0.1", port)
+        return {"lists": [listed.port for listed in self.lists], "bare": ports}
+
+    def at_bottom(self, served: Served, attempt: int) -> None:
+        drawn, slow = self.random.random(), self.random.random()
+        status = 500 if drawn < self.bottom["fails"] or attempt <= self.bottom["first"] else 200
+        if slow < self.bottom["slow_share"]:
+            asyncio.get_running_loop().call_later(self.bottom["slow_ms"] / 1000, served.say, status)
+        else:
+            served.say(status)
+
+    def hear(self, told: dict[str, Any]) -> dict[str, Any] | None:
+        if "sidecars" in told:  # the first is asked from outside
+            for level, port in zip(self.levels, told["sidecars"][1:], strict=False):
+                level.following = ("127.0.0.1", port)
+        elif "bottom" in told:
+            self.bottom = told["bottom"]
+        elif told.get("look"):
+            return {"levels": [level.told() for level in self.levels], "bare": [level.told() for level in self.bare]}
+        return None
+
+
+@dataclass(slots=True)
+class Chain:
+    """A chain that stands: its process of applications, and each sidecar's address from the top on."""
+
+    process: asyncio.subprocess.Process
+    sidecars: list[Address]
+    bare: list[Address]
+
+    def say(self, data: Mapping[str, Any]) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.write(json.dumps(data).encode() + b"\n")
+
+    async def look(self) -> dict[str, Any]:
+        assert self.process.stdout is not None
+        self.say({"look": True})
+        found: dict[str, Any] = json.loads(await self.process.stdout.readline())
+        return found
+
+
+@contextlib.asynccontextmanager
+async def started(hops: int, copies: int = COPIES, rate: float = 100.0, seed: str = "chain", kind: KindSpec = KIND,
+                  aim_ms: int = AIM_MS) -> AsyncIterator[Chain]:
+    """So many real sidecars, each with a list of the applications below it."""
+    async with contextlib.AsyncExitStack() as stack:
+        process = await stack.enter_async_context(
+            child("ironscale.scale.chain", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE))
+        chain = Chain(process, [], [])
+        chain.say({"hops": hops, "copies": copies, "seed": seed})
+        assert process.stdout is not None
+        told = json.loads(await process.stdout.readline())
+        chain.bare = [("127.0.0.1", port) for port in told["bare"]]
+        s = scenario(copies, 1, kind.deadline_us // 1000, aim_ms)
+        for port in told["lists"]:
+            ((_, address),) = await stack.enter_async_context(started_sidecars(s, port, rate))
+            chain.sidecars.append(address)
+        chain.say({"sidecars": [port for _, port in chain.sidecars]})
+        yield chain
+
+
+@dataclass(slots=True)
+class Turn:
+    """Calls into a chain while the bottom did one thing: from its first moment on (`onset`), or once that had lasted
+    a while."""
+
+    bottom: str
+    hops: int
+    onset: bool
+    calls: int
+    took_us: list[int]  # of those that were served
+    bare_us: list[int]  # without sidecars
+    attempts: list[float]  # at each level from the top, for one call at the top
+    most: int  # at the bottom, for one call
+    left_ms: list[list[float]]  # of the deadline, at each level: of 1 in 100, the middle, of 99 in 100
+    got: list[dict[str, int]]  # what each application was answered
+
+    def served(self) -> float:
+        return len(self.took_us) / max(1, self.calls)
+
+    def added_ms(self, share: float) -> float:
+        return (percentile(self.took_us, share) - percentile(self.bare_us, share)) / 1000
+
+
+async def ask(run: str, address: Address, rate: float, seconds: float, kind: KindSpec = KIND) -> list[Sample]:
+    """Paced calls to there, until all have ended."""
+    part = paced(rate, seconds, run, kind.deadline_us)
+    client, samples = client_of(run, address, part, seconds, kind)
+    client.start(time.monotonic_ns() + round(LEAD_S * 1e9))
+    await client.wait(seconds + LEAD_S + kind.deadline_us / 1e6 + 1.0)
+    return samples
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """How long each part of a turn lasts, in seconds, at so many calls a second."""
+
+    rate: float = 60.0
+    well_s: float = 2.0  # before the bottom does what it does
+    onset_s: float = 1.0
+    settle_s: float = 2.0
+    lasting_s: float = 4.0
+
+
+async def count(chain: Chain, name: str, rate: float, seconds: float, onset: bool) -> Turn:
+    run = f"{'o' if onset else 'l'}{len(chain.sidecars)}"
+    samples, bare = await asyncio.gather(ask(run, chain.sidecars[0], rate, seconds),
+                                         ask(f"b{run}", chain.bare[0], rate, seconds))
+    told = [level.get(run, {}) for level in (await chain.look())["levels"]]
+    end_us = seconds * 1e6
+    return Turn(name, len(chain.sidecars), onset, len(samples), latencies_us(samples, 0, end_us),
+                latencies_us(bare, 0, end_us),
+                [level.get("attempts", 0) / max(1, len(samples)) for level in told], told[-1].get("most", 0),
+                [level.get("left_ms", []) for level in told], [level.get("got", {}) for level in told])
+
+
+async def play(name: str, hops: int, plan: Plan, seed: str) -> list[Turn]:
+    """A new chain: well at first, then as `name` says; the onset and the time after it."""
+    async with started(hops, rate=plan.rate, seed=seed) as chain:
+        await ask("w", chain.sidecars[0], plan.rate, plan.well_s)
+        chain.say({"bottom": BOTTOMS[name]})
+        onset = await count(chain, name, plan.rate, plan.onset_s, True)
+        await ask("s", chain.sidecars[0], plan.rate, plan.settle_s)
+        return [onset, await count(chain, name, plan.rate, plan.lasting_s, False)]
+
+
+async def measure(lengths: Sequence[int], bottoms: Sequence[str] = tuple(BOTTOMS), plan: Plan | None = None,
+                  rounds: int = 1, tell: Callable[[str], None] = lambda line: None) -> list[Turn]:
+    """Latencies are measured where the bottom is well, one chain after another; for the other bottoms, which are
+    there for counts, chains of all lengths run beside one another."""
+    found: list[Turn] = []
+    for number in range(rounds):
+        for name in bottoms:
+            works = [play(name, hops, plan or Plan(), f"chain/{number}/{name}/{hops}") for hops in lengths]
+            played = [await work for work in works] if name == "well" else await asyncio.gather(*works)
+            for at in (at for turns in played for at in turns):
+                found.append(at)
+                tell(f"chain: bottom {name}, {at.hops} hops, {'onset' if at.onset else 'lasting'}: {at.served():.0%} "
+                     f"of {at.calls} served, {at.attempts[-1]:.2f} attempts at the bottom, {at.most} at most")
+    return found
+
+
+def entries(turns: Sequence[Turn], depth: int, at: str) -> list[Slope | Reading]:
+    """Slopes by hops (three lengths at least), and what they come to at `depth`."""
+    points: dict[tuple[str, str], dict[float, list[float]]] = {}
+    for turn in turns:
+        phase = f"{turn.bottom.replace(' ', '_')}.{'onset' if turn.onset else 'lasting'}"
+        figures = {f"attempts.{phase}": (turn.attempts[-1], "attempts a call"),
+                   f"served.{phase}": (turn.served(), "of calls"), f"most.{phase}": (turn.most, "attempts")}
+        if turn.bottom == "well":
+            figures = {f"{name}.well": (value, "ms") for name, value in (
+                ("added_p50_ms", turn.added_ms(0.5)), ("added_p99_ms", turn.added_ms(0.99)),
+                ("deadline_spent_ms", KIND.deadline_us / 1000 - turn.left_ms[-1][1]))}
+        for name, (value, unit) in figures.items():
+            points.setdefault((f"chain.{name}", unit), {}).setdefault(turn.hops, []).append(round(value, 4))
+    found: list[Slope | Reading] = []
+    for (name, unit), by_hops in points.items():
+        found.append(slope(name, ROLE, "hops", unit, by_hops, at, NOTE))
+        by_factor = ".attempts." in name
+        pairs = [(hops, value) for hops, values in by_hops.items() for value in values]
+        if "served" in name or ".most." in name or (by_factor and min(value for _, value in pairs) <= 0):
+            continue
+        far = carry(pairs, depth, by_factor)
+        found.append(Reading(f"{name}.at_{depth}_hops", ROLE, unit, (round(far.value, 4),), at,
+                             f"carried on, {far.low:.3g} to {far.high:.3g}; each hop "
+                             f"{'times' if by_factor else 'adds'} {far.growth:.4g}, {far.growth_low:.4g} to "
+                             f"{far.growth_high:.4g}"))
+    return found
+
+
+async def piece(size: Size, tell: Callable[[str], None] = lambda line: None) -> list[Slope | Reading]:
+    """For a scale run: chains of 1 to 8, carried to the size's depth."""
+    turns = await measure(LENGTHS, rounds=size.play.repeats, tell=tell)
+    return entries(turns, size.fleet.depth, now())
+
+
+async def main() -> None:
+    loop = asyncio.get_running_loop()
+
+    def tell(data: Mapping[str, Any]) -> None:
+        print(json.dumps(data), flush=True)
+
+    spec = json.loads(await loop.run_in_executor(None, sys.stdin.readline))
+    world = World(spec["hops"], spec["copies"], spec["seed"])
+    tell(await world.start())
+    while line := await loop.run_in_executor(None, sys.stdin.readline):
+        found = world.hear(json.loads(line))
+        if found is not None:
+            tell(found)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- /dev/null
+++ b/ironscale/scale/path.py
@@ -0,0 +1,333 @@
+"""What a call costs on its way through one sidecar, by the length of its list.
+
+One real sidecar (the deployed `run`, no operator file) stands between the load generator and stand-in upstreams. The
+same arrivals, a third of a gap apart, go straight to an upstream, through a relay of bare bytes and through the
+sidecar, all within one run: what befalls the machine befalls all three. Open loop: a call's latency counts from the
+moment it was due, whatever came back of those before it. `python -m ironscale.scale.path HOST:PORT` is the byte relay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import os
+import resource
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import uvloop
+
+from ironscale.control.processes import cpu_s
+from ironscale.load import arrivals
+from ironscale.load.client import Client, KindSpec, Spec
+from ironscale.load.outcome import End, Sample
+from ironscale.load.run import Address, Site, child, started_sidecars, started_site
+from ironscale.load.scenario import Scenario, parse
+from ironscale.load.schedule import KindMix, Mix, Schedule, build, steady
+from ironscale.scale.fit import LEAST_SIZES
+from ironscale.scale.result import Reading, Slope, slope
+from ironscale.scale.size import Size
+
+WAYS = ("direct", "relay", "sidecar")
+KIND = KindSpec("view", "idempotent", 5_000_000, False)
+CONNECTIONS = 64  # of the application, open at once on a way
+SOCKETS = 4_096  # that the sidecar may hold, as the platform gives it
+WARM_S = 16.0  # kept connections live 15 s: by then as many end as begin
+FEW = 10  # sidecars: under the number from which on each keeps to a part of the upstreams
+LEAD_S = 0.3
+ROLE = "sidecar data path"
+Points = dict[str, list[tuple[float, float, int]]]  # name -> (x, value, repeat)
+
+
+class Pipe(asyncio.Protocol):
+    """One side of a connection through the byte relay."""
+
+    def __init__(self, target: Address | None, other: Pipe | None = None) -> None:
+        self.target, self.other = target, other
+        self.transport: asyncio.Transport | None = None
+        self.held: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.target is not None:
+            asyncio.get_running_loop().create_task(self.connect(self.target))
+
+    async def connect(self, target: Address) -> None:
+        self.other = other = Pipe(None, self)
+        await asyncio.get_running_loop().create_connection(lambda: other, *target)
+        for data in self.held:
+            self.data_received(data)
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None or self.other.transport is None:
+            self.held.append(data)
+        else:
+            self.other.transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.close()
+
+
+async def pass_bytes(host: str, port: int) -> int:
+    """Passes on what comes, until this process ends. Gives the port that it listens on."""
+    server = await asyncio.get_running_loop().create_server(lambda: Pipe((host, port)), "127.0.0.1", 0)
+    found: int = server.sockets[0].getsockname()[1]
+    return found
+
+
+@contextlib.asynccontextmanager
+async def started_relay(target: Address) -> AsyncIterator[tuple[int, Address]]:
+    """The byte relay in a process of its own: its process id and address."""
+    async with child("ironscale.scale.path", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE) as process:
+        assert process.stdin is not None and process.stdout is not None
+        process.stdin.write(f"{target[0]}:{target[1]}\n".encode())
+        yield process.pid, ("127.0.0.1", int(await process.stdout.readline()))
+
+
+def scenario(upstreams: int, sidecars: int, deadline_ms: int = KIND.deadline_us // 1000, aim_ms: int = 300) -> Scenario:
+    """Upstreams that answer at once, and one sidecar that is told that it is one of so many."""
+    return parse(
+        'duration_s = 1\n[[arrivals]]\nshape = "constant"\nrate = 1\n[[class]]\nname = "view"\n'
+        f'deadline_ms = {deadline_ms}\naim_ms = {aim_ms}\n[[tenant]]\nname = "t0"\n[sidecars]\nsockets = {SOCKETS}\n'
+        f"settings = {{ instances = {sidecars} }}\n[[upstreams]]\ncount = {upstreams}\n",
+        "path", Path("."),
+    )
+
+
+def paced(rate: float, seconds: float, seed: str, deadline_us: int = KIND.deadline_us) -> Schedule:
+    """Arrivals by a Poisson process."""
+    times = arrivals.poisson(Random(f"{seed}/arrivals"), arrivals.constant(rate, 0, round(seconds * 1e6)))
+    return build(steady(times), Mix([KindMix(1.0, deadline_us)]), seed)
+
+
+def client_of(run: str, address: Address, part: Schedule, seconds: float,
+              kind: KindSpec = KIND) -> tuple[Client, list[Sample]]:
+    """A client of one way, and what it will tell. `part` holds its calls."""
+    samples: list[Sample] = []
+    spec = Spec(run, (address,), "sidecar", "/api", False, (kind,), ("t0",), CONNECTIONS, 0, 0, round(seconds * 1e6),
+                0, 1)
+    return Client(spec, part, samples.append), samples
+
+
+def now() -> str:
+    """UTC, as results tell it."""
+    return datetime.now(UTC).isoformat(timespec="seconds")
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """The least value that so large a share of all do not pass; 0 for none."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)] if ordered else 0.0
+
+
+def latencies_us(samples: Iterable[Sample], from_us: float, to_us: float) -> list[int]:
+    """Of the calls due in that time that were served, from when they were due."""
+    return [s.done_us - s.sched_us for s in samples if from_us <= s.sched_us < to_us and s.end == End.SERVED]
+
+
+def rss_mb(pid: int) -> float:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+@dataclass(slots=True)
+class Look:
+    """What stood at one moment."""
+
+    at_us: int  # of the run
+    cpu_s: dict[str, float]
+    upstreams: list[dict[str, int]]
+    files: int  # that the sidecar holds
+    rss_mb: float
+
+
+@dataclass(slots=True)
+class Turn:
+    """One sidecar with a list of some length, from its start."""
+
+    upstreams: int
+    looks: list[Look] = field(default_factory=list)
+    samples: dict[str, list[Sample]] = field(default_factory=dict)
+
+    def spans(self) -> Iterable[tuple[Look, Look]]:
+        return zip(self.looks, self.looks[1:], strict=False)
+
+    def calls(self, way: str, a: Look, b: Look) -> list[int]:
+        return latencies_us(self.samples[way], a.at_us, b.at_us)
+
+    def ends(self) -> Counter[str]:
+        """How the calls through the sidecar ended, those before the first window among them."""
+        return Counter(End(s.end).name.lower() for s in self.samples["sidecar"])
+
+    def points(self, first: int) -> Points:
+        """Figures by window, numbered from `first` on; the way in goes to upstream 0, which so is left out of what
+        is said of connections where there are others."""
+        found: Points = {}
+        for number, (a, b) in enumerate(self.spans(), first):
+            def add(name: str, value: float, number: int = number) -> None:
+                found.setdefault(name, []).append((self.upstreams, value, number))
+
+            took = {way: self.calls(way, a, b) for way in WAYS}
+            for way in ("relay", "sidecar"):
+                add(f"path.cpu_us.{way}", (b.cpu_s[way] - a.cpu_s[way]) * 1e6 / max(1, len(took[way])))
+                for name, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+                    extra_us = percentile(took[way], share) - percentile(took["direct"], share)
+                    add(f"path.added_{name}_us.{way}", extra_us)
+            skipped = 1 if self.upstreams > 1 else 0
+            opened, taken = (sum(y[key] - x[key] for x, y in zip(a.upstreams[skipped:], b.upstreams[skipped:],
+                                                                 strict=True)) for key in ("opened", "taken"))
+            add("path.new_connection_share", opened / max(1, taken))
+            add("path.opened_per_s", opened / max(1e-9, (b.at_us - a.at_us) / 1e6))
+            add("path.connections_held", sum(u["held"] for u in b.upstreams[skipped:]))
+            add("path.sidecar_files", b.files)
+            add("path.rss_mb", b.rss_mb)
+        return found
+
+
+async def look(site: Site, marks: asyncio.Queue[dict[str, Any]], pids: dict[str, int], start_ns: int) -> Look:
+    site.say({"look": True})
+    told = await marks.get()
+    return Look(
+        (time.monotonic_ns() - start_ns) // 1000,
+        {name: cpu_s(pid) for name, pid in pids.items()},
+        told["upstreams"],
+        len(os.listdir(f"/proc/{pids['sidecar']}/fd")),
+        rss_mb(pids["sidecar"]),
+    )
+
+
+def allow_files(wanted: int) -> None:
+    """For the processes started from here on. Raises OSError where this machine gives fewer."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        if hard != resource.RLIM_INFINITY and hard < wanted:
+            raise OSError(f"open files: expected {wanted:,} a process, found {hard:,} (`ulimit -Hn`)")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+async def turn(upstreams: int, sidecars: int, rate: float, warm_s: float, window_s: float, windows: int,
+               seed: str) -> Turn:
+    s, found = scenario(upstreams, sidecars), Turn(upstreams)
+    marks: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
+    allow_files(2 * upstreams + 8 * CONNECTIONS)
+    seconds = warm_s + window_s * windows
+    part = paced(rate, seconds, seed)
+    async with (
+        started_site(s, marks.put_nowait) as site,
+        started_relay(("127.0.0.1", site.ports[0])) as (relay_pid, relay),
+        started_sidecars(s, site.discovery, rate * sidecars) as started,
+    ):
+        ((process, address),) = started
+        pids = {"relay": relay_pid, "sidecar": process.pid}
+        addresses = {"direct": ("127.0.0.1", site.ports[0]), "relay": relay, "sidecar": address}
+        clients = []
+        for way in WAYS:
+            client, found.samples[way] = client_of(way, addresses[way], part, seconds)
+            clients.append(client)
+        start_ns = time.monotonic_ns() + round(LEAD_S * 1e9)
+        for number, client in enumerate(clients):
+            client.start(start_ns + round(number / (len(WAYS) * rate) * 1e9))
+        for number in range(windows + 1):
+            at_ns = start_ns + round((warm_s + number * window_s) * 1e9)
+            await asyncio.sleep(max(0.0, (at_ns - time.monotonic_ns()) / 1e9))
+            found.looks.append(await look(site, marks, pids, start_ns))
+        for client in clients:
+            await client.wait(KIND.deadline_us / 1e6)
+    return found
+
+
+@dataclass(slots=True)
+class Found:
+    """All turns of a run."""
+
+    points: Points = field(default_factory=dict)
+    took: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # latencies in us, by length and way
+    ends: dict[int, Counter[str]] = field(default_factory=dict)
+
+    def add(self, played: Turn, first: int) -> None:
+        for name, points in played.points(first).items():
+            self.points.setdefault(name, []).extend(points)
+        self.ends.setdefault(played.upstreams, Counter()).update(played.ends())
+        ways = self.took.setdefault(played.upstreams, {way: [] for way in WAYS})
+        for way, took in ways.items():
+            for a, b in played.spans():
+                took += played.calls(way, a, b)
+
+    def share(self, upstreams: int, way: str, share: float) -> float:
+        """Of all windows together: of so few calls a window knows no 99.9th in 100."""
+        return percentile(self.took[upstreams][way], share)
+
+
+async def measure(lengths: Sequence[int], rate: float, sidecars: int = 0, warm_s: float = WARM_S,
+                  window_s: float = 10.0, windows: int = 3, rounds: int = 1, seed: str = "path",
+                  tell: Callable[[str], None] = lambda line: None) -> Found:
+    """By length of the list; rounds go through all lengths before the next begins. The sidecar is told of so many
+    `sidecars`; 0: one for each upstream, as at the size. Were it told of more, it would hold back for calls of others
+    that nobody sends here."""
+    found = Found()
+    for number in range(rounds):
+        for upstreams in lengths:
+            tell(f"path: {upstreams} upstreams, round {number + 1} of {rounds}")
+            played = await turn(upstreams, sidecars or upstreams, rate, warm_s, window_s, windows, f"{seed}/{number}")
+            found.add(played, number * windows)
+    return found
+
+
+UNITS = {"cpu_us": "us", "added_p50_us": "us", "added_p99_us": "us", "new_connection_share": "of calls",
+         "opened_per_s": "/s", "connections_held": "connections", "sidecar_files": "files", "rss_mb": "MB"}
+
+
+def entries(found: Found, at: str, prefix: str, note: str) -> list[Slope | Reading]:
+    """Slopes over three lengths and more, else readings by length; and what the way in itself took."""
+    result: list[Slope | Reading] = []
+    for name, points in found.points.items():
+        _, figure, way = (*name.split("."), "sidecar")[:3]
+        if figure not in UNITS:
+            continue
+        by_length: dict[float, list[float]] = {}
+        for length, value, _ in points:
+            by_length.setdefault(length, []).append(round(value, 4))
+        full = f"{prefix}.{figure}.{way}"
+        if len(by_length) >= LEAST_SIZES:
+            result.append(slope(full, ROLE, "upstreams in the list", UNITS[figure], by_length, at, note))
+        else:
+            result += [Reading(f"{full}.{length:g}", ROLE, UNITS[figure], tuple(values), at, note)
+                       for length, values in by_length.items()]
+    for upstreams, ways in found.took.items():
+        for way, took in ways.items():
+            for label, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+                result.append(Reading(f"{prefix}.total_{label}_us.{way}.{upstreams}", ROLE, "us",
+                                      (percentile(took, share),), at, f"{len(took)} calls; {note}"))
+        ends = found.ends[upstreams]
+        result.append(Reading(f"{prefix}.unserved_share.{upstreams}", ROLE, "of calls",
+                              (1 - ends["served"] / max(1, ends.total()),), at, f"{dict(ends)}; {note}"))
+    return result
+
+
+async def piece(size: Size, tell: Callable[[str], None] = lambda line: None) -> list[Slope | Reading]:
+    """For a scale run: the size's lists, and its longest once more with a sidecar that is told of few others."""
+    lists, rate = size.play.lists, size.calls_each
+    found = await measure(lists, rate, windows=size.play.repeats, tell=tell)
+    few = await measure((lists[-1],), rate, sidecars=FEW, windows=size.play.repeats, tell=tell)
+    note = f"{rate:.0f} calls a second, drawn; warmed up for {WARM_S:g} s; the sidecar is told of "
+    return [*entries(found, now(), "path", note + "a sidecar for each upstream"),
+            *entries(few, now(), "path_few", note + f"{FEW} sidecars")]
+
+
+async def main() -> None:
+    host, _, port = sys.stdin.readline().strip().rpartition(":")
+    print(await pass_bytes(host, int(port)), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/ironscale/standins/site.py
+++ b/ironscale/standins/site.py
@@ -1,8 +1,8 @@
 """A site of stand-in servers with discovery, in a process of its own: `python -m ironscale.standins.site`.
 
 In: a JSON object on one line (`Site.__init__` reads it), then `{"start_ns": ...}`, the moment that the timeline counts
-from, on the monotonic clock, and `{"end": true}`, a line each. Out: JSON lines: where it listens; each thing that
-befell a server, as it befell it; at the end the truth: how often each request ran.
+from, on the monotonic clock, `{"look": true}` and `{"end": true}`, a line each. Out: JSON lines: where it listens;
+each thing that befell a server, as it befell it; at a look what each server counts; at the end the truth: how often each request ran.
 """
 
 from __future__ import annotations
@@ -233,6 +233,10 @@
         self.entry["startedAtMs"] = time.time_ns() // 1_000_000
         await self.listen()
 
+    def counts(self) -> dict[str, int]:
+        """So far; `held`: connections open now."""
+        return {"opened": self.opened, "held": len(self.connections), "taken": self.taken}
+
     def totals(self) -> dict[str, Any]:
         return {
             "upstream": self.number,
@@ -382,6 +386,8 @@
         told = json.loads(line)
         if "start_ns" in told:
             site.begin(int(told["start_ns"]))
+        elif told.get("look"):
+            tell({"mark": "look", "upstreams": [u.counts() for u in site.upstreams]})
         elif told.get("end"):
             tell(site.truth())
             break
--- /dev/null
+++ b/tests/scale/test_chain.py
@@ -0,0 +1,114 @@
+"""Chains of real sidecars: what is counted at each hop is what was sent, and the law of repeats is that of a chain."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from ironscale.load.run import Address
+from ironscale.scale import chain
+from ironscale.scale.fit import FitError
+from ironscale.scale.model import bottom, carry, one_hop
+from ironscale.scale.path import percentile
+from ironscale.scale.result import Reading, Slope
+from ironscale.standins.http import read_message
+from tests.sockets import run
+
+SHARE, MOST, KEPT = 0.2, 4, 5.0  # the budget of a sidecar: balance.RETRY_SHARE, the settings' tries, RETRIES_KEPT
+
+
+def brute(failing: float, hops: int, calls: int, random: Random) -> float:
+    """Attempts at the bottom for a call at the top, each hop with a budget that fills by its own calls."""
+    tokens, sent = [KEPT] * hops, 0
+
+    def call(hop: int) -> bool:
+        nonlocal sent
+        if hop == hops:
+            sent += 1
+            return random.random() >= failing
+        tokens[hop] = min(KEPT, tokens[hop] + SHARE)
+        for _ in range(MOST - 1):
+            if call(hop + 1):
+                return True
+            if tokens[hop] < 1.0:
+                return False
+            tokens[hop] -= 1.0
+        return call(hop + 1)
+
+    for _ in range(calls):
+        call(0)
+    return sent / calls
+
+
+@pytest.mark.parametrize("failing", [0.02, 0.2, 0.5, 0.9, 1.0])
+def test_the_law_is_what_a_chain_of_budgets_does(failing: float) -> None:
+    law = bottom(failing, 6, SHARE, MOST)
+    for hops in (1, 3, 6):
+        found = brute(failing, hops, 20_000, Random(f"{failing}/{hops}"))
+        assert math.isclose(found, law[hops - 1], rel_tol=0.06), (hops, found, law[hops - 1])
+
+
+def test_attempts_grow_by_the_power_only_where_nothing_succeeds() -> None:
+    assert math.isclose(bottom(1.0, 22, SHARE, MOST)[-1], 1.2**22)
+    for failing in (0.1, 0.5, 0.9):
+        assert bottom(failing, 200, SHARE, MOST)[-1] <= 1 / (1 - failing) + 1e-9
+    assert one_hop(0.0, SHARE, MOST) == (1.0, 0.0)
+
+
+def test_a_line_is_carried_on_with_what_is_not_known_of_it() -> None:
+    exact = carry([(hops, 1.2**hops) for hops in (1, 2, 4, 8)], 22, True)
+    assert math.isclose(exact.value, 1.2**22, rel_tol=1e-6) and math.isclose(exact.growth, 1.2, rel_tol=1e-6)
+    rough = carry([(1, 1.0), (1, 1.4), (2, 2.1), (4, 3.9), (8, 8.3)], 22, False)
+    assert rough.low < 22 < rough.high and rough.high - rough.low > 0.1
+    with pytest.raises(FitError):
+        carry([(1, 1.0), (2, 2.0)], 22, False)
+    with pytest.raises(ValueError, match="above 0"):
+        carry([(1, 1.0), (2, 0.0), (3, 1.0)], 22, True)
+
+
+def test_a_chain_of_two_counts_its_attempts_and_its_deadline_shrinks() -> None:
+    kind = replace(chain.KIND, deadline_us=20_000_000)  # on a busy machine no answer is late, so none is asked twice
+
+    async def call(address: Address, root: str) -> int:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /api HTTP/1.1\r\nHost: s\r\nX-Txn: %s\r\nX-Lane: view\r\nX-Org: t0\r\n"
+                     b"X-Remaining: %dm\r\n\r\n" % (root.encode(), kind.deadline_us // 1000))
+        status = (await read_message(reader)).status
+        writer.close()
+        return status
+
+    async def play() -> None:
+        async with chain.started(2, rate=10.0, kind=kind, aim_ms=20_000) as two:
+            assert [await call(two.sidecars[0], f"w-{i}") for i in range(3)] == [200] * 3
+            two.say({"bottom": {**chain.WELL, "first": 1}})
+            await two.look()  # what was said before is heard by now
+            assert await call(two.sidecars[0], "m-0") == 200
+            assert await call(two.bare[0], "b-0") == 500
+            told = await two.look()
+        top, below = (level["m"] for level in told["levels"])
+        # the bottom fails the call's first attempt; the sidecar above it tries again, and the one at the top need not
+        assert (top["calls"], top["attempts"], top["got"]) == (1, 1, {"200": 1}), told
+        assert (below["calls"], below["attempts"], below["most"]) == (1, 2, 2), told
+        left_ms = [kind.deadline_us / 1000, top["left_ms"][2], below["left_ms"][2]]
+        assert left_ms[0] - 8 >= left_ms[1] and left_ms[1] - 8 >= left_ms[2] > 0, told  # each keeps 8 ms for itself
+        # without sidecars nothing is tried again
+        assert [level["b"]["attempts"] for level in told["bare"]] == [1, 1], told
+
+    run(play)
+
+
+def test_figures_of_turns_become_slopes_and_what_they_come_to() -> None:
+    turns = [chain.Turn(name, hops, False, 100, [1_000 * hops] * 90, [500] * 90, [1.1**i for i in range(1, hops + 1)],
+                        3, [[900.0, 1_000.0 - 8 * i, 1_000.0] for i in range(1, hops + 1)], [{}] * hops)
+             for name in ("well", "fails 0.2") for hops in (1, 2, 4)]
+    entries = chain.entries(turns, 22, "now")
+    at_22 = {entry.name: entry.value for entry in entries if isinstance(entry, Reading)}
+    assert math.isclose(at_22["chain.attempts.fails_0.2.lasting.at_22_hops"], 1.1**22, rel_tol=0.01)
+    assert math.isclose(at_22["chain.deadline_spent_ms.well.at_22_hops"], 8 * 22, rel_tol=0.01)
+    slopes = {entry.name: entry for entry in entries if isinstance(entry, Slope)}
+    assert slopes["chain.served.fails_0.2.lasting"].points[0].value == 0.9
+    assert percentile([], 0.5) == 0 and percentile([3, 1, 2], 0.5) == 2 and percentile(range(1, 101), 0.99) == 99
--- /dev/null
+++ b/tests/scale/test_path.py
@@ -0,0 +1,53 @@
+"""The way through a sidecar: what is counted, and what is said of it."""
+
+from __future__ import annotations
+
+import math
+
+from ironscale.load.outcome import End, Sample
+from ironscale.scale import path
+from tests.sockets import run
+
+
+def served(at_us: int, took_us: int, end: int = End.SERVED) -> Sample:
+    return Sample(0, 0, end, 200, at_us, at_us, at_us, at_us + took_us, 0)
+
+
+def test_figures_are_of_the_window_and_leave_out_the_way_in() -> None:
+    def look(at_us: int, sidecar_s: float, *upstreams: tuple[int, int, int]) -> path.Look:
+        told = [dict(zip(("opened", "held", "taken"), counts, strict=True)) for counts in upstreams]
+        return path.Look(at_us, {"sidecar": sidecar_s, "relay": 0.0}, told, 9, 30.0)
+
+    # upstream 0 is asked directly too, and so tells nothing of the sidecar's connections
+    played = path.Turn(2, [look(1_000_000, 1.0, (5, 5, 50), (1, 1, 10)), look(3_000_000, 1.4, (9, 9, 90), (4, 3, 16))])
+    outside = [served(999_999, 9_000), served(3_000_000, 9_000)]
+    played.samples = {
+        "direct": [*outside, served(1_000_000, 100)], "relay": [*outside, served(1_000_000, 150)],
+        "sidecar": [*outside, served(1_000_000, 700), served(2_999_999, 900), served(2_000_000, 1, End.RESET)],
+    }
+    points = {name: found[0][1] for name, found in played.points(0).items()}
+    assert math.isclose(points["path.cpu_us.sidecar"], 0.4e6 / 2)  # of the two that were due in it and served
+    assert points["path.added_p50_us.sidecar"] == 600 and points["path.added_p99_us.sidecar"] == 800
+    assert points["path.added_p99_us.relay"] == 50
+    assert points["path.new_connection_share"] == 3 / 6 and points["path.opened_per_s"] == 1.5
+    assert points["path.connections_held"] == 3
+    assert played.ends() == {"served": 4, "reset": 1}
+
+
+def test_one_real_sidecar_between_generator_and_upstreams_is_counted_whole() -> None:
+    async def play() -> None:
+        played = await path.turn(3, 3, rate=40.0, warm_s=0.2, window_s=0.5, windows=2, seed="t")
+        due = len(path.paced(40.0, 1.2, "t"))
+        # on a busy machine an answer may be late and a call refused: each call has one end all the same
+        assert all(len(samples) == due for samples in played.samples.values())
+        assert played.ends().total() == due and played.ends()["served"] > 0, played.ends()
+        before, after = played.looks[0], played.looks[-1]
+        taken = sum(u["taken"] for u in after.upstreams) - sum(u["taken"] for u in before.upstreams)
+        assert 0 < taken and after.cpu_s["sidecar"] > before.cpu_s["sidecar"] > 0
+        assert 0 < sum(u["held"] for u in after.upstreams) <= sum(u["opened"] for u in after.upstreams)
+        found = path.Found()
+        found.add(played, 0)
+        names = {entry.name for entry in path.entries(found, "now", "path", "")}
+        assert {"path.cpu_us.sidecar.3", "path.total_p99_us.direct.3", "path.unserved_share.3"} <= names
+
+    run(play)
