Scale: what discovery is asked and tells, by sidecars and by length of the list

discovery.py: hollow watches, each the real client and the real decision when to ask, at a stand-in that counts its calls and bytes: the whole list, an entry changed, an upstream replaced, a list asked for in place of watched, all sidecars at once, and a zone's at a discovery that works through calls in turn. path and chain are pieces of `ironscale scale run` now.

--- a/ironscale/scale/chain.py
+++ b/ironscale/scale/chain.py
@@ -30,10 +30,10 @@
 from ironscale.load.client import KindSpec
 from ironscale.load.outcome import Sample
 from ironscale.load.run import Address, child, started_sidecars
+from ironscale.load.run import RunError as ChildError
 from ironscale.scale.model import carry
-from ironscale.scale.path import ROLE, client_of, latencies_us, now, paced, percentile, scenario
-from ironscale.scale.result import Reading, Slope, slope
-from ironscale.scale.size import Size
+from ironscale.scale.path import ROLE, client_of, latencies_us, paced, percentile, scenario
+from ironscale.scale.run import RunError, Scene
 from ironscale.standins.discovery import ListedDiscovery
 
 KIND = KindSpec("view", "idempotent", 1_000_000, False)
@@ -374,8 +374,8 @@
         return [onset, await count(chain, name, plan.rate, plan.lasting_s, False)]
 
 
-async def measure(lengths: Sequence[int], bottoms: Sequence[str] = tuple(BOTTOMS), plan: Plan | None = None,
-                  rounds: int = 1, tell: Callable[[str], None] = lambda line: None) -> list[Turn]:
+async def play_all(lengths: Sequence[int], bottoms: Sequence[str] = tuple(BOTTOMS), plan: Plan | None = None,
+                   rounds: int = 1, tell: Callable[[str], None] = lambda line: None) -> list[Turn]:
     """Latencies are measured where the bottom is well, one chain after another; for the other bottoms, which are
     there for counts, chains of all lengths run beside one another."""
     found: list[Turn] = []
@@ -390,9 +390,9 @@
     return found
 
 
-def entries(turns: Sequence[Turn], depth: int, at: str) -> list[Slope | Reading]:
+def record(scene: Scene, turns: Sequence[Turn], depth: int) -> None:
     """Slopes by hops (three lengths at least), and what they come to at `depth`."""
-    points: dict[tuple[str, str], dict[float, list[float]]] = {}
+    points: dict[tuple[str, str], dict[int, list[float]]] = {}
     for turn in turns:
         phase = f"{turn.bottom.replace(' ', '_')}.{'onset' if turn.onset else 'lasting'}"
         figures = {f"attempts.{phase}": (turn.attempts[-1], "attempts a call"),
@@ -403,25 +403,26 @@
                 ("deadline_spent_ms", KIND.deadline_us / 1000 - turn.left_ms[-1][1]))}
         for name, (value, unit) in figures.items():
             points.setdefault((f"chain.{name}", unit), {}).setdefault(turn.hops, []).append(round(value, 4))
-    found: list[Slope | Reading] = []
     for (name, unit), by_hops in points.items():
-        found.append(slope(name, ROLE, "hops", unit, by_hops, at, NOTE))
+        scene.add_slope(name, ROLE, "hops", unit, by_hops, NOTE)
         by_factor = ".attempts." in name
         pairs = [(hops, value) for hops, values in by_hops.items() for value in values]
-        if "served" in name or ".most." in name or (by_factor and min(value for _, value in pairs) <= 0):
+        if ".served." in name or ".most." in name or (by_factor and min(value for _, value in pairs) <= 0):
             continue
         far = carry(pairs, depth, by_factor)
-        found.append(Reading(f"{name}.at_{depth}_hops", ROLE, unit, (round(far.value, 4),), at,
-                             f"carried on, {far.low:.3g} to {far.high:.3g}; each hop "
-                             f"{'times' if by_factor else 'adds'} {far.growth:.4g}, {far.growth_low:.4g} to "
-                             f"{far.growth_high:.4g}"))
-    return found
+        scene.add_reading(f"{name}.at_{depth}_hops", ROLE, unit, [round(far.value, 4)],
+                          f"carried on, {far.low:.3g} to {far.high:.3g}; each hop {'times' if by_factor else 'adds'} "
+                          f"{far.growth:.4g}, {far.growth_low:.4g} to {far.growth_high:.4g}")
 
 
-async def piece(size: Size, tell: Callable[[str], None] = lambda line: None) -> list[Slope | Reading]:
+async def measure(scene: Scene) -> None:
     """For a scale run: chains of 1 to 8, carried to the size's depth."""
-    turns = await measure(LENGTHS, rounds=size.play.repeats, tell=tell)
-    return entries(turns, size.fleet.depth, now())
+    scene.check(0, 0, real=sum(LENGTHS), others=len(LENGTHS))
+    try:
+        turns = await play_all(LENGTHS, rounds=scene.size.play.repeats, tell=scene.progress)
+    except ChildError as error:
+        raise RunError(str(error)) from error
+    record(scene, turns, scene.size.fleet.depth)
 
 
 async def main() -> None:
--- /dev/null
+++ b/ironscale/scale/discovery.py
@@ -0,0 +1,398 @@
+"""What sidecars ask of discovery and are told, by their number, by the length of the list, by what changes.
+
+Hollow watches: each the real client of discovery and the real decision when to ask, with no data path, hundreds in a
+process; and the stand-in discovery in a process of its own, which counts its calls and bytes. It may be told to work
+through calls in turn, so long each, as a shared one does. `python -m ironscale.scale.discovery` is either process: in,
+a JSON object, then a line for each thing to do; out, a JSON line for each of them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from ironscale import settings
+from ironscale.balance import Balancer
+from ironscale.control.processes import cpu_s
+from ironscale.interface import ListKind, SetTimer, Subscribe, TimerFired, UpstreamsUpdated
+from ironscale.load.run import RunError as ChildError
+from ironscale.load.run import child, sidecar_settings
+from ironscale.net.config import CALL_US
+from ironscale.net.discovery import Directory, Discovery, Listing, _Call
+from ironscale.scale.path import allow_files, percentile, scenario
+from ironscale.scale.run import RunError, Scene
+from ironscale.standins.discovery import ListedDiscovery
+
+ROLE = "discovery"
+EACH = 250  # hollow watches that share a process
+SERVE_S = 60.0  # within which all must have their first list
+REST_S, CHANGES, ASK_S = 6.0, 20, 5.0
+TURNS_MS = (0.0, 25.0, 50.0)  # a shared discovery's time for a call: not known, so several are played
+
+
+def entry_of(number: int, state: str = "ready", started_ms: int = 0) -> dict[str, Any]:
+    """As long as an upstream's entry in the protocol's example."""
+    return {"instanceId": f"s-{number:08x}", "hostPort": f"10.{number >> 16 & 255}.{number >> 8 & 255}."
+            f"{number & 255}:9000", "zone": "abcdefghijkl"[number % 12], "machineType": "m2", "cell": number % 4,
+            "lifecycle": state, "weight": 1.0, "startedAtMs": started_ms}
+
+
+class Counted(ListedDiscovery):
+    """Counts what it writes; calls have their turn where `turn_s` says so."""
+
+    def __init__(self, turn_s: float = 0.0) -> None:
+        super().__init__()
+        self.turn_s, self.turn = turn_s, asyncio.Lock()
+        self.bytes = 0
+        self.held: tuple[int, bytes] = 0, b""  # the whole list as written, and its generation
+
+    def body(self) -> bytes:
+        """Made once a version: what a stand-in would spend on it is nothing to anyone."""
+        if self.held[0] != self.generation:
+            self.held = self.generation, json.dumps(self.whole(), separators=(",", ":")).encode()
+        return self.held[1]
+
+    def tell(self, data: dict[str, Any] | None) -> None:
+        raw = (json.dumps(data, separators=(",", ":")).encode() if data is not None else b"") + b"\n"
+        line = b"%x\r\n%s\r\n" % (len(raw), raw)
+        for writer in list(self.watches):
+            self.write(writer, line)
+
+    def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        self.bytes += len(data)
+        writer.write(data)
+
+    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.calls += 1
+                if self.turn_s:
+                    async with self.turn:  # also for one that has given up meanwhile, as a shared one does
+                        await asyncio.sleep(self.turn_s)
+                body = self.body()
+                if b"watch=1" not in head:
+                    self.write(writer, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                    continue
+                self.write(writer, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n"
+                           % (len(body) + 1, body))
+                self.watches.add(writer)
+                await reader.read()
+                return
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.watches.discard(writer)
+            writer.close()
+
+
+class CountedCall(_Call):
+    """Tells its owner what came and went."""
+
+    def data_received(self, data: bytes) -> None:
+        assert isinstance(self.owner, CountedClient)
+        self.owner.counts["in"] += len(data)
+        super().data_received(data)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(self.owner, CountedClient)
+        self.owner.counts["out"] += len(self.request)
+        super().connection_made(transport)
+
+
+class CountedClient(Discovery):
+    counts: Counter[str]
+
+    def call_watch(self) -> CountedCall:
+        self.counts["calls"] += 1
+        return CountedCall(self, f"/registry/instances?watch=1&after={self.generation}")
+
+    def fetch(self) -> None:
+        self.counts["calls"] += 1
+        self.fetches.add(CountedCall(self, "/registry/instances"))
+
+
+class Watch:
+    """One hollow sidecar: it asks when the decisions say so, and keeps nothing of what it is told."""
+
+    def __init__(self, herd: Herd, number: int) -> None:
+        self.herd = herd
+        self.loop = asyncio.get_running_loop()
+        self.began_s = self.loop.time()
+        self.first_s = -1.0  # from its start to its first list
+        self.client = CountedClient(herd.address, Directory([], []), 0, self.on_list, CALL_US / 1e6, lambda text: None)
+        self.client.counts = herd.counts
+        options = settings.read(settings.from_object(herd.settings))
+        self.balancer = Balancer(options, random.Random(f"{herd.seed}/{number}").randrange(1 << 62), self.now_us())
+        self.timer: asyncio.TimerHandle | None = None
+        self.tell(UpstreamsUpdated(ListKind.CACHED, []))
+
+    def now_us(self) -> int:
+        return int((self.loop.time() - self.began_s) * 1e6) + 1  # hazard: a time of 0 means never to the decisions
+
+    def tell(self, event: Any) -> None:
+        for action in self.balancer.handle(self.now_us(), event):
+            if isinstance(action, Subscribe) and action.active:
+                self.client.subscribe()
+            elif isinstance(action, SetTimer):
+                if self.timer is not None:
+                    self.timer.cancel()
+                left_s = (action.at_us - self.now_us()) / 1e6
+                self.timer = self.loop.call_later(max(0.0, left_s) + 0.001, self.tell, TimerFired(action.token))
+
+    def on_list(self, kind: ListKind, listed: Listing | None) -> None:
+        if kind is ListKind.FAILED:
+            self.herd.counts["failed"] += 1
+        elif listed is not None:
+            self.herd.counts["lists"] += kind is ListKind.FULL
+            self.herd.counts["entries"] += len(listed.members)
+            if self.first_s < 0:
+                self.first_s = self.loop.time() - self.began_s
+        self.tell(UpstreamsUpdated(kind, []))
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.client.close()
+
+
+class Herd:
+    """The hollow watches of one process."""
+
+    def __init__(self, spec: Mapping[str, Any]) -> None:
+        self.address = ("127.0.0.1", int(spec["port"]))
+        self.settings, self.seed = spec["settings"], str(spec["seed"])
+        self.counts: Counter[str] = Counter()
+        self.watches: list[Watch] = []
+
+    async def hear(self, told: Mapping[str, Any]) -> dict[str, Any]:
+        if "start" in told:
+            self.watches = [Watch(self, number) for number in range(told["start"])]
+        elif "fetch" in told:
+            for watch in self.watches:
+                watch.client.fetch()
+        return {**self.counts, "first_s": [watch.first_s for watch in self.watches]}
+
+
+class Server:
+    """The stand-in's process, and what is done to its list."""
+
+    def __init__(self, spec: Mapping[str, Any]) -> None:
+        self.discovery = Counted(spec["turn_ms"] / 1000)
+        self.discovery.put(*(entry_of(number) for number in range(spec["upstreams"])))
+        self.next = int(spec["upstreams"])
+
+    async def hear(self, told: Mapping[str, Any]) -> dict[str, Any]:
+        for _ in range(told.get("change", 0)):  # one entry, a line of its own
+            self.discovery.put(entry_of(self.next - 1, "draining"))
+        for _ in range(told.get("replace", 0)):  # drained, gone, another in its place, cold
+            old = entry_of(self.next - 1)
+            for entry in ({**old, "lifecycle": "draining"}, {**old, "lifecycle": "gone"},
+                          entry_of(self.next, started_ms=time.time_ns() // 1_000_000)):
+                self.discovery.put(entry)
+            self.next += 1
+        return {"port": self.discovery.port, "calls": self.discovery.calls, "bytes": self.discovery.bytes,
+                "whole": len(self.discovery.body()), "watches": len(self.discovery.watches)}
+
+
+@dataclass(slots=True)
+class Player:
+    """A process of either sort, and a line to it and back."""
+
+    process: asyncio.subprocess.Process
+    port: int = 0
+
+    async def ask(self, **told: Any) -> dict[str, Any]:
+        assert self.process.stdin is not None and self.process.stdout is not None
+        self.process.stdin.write(json.dumps(told).encode() + b"\n")
+        line = await self.process.stdout.readline()
+        if not line:
+            raise RunError("a process of hollow watches or their discovery ended before its time")
+        found: dict[str, Any] = json.loads(line)
+        return found
+
+
+class Site:
+    """A stand-in discovery and its hollow watches."""
+
+    def __init__(self, server: Player, herds: list[tuple[Player, int]]) -> None:
+        self.server, self.herds = server, herds
+        self.first_s: list[float] = []
+
+    async def all(self, **told: Any) -> Counter[str]:
+        found: Counter[str] = Counter(looked=1)
+        self.first_s = []
+        for answer in await asyncio.gather(*(herd.ask(**told) for herd, _ in self.herds)):
+            self.first_s += answer.pop("first_s")
+            found.update(answer)
+        return found
+
+    async def start(self) -> float:
+        """All at once; until each has its list. Gives how long that took."""
+        since_s = time.monotonic()
+        await asyncio.gather(*(herd.ask(start=count) for herd, count in self.herds))
+        while await self.all() and min(self.first_s) < 0:
+            if time.monotonic() > since_s + SERVE_S:
+                raise RunError(f"discovery: expected a list for all within {SERVE_S:g} s, got none for "
+                               f"{self.first_s.count(-1.0)} of {len(self.first_s)}")
+            await asyncio.sleep(0.1)
+        return time.monotonic() - since_s
+
+    def cpu_s(self) -> float:
+        """Of the hollow watches' processes."""
+        return sum(cpu_s(herd.process.pid) for herd, _ in self.herds)
+
+
+@contextlib.asynccontextmanager
+async def site(upstreams: int, watches: int, turn_ms: float = 0.0, each: int = EACH, seed: str = "discovery"
+               ) -> AsyncIterator[Site]:
+    allow_files(2 * watches + 256)
+    s = scenario(max(1, upstreams), watches)
+    pipes = asyncio.subprocess.PIPE
+    async with contextlib.AsyncExitStack() as stack:
+        async def player(**spec: Any) -> Player:
+            found = Player(await stack.enter_async_context(
+                child("ironscale.scale.discovery", stdin=pipes, stdout=pipes)))
+            found.port = (await found.ask(**spec)).get("port", 0)
+            return found
+
+        server = await player(role="server", upstreams=upstreams, turn_ms=turn_ms)
+        counts = [min(each, watches - at) for at in range(0, watches, each)]
+        herds = [(await player(role="herd", port=server.port, seed=f"{seed}/{number}",
+                               settings=sidecar_settings(s, 0, 1.0)), count) for number, count in enumerate(counts)]
+        yield Site(server, herds)
+
+
+@dataclass(slots=True)
+class Taken:
+    """What so many watches of a list so long came to."""
+
+    upstreams: int
+    watches: int
+    whole_bytes: float  # read for a whole list, by one
+    whole_cpu_ms: float  # of one's processor, to read it
+    rest_bytes_s: float  # read by one while nothing changes
+    change_bytes: float  # read by one for an entry that changed
+    change_cpu_us: float
+    replaced_bytes: float  # read by one for an upstream that was replaced
+    asked_bytes_s: float  # read by one, were the list asked for every ASK_S in place of watched; 0 = not tried
+    served_bytes_s: float  # written by discovery at rest, to all
+    first_s: list[float]  # from a start of all at once to each one's list
+    calls: int  # of all, until then
+    start_bytes: int  # written by discovery until then
+
+
+async def take(upstreams: int, watches: int, rest_s: float = REST_S, asked: bool = True) -> Taken:
+    async with site(upstreams, watches) as played:
+        idle_s = played.cpu_s()
+        await played.start()
+        begun, first_s, server = await played.all(), played.first_s, await played.server.ask()
+        whole_s = played.cpu_s() - idle_s
+        await asyncio.sleep(rest_s)
+        rested, after = await played.all(), await played.server.ask()
+        change_s = played.cpu_s()
+        await played.server.ask(change=CHANGES)
+        changed = await settled(played, rested["entries"] + CHANGES * watches)
+        change_s = played.cpu_s() - change_s
+        await played.server.ask(replace=CHANGES)
+        replaced = await settled(played, changed["entries"] + 3 * CHANGES * watches)
+        fetched = replaced
+        if asked:  # what is asked for is told only where it is as new as the watch's, and so it is
+            await played.all(fetch=True)
+            fetched = await settled(played, replaced["entries"] + upstreams * watches)
+        each = watches * CHANGES
+        return Taken(
+            upstreams, watches, begun["in"] / watches, whole_s * 1e3 / watches,
+            (rested["in"] - begun["in"]) / watches / rest_s, (changed["in"] - rested["in"]) / each,
+            change_s * 1e6 / each, (replaced["in"] - changed["in"]) / each,
+            (fetched["in"] - replaced["in"]) / watches / ASK_S, (after["bytes"] - server["bytes"]) / rest_s, first_s,
+            server["calls"], server["bytes"])
+
+
+async def settled(played: Site, entries: int) -> Counter[str]:
+    """Once all have been told so many entries."""
+    since_s = time.monotonic()
+    while (found := await played.all())["entries"] < entries:
+        if time.monotonic() > since_s + SERVE_S:
+            raise RunError(f"discovery: expected {entries} entries told within {SERVE_S:g} s, got {found['entries']}")
+        await asyncio.sleep(0.05)
+    return found
+
+
+async def by_length(scene: Scene, lists: Sequence[int], watches: int, repeats: int) -> None:
+    figures = {"whole_bytes": "bytes", "whole_cpu_ms": "ms", "rest_bytes_s": "bytes/s", "change_bytes": "bytes",
+               "change_cpu_us": "us", "replaced_bytes": "bytes", "asked_bytes_s": "bytes/s"}
+    found = [await take(upstreams, watches, rest_s=4.0) for _ in range(repeats) for upstreams in lists]
+    for figure, unit in figures.items():
+        points = {n: [round(getattr(t, figure), 3) for t in found if t.upstreams == n] for n in lists}
+        scene.add_slope(f"discovery.list.{figure}", ROLE, "upstreams in the list", unit, points,
+                        f"read by one sidecar, {watches} hollow watches"
+                        + (f"; were it asked for every {ASK_S:g} s" if figure == "asked_bytes_s" else ""))
+
+
+async def by_sidecars(scene: Scene, sizes: Sequence[int], upstreams: int) -> None:
+    found = [await take(upstreams, watches, asked=False) for watches in sizes]
+    for figure, unit, values in (
+        ("served_bytes_s", "bytes/s", [[t.served_bytes_s] for t in found]),
+        ("start.calls", "calls", [[float(t.calls)] for t in found]),
+        ("start.bytes", "bytes", [[float(t.start_bytes)] for t in found]),
+        ("start.p99_s", "s", [[percentile(t.first_s, 0.99)] for t in found]),
+        ("change.bytes", "bytes", [[t.change_bytes * t.watches] for t in found]),
+    ):
+        scene.add_slope(f"discovery.{figure}", ROLE, "sidecars", unit, dict(zip(sizes, values, strict=True)),
+                        f"written by discovery, a list of {upstreams:,}; all sidecars start at once")
+
+
+async def zone_back(scene: Scene, sidecars: int, upstreams: int) -> None:
+    for turn_ms in TURNS_MS:
+        async with site(upstreams, sidecars, turn_ms) as played:
+            await played.start()
+            counts, server = await played.all(), await played.server.ask()
+            name, note = f"discovery.zone_back.{turn_ms:g}_ms", (
+                f"{sidecars} sidecars start at once, a list of {upstreams:,}, {turn_ms:g} ms a call in turn (assumed)")
+            scene.add_reading(f"{name}.p50_s", ROLE, "s", [percentile(played.first_s, 0.5)], note)
+            scene.add_reading(f"{name}.last_s", ROLE, "s", [max(played.first_s)], note)
+            scene.add_reading(f"{name}.failed", ROLE, "calls", [counts["failed"]], note)
+            scene.add_reading(f"{name}.calls", ROLE, "calls", [server["calls"]], note)
+            scene.add_reading(f"{name}.bytes", ROLE, "bytes", [server["bytes"]], note)
+
+
+async def measure(scene: Scene) -> None:
+    """For a scale run: by length of the list, by number of sidecars, and a zone that is back at once."""
+    size = scene.size
+    scene.check(0, 0, others=2 + -(-max(size.play.sizes) // EACH))
+    try:
+        await by_length(scene, size.play.lists, 20, min(2, size.play.repeats))
+        await by_sidecars(scene, size.play.sizes, size.play.lists[-1])
+        await zone_back(scene, round(size.fleet.sidecars / size.fleet.zones), size.play.lists[-1])
+    except ChildError as error:
+        raise RunError(str(error)) from error
+
+
+async def main() -> None:
+    loop = asyncio.get_running_loop()
+    spec = json.loads(await loop.run_in_executor(None, sys.stdin.readline))
+    played: Herd | Server = Server(spec) if spec["role"] == "server" else Herd(spec)
+    if isinstance(played, Server):
+        await played.discovery.start()
+    told: dict[str, Any] = {}
+    while True:
+        print(json.dumps(await played.hear(told)), flush=True)
+        line = await loop.run_in_executor(None, sys.stdin.readline)
+        if not line:
+            return
+        told = json.loads(line)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- a/ironscale/scale/path.py
+++ b/ironscale/scale/path.py
@@ -18,7 +18,6 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from datetime import UTC, datetime
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -30,11 +29,11 @@
 from ironscale.load.client import Client, KindSpec, Spec
 from ironscale.load.outcome import End, Sample
 from ironscale.load.run import Address, Site, child, started_sidecars, started_site
+from ironscale.load.run import RunError as ChildError
 from ironscale.load.scenario import Scenario, parse
 from ironscale.load.schedule import KindMix, Mix, Schedule, build, steady
 from ironscale.scale.fit import LEAST_SIZES
-from ironscale.scale.result import Reading, Slope, slope
-from ironscale.scale.size import Size
+from ironscale.scale.run import RunError, Scene
 
 WAYS = ("direct", "relay", "sidecar")
 KIND = KindSpec("view", "idempotent", 5_000_000, False)
@@ -43,6 +42,9 @@
 WARM_S = 16.0  # kept connections live 15 s: by then as many end as begin
 FEW = 10  # sidecars: under the number from which on each keeps to a part of the upstreams
 LEAD_S = 0.3
+# On a shared machine others' work stops processes for milliseconds. Slices in which a call that went straight, or
+# through the byte relay, took longer than this are left out of what is told as quiet; the sidecar's calls don't choose.
+SLICE_US, QUIET_US, LEAST_QUIET = 250_000, 1_500, 200
 ROLE = "sidecar data path"
 Points = dict[str, list[tuple[float, float, int]]]  # name -> (x, value, repeat)
 
@@ -118,11 +120,6 @@
     return Client(spec, part, samples.append), samples
 
 
-def now() -> str:
-    """UTC, as results tell it."""
-    return datetime.now(UTC).isoformat(timespec="seconds")
-
-
 def percentile(values: Sequence[float], share: float) -> float:
     """The least value that so large a share of all do not pass; 0 for none."""
     ordered = sorted(values)
@@ -164,6 +161,18 @@
     def calls(self, way: str, a: Look, b: Look) -> list[int]:
         return latencies_us(self.samples[way], a.at_us, b.at_us)
 
+    def quiet(self, a: Look, b: Look) -> dict[str, list[int]]:
+        """Latencies by way, of the quiet slices of that time."""
+        slices: dict[int, dict[str, list[int]]] = {}
+        for way, samples in self.samples.items():
+            for s in samples:
+                if a.at_us <= s.sched_us < b.at_us and s.end == End.SERVED:
+                    took = slices.setdefault(s.sched_us // SLICE_US, {way: [] for way in WAYS})[way]
+                    took.append(s.done_us - s.sched_us)
+        calm = [took for took in slices.values()
+                if max(took["direct"], default=0) <= QUIET_US and max(took["relay"], default=0) <= QUIET_US]
+        return {way: [us for took in calm for us in took[way]] for way in WAYS}
+
     def ends(self) -> Counter[str]:
         """How the calls through the sidecar ended, those before the first window among them."""
         return Counter(End(s.end).name.lower() for s in self.samples["sidecar"])
@@ -181,7 +190,14 @@
                 add(f"path.cpu_us.{way}", (b.cpu_s[way] - a.cpu_s[way]) * 1e6 / max(1, len(took[way])))
                 for name, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
                     extra_us = percentile(took[way], share) - percentile(took["direct"], share)
-                    add(f"path.added_{name}_us.{way}", extra_us)
+                    add(f"path.any_added_{name}_us.{way}", extra_us)
+            calm = self.quiet(a, b)
+            add("path.quiet_share", len(calm["sidecar"]) / max(1, len(took["sidecar"])))
+            if len(calm["sidecar"]) >= LEAST_QUIET:
+                for way in ("relay", "sidecar"):
+                    for name, share in (("p50", 0.5), ("p99", 0.99)):
+                        extra_us = percentile(calm[way], share) - percentile(calm["direct"], share)
+                        add(f"path.added_{name}_us.{way}", extra_us)
             skipped = 1 if self.upstreams > 1 else 0
             opened, taken = (sum(y[key] - x[key] for x, y in zip(a.upstreams[skipped:], b.upstreams[skipped:],
                                                                  strict=True)) for key in ("opened", "taken"))
@@ -251,25 +267,24 @@
 
     points: Points = field(default_factory=dict)
     took: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # latencies in us, by length and way
+    calm: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # the same, of quiet slices alone
     ends: dict[int, Counter[str]] = field(default_factory=dict)
 
     def add(self, played: Turn, first: int) -> None:
         for name, points in played.points(first).items():
             self.points.setdefault(name, []).extend(points)
         self.ends.setdefault(played.upstreams, Counter()).update(played.ends())
-        ways = self.took.setdefault(played.upstreams, {way: [] for way in WAYS})
-        for way, took in ways.items():
-            for a, b in played.spans():
-                took += played.calls(way, a, b)
-
-    def share(self, upstreams: int, way: str, share: float) -> float:
-        """Of all windows together: of so few calls a window knows no 99.9th in 100."""
-        return percentile(self.took[upstreams][way], share)
+        ways, calm = (held.setdefault(played.upstreams, {way: [] for way in WAYS}) for held in (self.took, self.calm))
+        for a, b in played.spans():
+            quiet = played.quiet(a, b)
+            for way in WAYS:
+                ways[way] += played.calls(way, a, b)
+                calm[way] += quiet[way]
 
 
-async def measure(lengths: Sequence[int], rate: float, sidecars: int = 0, warm_s: float = WARM_S,
-                  window_s: float = 10.0, windows: int = 3, rounds: int = 1, seed: str = "path",
-                  tell: Callable[[str], None] = lambda line: None) -> Found:
+async def play(lengths: Sequence[int], rate: float, sidecars: int = 0, warm_s: float = WARM_S,
+               window_s: float = 8.0, windows: int = 3, rounds: int = 1, seed: str = "path",
+               tell: Callable[[str], None] = lambda line: None) -> Found:
     """By length of the list; rounds go through all lengths before the next begins. The sidecar is told of so many
     `sidecars`; 0: one for each upstream, as at the size. Were it told of more, it would hold back for calls of others
     that nobody sends here."""
@@ -282,45 +297,53 @@
     return found
 
 
-UNITS = {"cpu_us": "us", "added_p50_us": "us", "added_p99_us": "us", "new_connection_share": "of calls",
+UNITS = {"cpu_us": "us", "added_p50_us": "ms", "added_p99_us": "ms", "any_added_p50_us": "ms",
+         "any_added_p99_us": "ms", "quiet_share": "of calls", "new_connection_share": "of calls",
          "opened_per_s": "/s", "connections_held": "connections", "sidecar_files": "files", "rss_mb": "MB"}
 
 
-def entries(found: Found, at: str, prefix: str, note: str) -> list[Slope | Reading]:
-    """Slopes over three lengths and more, else readings by length; and what the way in itself took."""
-    result: list[Slope | Reading] = []
+def record(scene: Scene, found: Found, prefix: str, note: str) -> None:
+    """Slopes over three lengths and more, else readings by length; and what each way took, of all windows."""
     for name, points in found.points.items():
-        _, figure, way = (*name.split("."), "sidecar")[:3]
+        _, figure, way = (*name.split("."), "call")[:3]
         if figure not in UNITS:
             continue
-        by_length: dict[float, list[float]] = {}
+        factor = 1e-3 if UNITS[figure] == "ms" else 1.0
+        by_length: dict[int, list[float]] = {}
         for length, value, _ in points:
-            by_length.setdefault(length, []).append(round(value, 4))
-        full = f"{prefix}.{figure}.{way}"
+            by_length.setdefault(int(length), []).append(round(value * factor, 5))
+        told = figure.replace("_us", "_ms") if factor < 1 else figure
+        full = f"{prefix}.{'call' if way == 'sidecar' else way}.{told}"
         if len(by_length) >= LEAST_SIZES:
-            result.append(slope(full, ROLE, "upstreams in the list", UNITS[figure], by_length, at, note))
+            scene.add_slope(full, ROLE, "upstreams in the list", UNITS[figure], by_length, note)
         else:
-            result += [Reading(f"{full}.{length:g}", ROLE, UNITS[figure], tuple(values), at, note)
-                       for length, values in by_length.items()]
-    for upstreams, ways in found.took.items():
-        for way, took in ways.items():
-            for label, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
-                result.append(Reading(f"{prefix}.total_{label}_us.{way}.{upstreams}", ROLE, "us",
-                                      (percentile(took, share),), at, f"{len(took)} calls; {note}"))
+            for length, values in by_length.items():
+                scene.add_reading(f"{full}.{length}", ROLE, UNITS[figure], values, note)
+    # of all windows together: one knows too few calls for the 999th in 1,000
+    for upstreams in found.took:
+        for kind, ways in (("any", found.took[upstreams]), ("quiet", found.calm[upstreams])):
+            for way, took in ways.items():
+                for label, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+                    scene.add_reading(f"{prefix}.{kind}.{way}.{label}_ms.{upstreams}", ROLE, "ms",
+                                      [percentile(took, share) / 1000], f"{len(took)} calls; {note}")
         ends = found.ends[upstreams]
-        result.append(Reading(f"{prefix}.unserved_share.{upstreams}", ROLE, "of calls",
-                              (1 - ends["served"] / max(1, ends.total()),), at, f"{dict(ends)}; {note}"))
-    return result
+        scene.add_reading(f"{prefix}.unserved_share.{upstreams}", ROLE, "of calls",
+                          [1 - ends["served"] / max(1, ends.total())], f"{dict(ends)}; {note}")
 
 
-async def piece(size: Size, tell: Callable[[str], None] = lambda line: None) -> list[Slope | Reading]:
+async def measure(scene: Scene) -> None:
     """For a scale run: the size's lists, and its longest once more with a sidecar that is told of few others."""
-    lists, rate = size.play.lists, size.calls_each
-    found = await measure(lists, rate, windows=size.play.repeats, tell=tell)
-    few = await measure((lists[-1],), rate, sidecars=FEW, windows=size.play.repeats, tell=tell)
-    note = f"{rate:.0f} calls a second, drawn; warmed up for {WARM_S:g} s; the sidecar is told of "
-    return [*entries(found, now(), "path", note + "a sidecar for each upstream"),
-            *entries(few, now(), "path_few", note + f"{FEW} sidecars")]
+    lists, rate, windows = scene.size.play.lists, scene.size.calls_each, scene.size.play.repeats
+    scene.check(0, 0, real=1, others=2)
+    note = (f"{rate:.0f} calls a second, drawn; any_: all calls, else slices of {SLICE_US // 1000} ms in which neither "
+            f"the direct way nor the byte relay took over {QUIET_US / 1000:g} ms; the sidecar is told of ")
+    try:
+        found = await play(lists, rate, windows=windows, tell=scene.progress)
+        record(scene, found, "path", note + "a sidecar for each upstream")
+        few = await play(lists[-1:], rate, sidecars=FEW, windows=windows, tell=scene.progress)
+        record(scene, few, "path_few", note + f"{FEW} sidecars")
+    except ChildError as error:
+        raise RunError(str(error)) from error
 
 
 async def main() -> None:
--- /dev/null
+++ b/tests/scale/test_discovery.py
@@ -0,0 +1,40 @@
+"""Hollow watches at a stand-in discovery: what is counted at either end is what went over the sockets."""
+
+from __future__ import annotations
+
+import json
+
+from ironscale.scale import discovery
+from tests.sockets import run
+
+BEAT = len(b"1\r\n\n\r\n")  # while nothing changes, one each 2 s: some may fall into any count
+
+
+def test_bytes_are_those_of_lists_and_changes() -> None:
+    async def play() -> None:
+        taken = await discovery.take(40, 3, rest_s=0.2)
+        beats = 10 * BEAT
+        entries = [discovery.entry_of(number) for number in range(40)]
+        whole = len(json.dumps({"generation": 2, "reset": True, "instances": entries}, separators=(",", ":")))
+        assert whole < taken.whole_bytes < whole + 100 + beats  # and its head
+        assert taken.calls == 3 and len(taken.first_s) == 3 and min(taken.first_s) >= 0
+        assert 0 <= taken.start_bytes - 3 * taken.whole_bytes <= 3 * beats
+        entry = len(json.dumps(entries[0], separators=(",", ":")))
+        assert entry < taken.change_bytes < entry + 100 + beats
+        assert 3 * entry < taken.replaced_bytes < 3 * (entry + 100) + beats  # drained, gone, another
+        assert abs(taken.asked_bytes_s * discovery.ASK_S - taken.whole_bytes) < 2_000
+
+    run(play)
+
+
+def test_calls_have_their_turn_and_are_made_when_the_decisions_say_so() -> None:
+    async def play() -> None:
+        async with discovery.site(5, 20, turn_ms=30.0, each=10) as played:  # 20 are many: each waits its turn
+            await played.start()
+            counts, server = await played.all(), await played.server.ask()
+        assert counts["lists"] >= 20 and counts["failed"] == 0 and server["calls"] == 20
+        first_s = sorted(played.first_s)
+        # drawn over 3 s by the decisions: were all to ask at once, the last would have its list after 20 turns, 0.6 s
+        assert first_s[0] >= 0.03 and first_s[-1] >= 1.0, first_s
+
+    run(play)
