--- a/tests/scale/test_bounds.py
+++ b/tests/scale/test_bounds.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import subprocess
 import sys
 import time
-import types
 from pathlib import Path
 
 import pytest
@@ -67,7 +67,7 @@
 
     try:
         with pytest.raises(BoundsError, match="memory: expected .* MB at most, the run took .* MB and was ended"):
-            asyncio.run(watched(crew, work()))
+            asyncio.run(asyncio.wait_for(watched(crew, work()), 30))
     finally:
         crew.end()
 
@@ -124,9 +124,11 @@
 
 def start(folder: Path, *options: str) -> subprocess.Popen[str]:
     (folder / "small.toml").write_text(SMALL, encoding="utf-8")
+    (folder / "tmp").mkdir()
     return subprocess.Popen(
         [sys.executable, "-m", "ironscale.cli", "scale", "run", str(folder / "small.toml"), "--out",
-         str(folder / "r.json"), *options], stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
+         str(folder / "r.json"), *options], env={**os.environ, "TMPDIR": str(folder / "tmp")},
+        stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True,
         start_new_session=True)
 
 
@@ -156,13 +158,13 @@
         assert start_ticks(pid) != ticks, f"seed {seed}: process {pid} is left: {told}"
     if "== agent" in told:  # before that it is Python that starts, and tells its own end
         assert "Traceback" not in told and process.returncode == 130, f"seed {seed}: {told}"
-    assert not (tmp_path / "r.json").exists()
+    assert not (tmp_path / "r.json").exists() and not list((tmp_path / "tmp").iterdir()), f"seed {seed}"
 
 
-def test_a_small_run_ends_clean_with_its_figures(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_small_run_ends_clean_with_its_figures(tmp_path: Path) -> None:
     """One agent, up to 20 hollow instances and a real sidecar: a change comes to each, and the run adds by name."""
     from ironscale.scale.result import Result
-    from ironscale.scale.run import Scene, run
+    from ironscale.scale.run import Scene, run_with
     from ironscale.scale.size import parse
 
     pids: set[int] = set()
@@ -179,11 +181,11 @@
             assert not scene.crew.running
         scene.add_slope("record.change.targets", "record", "instances", "rows", rows)
 
-    monkeypatch.setitem(sys.modules, "ironscale.scale.probe", types.SimpleNamespace(measure=measure))
     size = parse(SMALL, "small")
     result = Result(size.digest, {"cores": 8, "memory_mb": 1})
     written: list[int] = []
-    asyncio.run(run(size, ["probe"], result, lambda text: None, lambda found: written.append(len(found.slopes))))
+    asyncio.run(run_with(size, {"probe": measure}, result, lambda text: None,
+                         lambda found: written.append(len(found.slopes))))
     found = result.slopes["record.change.targets"]
     assert [(p.size, p.value) for p in found.points] == [(5, 5), (10, 10), (20, 21)] and written == [1]
     assert found.fit.verdict == "proportional"
