--- a/ironscale/scale/path.py
+++ b/ironscale/scale/path.py
@@ -44,7 +44,7 @@
 LEAD_S = 0.3
 # On a shared machine others' work stops processes for milliseconds. Slices in which a call that went straight, or
 # through the byte relay, took longer than this are left out of what is told as quiet; the sidecar's calls don't choose.
-SLICE_US, QUIET_US, LEAST_QUIET = 250_000, 1_500, 200
+SLICE_US, QUIET_US, LEAST_QUIET = 100_000, 1_500, 200
 ROLE = "sidecar data path"
 Points = dict[str, list[tuple[float, float, int]]]  # name -> (x, value, repeat)
 
