--- a/ironscale/scale/agents.py
+++ b/ironscale/scale/agents.py
@@ -10,6 +10,7 @@
 import statistics
 import subprocess
 import time
+import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,6 +28,8 @@
 LOOK_S = 0.02
 APPLY = """mutation($input: ApplyInput!) { apply(input: $input) { id generation open phase } }"""
 STATUS = """query($id: Int!) { operation(id: $id) { open phase counts { state count } } }"""
+PUBLISH = """mutation($input: PublishInput!) { publish(input: $input) { number } }"""
+VERSIONS = """{ versions(scope: "all", first: 1) { edges { node { number } } } }"""
 FLEET = "{ fleet { ready generation instances } }"
 
 
@@ -219,6 +222,26 @@
             await asyncio.sleep(0.1)
         raise AgentsError(f"generation {generation}: {len(times)} of {hollows.count} had it within {START_S:g} s")
 
+    async def publish(self, within_s: float = START_S) -> tuple[int, float, float]:
+        """A version for all: its number, the moment the first try was made, and the one it was told as committed."""
+        found = (await self.call(VERSIONS, within_s))["versions"]["edges"]
+        base = found[0]["node"]["number"] if found else 0
+        asked_s = time.monotonic()
+        told = await self.call(PUBLISH, within_s, input={
+            "scope": "all", "base": base, "idempotencyKey": uuid.uuid4().hex,
+            "overlay": {"settings": {"bounds": {"max-retry-after": 900_000 + 10 * base}}}})
+        return told["publish"]["number"], asked_s, time.monotonic()
+
+    async def held(self, hollows: Hollows, version: int, count: int | None = None) -> list[float]:
+        """When each follower had it, the first first. Raises AgentsError."""
+        until_s, times = time.monotonic() + START_S, list[float]()
+        while time.monotonic() < until_s:
+            times = await hollows.times("held", version)
+            if len(times) >= (hollows.count if count is None else count):
+                return times
+            await asyncio.sleep(0.1)
+        raise AgentsError(f"version {version}: {len(times)} of {hollows.count} had it within {START_S:g} s")
+
     # The record
 
     def record_state(self) -> dict[str, float]:
@@ -230,7 +253,7 @@
             state = {"bytes": float((one("PRAGMA page_count") - one("PRAGMA freelist_count"))
                                     * one("PRAGMA page_size")),
                      "writes": float(one("SELECT coalesce(max(value), 0) FROM counters WHERE name = 'sequence'"))}
-            for name in ("targets", "operations", "configurations", "audit", "instances", "mutations"):
+            for name in ("targets", "operations", "configurations", "audit", "instances", "mutations", "versions"):
                 state[name] = float(one(f"SELECT count(*) FROM {name}"))
         return state
 
--- a/ironscale/scale/hollow.py
+++ b/ironscale/scale/hollow.py
@@ -24,11 +24,14 @@
 
 import uvloop
 
-from ironscale.control.light import LightInstance, light
+from ironscale.control.follower import Follower
+from ironscale.control.light import LightInstance, light, light_follower
 from ironscale.interface import ListKind
 from ironscale.net.discovery import Directory, Discovery, Listing
 from ironscale.operator_file import read_secret
 from ironscale.scale.bounds import Crew, memory_mb
+from ironscale.versions.choice import Place
+from ironscale.versions.model import Labels
 
 Address = tuple[str, int]
 LINE = 1 << 24
@@ -64,6 +67,24 @@
         self.in_force: dict[int, list[float]] = {}  # by generation: when each instance had it
         self.lists: dict[int, list[float]] = {}  # by generation of discovery's list: when each watch was told
         self.failed_lists = 0
+        self.held: list[list[tuple[int, float]]] = []  # of each follower: positions of the log, and since when
+
+    def follow(self, instance: LightInstance, n: int, token: str, rng: random.Random) -> Follower:
+        """Has it follow published versions."""
+        zones = self.order["zones"]
+        places = tuple(Place(host, int(port)) for host, port in self.order["versions"])
+        follower = light_follower(instance, Labels(instance.name, f"service-{n % 230}", f"zone-{n % zones:02}"), token,
+                                  places, rng=rng)
+        held: list[tuple[int, float]] = []
+        self.held.append(held)
+
+        def changed() -> None:
+            position = follower.state.view.position
+            if not held or held[-1][0] < position:
+                held.append((position, time.monotonic()))
+
+        follower.changed = changed
+        return follower
 
     def had(self, what: str) -> None:
         kind, _, number = what.partition(" ")
@@ -91,6 +112,8 @@
                     instance.before_effect = self.had
                     self.instances.append(instance)
                     group.create_task(client.run())
+                    if order["versions"]:
+                        group.create_task(self.follow(instance, n, token, rng).run())
                 if order["discovery"]:
                     host, port = order["discovery"]
                     self.discoveries.append(Discovery((host, port), Directory([], []), 0, partial(
@@ -118,6 +141,10 @@
                 return self.state()
             case "in force":
                 return {"at": self.in_force.get(question["generation"], [])}
+            case "held":
+                version = question["generation"]
+                found = [next((at for position, at in held if position >= version), None) for held in self.held]
+                return {"at": [at for at in found if at is not None]}
             case "list":
                 return {"at": self.lists.get(question["generation"], [])}
         return {"wrong": f"{question['ask']}: not known here"}
@@ -170,13 +197,14 @@
         return sum(herder.count for herder in self.herders)
 
     async def start(self, count: int, agents: Sequence[Address], token_file: Path | None,
-                    discovery: Address | None = None) -> None:
+                    discovery: Address | None = None, versions: Sequence[Address] = ()) -> None:
         first = self.count
         while count:
             share = min(count, self.each)
             ours, theirs = socket.socketpair()
             order = {"first": first, "count": share, "agents": list(agents), "token_file": str(token_file or ""),
-                     "discovery": discovery, "zones": self.zones, "seed": self.seed, "fd": theirs.fileno()}
+                     "discovery": discovery, "versions": list(versions), "zones": self.zones, "seed": self.seed,
+                     "fd": theirs.fileno()}
             with theirs:
                 process = self.crew.start("hollow", "ironscale.scale.hollow", json.dumps(order), log=self.log,
                                           keep=(theirs,))
--- a/ironscale/scale/result.py
+++ b/ironscale/scale/result.py
@@ -14,7 +14,7 @@
 
 FORMAT, VERSION = "ironscale-scale", 1
 ROLES = ("sidecar data path", "sidecar control", "agent that leads", "agent that stands by", "record", "discovery",
-         "upstream", "operator")
+         "upstream", "operator", "published versions")
 
 
 class ResultError(Exception):
--- a/ironscale/scale/run.py
+++ b/ironscale/scale/run.py
@@ -26,7 +26,7 @@
 from ironscale.scale.size import Size
 
 # Each is a module of this package with `async def measure(scene)`; the order is that of a whole run.
-PIECES = ("control", "agent", "takeover", "cut", "record", "operator", "path", "chain", "discovery")
+PIECES = ("control", "agent", "takeover", "cut", "versions", "record", "operator", "path", "chain", "discovery")
 
 
 class RunError(Exception):
@@ -62,10 +62,10 @@
         self.bounds.check(Plan(hollow, self.size.play.hollow_each, agents, real, others))
 
     @asynccontextmanager
-    async def fleet(self, count: int, agents: int = 1, term_s: float | None = None, real: int = 0
-                    ) -> AsyncIterator[tuple[Agents, Hollows]]:
+    async def fleet(self, count: int, agents: int = 1, term_s: float | None = None, real: int = 0,
+                    follows: bool = False) -> AsyncIterator[tuple[Agents, Hollows]]:
         """So many hollow instances at one agent or several, and so many real ones, all seen ready; ended with the
-        block."""
+        block. `follows`: the hollow ones also follow published versions, at all agents."""
         self.check(count, agents, real)
         play = self.size.play
         folder = Path(tempfile.mkdtemp(prefix="fleet-", dir=self.folder))
@@ -73,7 +73,8 @@
         found = Agents(self.crew, folder, agents, play, term_s)
         try:
             await found.start()
-            await hollows.start(count, found.addresses, found.token_file)
+            await hollows.start(count, found.addresses, found.token_file,
+                                versions=found.addresses if follows else ())
             async with Reals.among(self.crew, folder, real) as reals:
                 await reals.start(real, found.addresses, found.token_file)
                 await found.until_ready(count + real)
--- /dev/null
+++ b/ironscale/scale/versions.py
@@ -0,0 +1,122 @@
+"""Published versions beside operations: a change until the last instance, whoever is lost; its cost to the record."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ironscale.scale.agents import Agents, Spent
+from ironscale.scale.hollow import Hollows
+from ironscale.scale.run import Scene
+from ironscale.stage.relay import Relay
+
+ROLE, X = "published versions", "instances"
+CHANGES, BEFORE_LINK_S = 5, 3.0
+UNITS = {
+    "versions.change.told_s": "s", "versions.change.p50_s": "s", "versions.change.p99_s": "s",
+    "versions.change.last_s": "s", "versions.change.leader_cpu_ms": "ms", "versions.change.follower_cpu_ms": "ms",
+    "versions.change.record_bytes": "bytes a change", "versions.change.record_rows": "rows a change",
+    "versions.killed.p99_s": "s", "versions.killed.last_s": "s", "versions.takeover.last_from_kill_s": "s",
+    "versions.takeover.last_s": "s", "versions.one_left.last_s": "s", "versions.one_left.p99_s": "s",
+}
+NOTES = {
+    "versions.killed.p99_s": "from a commit after which the leader was killed at once, its snapshot removed",
+    "versions.killed.last_s": "from a commit after which the leader was killed at once, its snapshot removed",
+    "versions.takeover.last_from_kill_s": "the next version, asked for at once; the term's wait is in it",
+    "versions.takeover.last_s": "the same from its commit",
+    "versions.one_left.last_s": "two of three agents killed within a second; from the next commit, by the third",
+    "versions.one_left.p99_s": "two of three agents killed within a second; from the next commit, by the third",
+}
+
+
+def at(times: list[float], share: float, from_s: float) -> float:
+    return times[min(len(times) - 1, int(share * len(times)))] - from_s
+
+
+async def measure(scene: Scene) -> None:
+    found: dict[str, dict[int, list[float]]] = {name: {} for name in UNITS}
+    for count in scene.size.play.sizes:
+        scene.progress(f"versions: {count} hollow instances that follow, {scene.size.play.agents} agents")
+        async with scene.fleet(count, scene.size.play.agents, follows=True) as (agents, hollows):
+            for name, values in (await one(agents, hollows)).items():
+                found[name][count] = values
+    for name, points in found.items():
+        scene.add_slope(name, ROLE, X, UNITS[name], points, NOTES.get(name, ""))
+    await cut(scene)
+
+
+async def one(agents: Agents, hollows: Hollows) -> dict[str, list[float]]:
+    found: dict[str, list[float]] = {name: [] for name in UNITS}
+    number, _, _ = await agents.publish()
+    await agents.held(hollows, number)
+    for _ in range(CHANGES):
+        before, leads, follows = agents.record_state(), Spent.of(agents.pid(0)), Spent.of(agents.pid(1))
+        number, asked_s, told_s = await agents.publish()
+        times = await agents.held(hollows, number)
+        state = agents.record_state()
+        found["versions.change.told_s"].append(told_s - asked_s)
+        for name, share in (("p50", 0.5), ("p99", 0.99), ("last", 1.0)):
+            found[f"versions.change.{name}_s"].append(at(times, share, asked_s))
+        found["versions.change.leader_cpu_ms"].append((Spent.of(agents.pid(0)).cpu_s - leads.cpu_s) * 1000)
+        found["versions.change.follower_cpu_ms"].append((Spent.of(agents.pid(1)).cpu_s - follows.cpu_s) * 1000)
+        found["versions.change.record_bytes"].append(state["bytes"] - before["bytes"])
+        found["versions.change.record_rows"].append(sum(
+            state[t] - before[t] for t in ("versions", "targets", "operations", "configurations", "audit",
+                                           "mutations")))
+    number, _, told_s = await agents.publish()
+    killed_s = lost(agents, 0)
+    agents.turn = 1
+    waiting = asyncio.ensure_future(agents.publish())
+    times = await agents.held(hollows, number)
+    found["versions.killed.p99_s"].append(at(times, 0.99, told_s))
+    found["versions.killed.last_s"].append(at(times, 1.0, told_s))
+    number, _, told_s = await waiting
+    times = await agents.held(hollows, number)
+    found["versions.takeover.last_from_kill_s"].append(at(times, 1.0, killed_s))
+    found["versions.takeover.last_s"].append(at(times, 1.0, told_s))
+    lost(agents, agents.turn)
+    agents.turn = next(n for n in range(agents.count) if agents.running[n] is not None)
+    number, _, told_s = await agents.publish()
+    times = await agents.held(hollows, number)
+    found["versions.one_left.last_s"].append(at(times, 1.0, told_s))
+    found["versions.one_left.p99_s"].append(at(times, 0.99, told_s))
+    return found
+
+
+def lost(agents: Agents, number: int) -> float:
+    """An agent, and what it had on disk of the versions."""
+    at_s = agents.kill(number)
+    (agents.folder / f"agent-{number}" / "versions.snapshot").unlink(missing_ok=True)
+    return at_s
+
+
+async def cut(scene: Scene) -> None:
+    """A region of instances that no agent can be reached from, as `cut` does it for operations."""
+    size = scene.size
+    count = size.play.sizes[-1]
+    away, for_s = count // size.fleet.regions, 20.0
+    scene.progress(f"versions: {away} of {count} cut for {for_s:g} s")
+    async with scene.fleet(count - away, 1, follows=True) as (agents, hollows):
+        relay = await Relay(agents.addresses[0]).start()
+        near = len(hollows.herders)
+        try:
+            behind = [("127.0.0.1", relay.port)]
+            await hollows.start(away, behind, agents.token_file, versions=behind)
+            number, _, _ = await agents.publish()
+            await agents.held(hollows, number)
+            relay.cut()
+            await asyncio.sleep(for_s - BEFORE_LINK_S)
+            number, _, told_s = await agents.publish()
+            await asyncio.sleep(BEFORE_LINK_S)
+            relay.mend()
+            mended_s = time.monotonic()
+            await agents.held(hollows, number)
+            parts = [list((await herder.ask(ask="held", generation=number))["at"]) for herder in hollows.herders]
+            others, far = (sorted(sum(some, [])) for some in (parts[:near], parts[near:]))
+        finally:
+            relay.close()
+    note = f"{away} of {count} cut for {for_s:g} s, a version {BEFORE_LINK_S:g} s before the link was back"
+    scene.add_reading("versions.cut.others_last_s", ROLE, "s", [at(others, 1.0, told_s)], f"{note}; those not cut")
+    for name, share in (("p50", 0.5), ("p99", 0.99), ("last", 1.0)):
+        scene.add_reading(f"versions.cut.region_{name}_s", ROLE, "s", [at(far, share, mended_s)],
+                          f"{note}; from the link's return")
