--- a/ironscale/scale/page.py
+++ b/ironscale/scale/page.py
@@ -99,6 +99,7 @@
     at: Callable[[Size], float] | None = None  # the size that it is taken to, where it is not that of the slope's axis
 
 
+VERSIONS = "published versions"
 CONTROL, LEADS, STANDS_BY, RECORD, PATH = ("sidecar control", "agent that leads", "agent that stands by", "record",
                                            "sidecar data path")
 NEEDS = [
@@ -120,6 +121,15 @@
          lambda size: 100.0),
     Need(LEADS, "processor while the fleet comes back", "agent.back.cpu_ms", "one core for `promises.force_s`", "ms",
          lambda size: size.promises.force_s * 1000),
+    Need(VERSIONS, "a version to all that follow, the last", "versions.change.last_s", "promises.force_s", "s"),
+    Need(VERSIONS, "the leader killed right after its commit: from the commit until the last has it",
+         "versions.killed.last_s", "promises.force_s", "s"),
+    Need(VERSIONS, "the leader's machine gone: from its loss until the last has the next version",
+         "versions.takeover.last_from_kill_s", "promises.force_s", "s"),
+    Need(VERSIONS, "one agent of three left: from a commit until the last has it", "versions.one_left.last_s",
+         "promises.force_s", "s"),
+    Need(VERSIONS, "a region's link back: until the last there has the version", "versions.cut.region_last_s",
+         "promises.force_s", "s"),
     Need(CONTROL, "bytes, were the whole list asked for again and again", "discovery.list.asked_bytes_s",
          "budget.bytes_per_s", "bytes/s"),
     Need(PATH, "added to a call, p99, a list of one service", "path.call.added_p99_ms", "promises.added_p99_ms", "ms",
@@ -179,6 +189,9 @@
     by = f"`promises.changes_per_day` {changes:,.0f}"
     row("record grows by changes", "record.change.bytes", changes, by, "bytes", True)
     row("rows of record by changes", "record.change.rows", changes, by, "rows", True)
+    row("rows of record, were each change a version", "versions.change.record_rows", changes, by, "rows", True)
+    row("the leader's processor, were each change a version", "versions.change.leader_cpu_ms", changes / DAY_S / 10,
+        f"{by} / 86,400 s", "% of a core")
     row("written to disk by changes", "record.change.disk_bytes", changes, by, "bytes", True)
     row("the leader's processor for changes, mean", "agent.change.cpu_ms", changes / DAY_S / 10, f"{by} / 86,400 s",
         "% of a core")
