--- /dev/null
+++ b/ironscale/scale/path.py
@@ -0,0 +1,356 @@
+"""What a call costs on its way through one sidecar, by the length of its list.
+
+One real sidecar (the deployed `run`, no operator file) stands between the load generator and stand-in upstreams. The
+same arrivals, a third of a gap apart, go straight to an upstream, through a relay of bare bytes and through the
+sidecar, all within one run: what befalls the machine befalls all three. Open loop: a call's latency counts from the
+moment it was due, whatever came back of those before it. `python -m ironscale.scale.path HOST:PORT` is the byte relay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import os
+import resource
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import uvloop
+
+from ironscale.control.processes import cpu_s
+from ironscale.load import arrivals
+from ironscale.load.client import Client, KindSpec, Spec
+from ironscale.load.outcome import End, Sample
+from ironscale.load.run import Address, Site, child, started_sidecars, started_site
+from ironscale.load.run import RunError as ChildError
+from ironscale.load.scenario import Scenario, parse
+from ironscale.load.schedule import KindMix, Mix, Schedule, build, steady
+from ironscale.scale.fit import LEAST_SIZES
+from ironscale.scale.run import RunError, Scene
+
+WAYS = ("direct", "relay", "sidecar")
+KIND = KindSpec("view", "idempotent", 5_000_000, False)
+CONNECTIONS = 64  # of the application, open at once on a way
+SOCKETS = 4_096  # that the sidecar may hold, as the platform gives it
+WARM_S = 16.0  # kept connections live 15 s: by then as many end as begin
+FEW = 10  # sidecars: under the number from which on each keeps to a part of the upstreams
+LEAD_S = 0.3
+# On a shared machine others' work stops processes for milliseconds. Slices in which a call that went straight, or
+# through the byte relay, took longer than this are left out of what is told as quiet; the sidecar's calls don't choose.
+SLICE_US, QUIET_US, LEAST_QUIET = 100_000, 1_500, 200
+ROLE = "sidecar data path"
+Points = dict[str, list[tuple[float, float, int]]]  # name -> (x, value, repeat)
+
+
+class Pipe(asyncio.Protocol):
+    """One side of a connection through the byte relay."""
+
+    def __init__(self, target: Address | None, other: Pipe | None = None) -> None:
+        self.target, self.other = target, other
+        self.transport: asyncio.Transport | None = None
+        self.held: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.target is not None:
+            asyncio.get_running_loop().create_task(self.connect(self.target))
+
+    async def connect(self, target: Address) -> None:
+        self.other = other = Pipe(None, self)
+        await asyncio.get_running_loop().create_connection(lambda: other, *target)
+        for data in self.held:
+            self.data_received(data)
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None or self.other.transport is None:
+            self.held.append(data)
+        else:
+            self.other.transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.close()
+
+
+async def pass_bytes(host: str, port: int) -> int:
+    """Passes on what comes, until this process ends. Gives the port that it listens on."""
+    server = await asyncio.get_running_loop().create_server(lambda: Pipe((host, port)), "127.0.0.1", 0)
+    found: int = server.sockets[0].getsockname()[1]
+    return found
+
+
+@contextlib.asynccontextmanager
+async def started_relay(target: Address) -> AsyncIterator[tuple[int, Address]]:
+    """The byte relay in a process of its own: its process id and address."""
+    async with child("ironscale.scale.path", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE) as process:
+        assert process.stdin is not None and process.stdout is not None
+        process.stdin.write(f"{target[0]}:{target[1]}\n".encode())
+        yield process.pid, ("127.0.0.1", int(await process.stdout.readline()))
+
+
+def scenario(upstreams: int, sidecars: int, deadline_ms: int = KIND.deadline_us // 1000, aim_ms: int = 300) -> Scenario:
+    """Upstreams that answer at once, and one sidecar that is told that it is one of so many."""
+    return parse(
+        'duration_s = 1\n[[arrivals]]\nshape = "constant"\nrate = 1\n[[class]]\nname = "view"\n'
+        f'deadline_ms = {deadline_ms}\naim_ms = {aim_ms}\n[[tenant]]\nname = "t0"\n[sidecars]\nsockets = {SOCKETS}\n'
+        f"settings = {{ instances = {sidecars} }}\n[[upstreams]]\ncount = {upstreams}\n",
+        "path", Path("."),
+    )
+
+
+def paced(rate: float, seconds: float, seed: str, deadline_us: int = KIND.deadline_us) -> Schedule:
+    """Arrivals by a Poisson process."""
+    times = arrivals.poisson(Random(f"{seed}/arrivals"), arrivals.constant(rate, 0, round(seconds * 1e6)))
+    return build(steady(times), Mix([KindMix(1.0, deadline_us)]), seed)
+
+
+def client_of(run: str, address: Address, part: Schedule, seconds: float,
+              kind: KindSpec = KIND) -> tuple[Client, list[Sample]]:
+    """A client of one way, and what it will tell. `part` holds its calls."""
+    samples: list[Sample] = []
+    spec = Spec(run, (address,), "sidecar", "/api", False, (kind,), ("t0",), CONNECTIONS, 0, 0, round(seconds * 1e6),
+                0, 1)
+    return Client(spec, part, samples.append), samples
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """The least value that so large a share of all do not pass; 0 for none."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)] if ordered else 0.0
+
+
+def latencies_us(samples: Iterable[Sample], from_us: float, to_us: float) -> list[int]:
+    """Of the calls due in that time that were served, from when they were due."""
+    return [s.done_us - s.sched_us for s in samples if from_us <= s.sched_us < to_us and s.end == End.SERVED]
+
+
+def rss_mb(pid: int) -> float:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+@dataclass(slots=True)
+class Look:
+    """What stood at one moment."""
+
+    at_us: int  # of the run
+    cpu_s: dict[str, float]
+    upstreams: list[dict[str, int]]
+    files: int  # that the sidecar holds
+    rss_mb: float
+
+
+@dataclass(slots=True)
+class Turn:
+    """One sidecar with a list of some length, from its start."""
+
+    upstreams: int
+    looks: list[Look] = field(default_factory=list)
+    samples: dict[str, list[Sample]] = field(default_factory=dict)
+
+    def spans(self) -> Iterable[tuple[Look, Look]]:
+        return zip(self.looks, self.looks[1:], strict=False)
+
+    def calls(self, way: str, a: Look, b: Look) -> list[int]:
+        return latencies_us(self.samples[way], a.at_us, b.at_us)
+
+    def quiet(self, a: Look, b: Look) -> dict[str, list[int]]:
+        """Latencies by way, of the quiet slices of that time."""
+        slices: dict[int, dict[str, list[int]]] = {}
+        for way, samples in self.samples.items():
+            for s in samples:
+                if a.at_us <= s.sched_us < b.at_us and s.end == End.SERVED:
+                    took = slices.setdefault(s.sched_us // SLICE_US, {way: [] for way in WAYS})[way]
+                    took.append(s.done_us - s.sched_us)
+        calm = [took for took in slices.values()
+                if max(took["direct"], default=0) <= QUIET_US and max(took["relay"], default=0) <= QUIET_US]
+        return {way: [us for took in calm for us in took[way]] for way in WAYS}
+
+    def ends(self) -> Counter[str]:
+        """How the calls through the sidecar ended, those before the first window among them."""
+        return Counter(End(s.end).name.lower() for s in self.samples["sidecar"])
+
+    def points(self, first: int) -> Points:
+        """Figures by window, numbered from `first` on; the way in goes to upstream 0, which so is left out of what
+        is said of connections where there are others."""
+        found: Points = {}
+        for number, (a, b) in enumerate(self.spans(), first):
+            def add(name: str, value: float, number: int = number) -> None:
+                found.setdefault(name, []).append((self.upstreams, value, number))
+
+            took = {way: self.calls(way, a, b) for way in WAYS}
+            for way in ("relay", "sidecar"):
+                add(f"path.cpu_us.{way}", (b.cpu_s[way] - a.cpu_s[way]) * 1e6 / max(1, len(took[way])))
+                for name, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+                    extra_us = percentile(took[way], share) - percentile(took["direct"], share)
+                    add(f"path.any_added_{name}_us.{way}", extra_us)
+            calm = self.quiet(a, b)
+            add("path.quiet_share", len(calm["sidecar"]) / max(1, len(took["sidecar"])))
+            if len(calm["sidecar"]) >= LEAST_QUIET:
+                for way in ("relay", "sidecar"):
+                    for name, share in (("p50", 0.5), ("p99", 0.99)):
+                        extra_us = percentile(calm[way], share) - percentile(calm["direct"], share)
+                        add(f"path.added_{name}_us.{way}", extra_us)
+            skipped = 1 if self.upstreams > 1 else 0
+            opened, taken = (sum(y[key] - x[key] for x, y in zip(a.upstreams[skipped:], b.upstreams[skipped:],
+                                                                 strict=True)) for key in ("opened", "taken"))
+            add("path.new_connection_share", opened / max(1, taken))
+            add("path.opened_per_s", opened / max(1e-9, (b.at_us - a.at_us) / 1e6))
+            add("path.connections_held", sum(u["held"] for u in b.upstreams[skipped:]))
+            add("path.sidecar_files", b.files)
+            add("path.rss_mb", b.rss_mb)
+        return found
+
+
+async def look(site: Site, marks: asyncio.Queue[dict[str, Any]], pids: dict[str, int], start_ns: int) -> Look:
+    site.say({"look": True})
+    told = await marks.get()
+    return Look(
+        (time.monotonic_ns() - start_ns) // 1000,
+        {name: cpu_s(pid) for name, pid in pids.items()},
+        told["upstreams"],
+        len(os.listdir(f"/proc/{pids['sidecar']}/fd")),
+        rss_mb(pids["sidecar"]),
+    )
+
+
+def allow_files(wanted: int) -> None:
+    """For the processes started from here on. Raises OSError where this machine gives fewer."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        if hard != resource.RLIM_INFINITY and hard < wanted:
+            raise OSError(f"open files: expected {wanted:,} a process, found {hard:,} (`ulimit -Hn`)")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+async def turn(upstreams: int, sidecars: int, rate: float, warm_s: float, window_s: float, windows: int,
+               seed: str) -> Turn:
+    s, found = scenario(upstreams, sidecars), Turn(upstreams)
+    marks: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
+    allow_files(2 * upstreams + 8 * CONNECTIONS)
+    seconds = warm_s + window_s * windows
+    part = paced(rate, seconds, seed)
+    async with (
+        started_site(s, marks.put_nowait) as site,
+        started_relay(("127.0.0.1", site.ports[0])) as (relay_pid, relay),
+        started_sidecars(s, site.discovery, rate * sidecars) as started,
+    ):
+        ((process, address),) = started
+        pids = {"relay": relay_pid, "sidecar": process.pid}
+        addresses = {"direct": ("127.0.0.1", site.ports[0]), "relay": relay, "sidecar": address}
+        clients = []
+        for way in WAYS:
+            client, found.samples[way] = client_of(way, addresses[way], part, seconds)
+            clients.append(client)
+        start_ns = time.monotonic_ns() + round(LEAD_S * 1e9)
+        for number, client in enumerate(clients):
+            client.start(start_ns + round(number / (len(WAYS) * rate) * 1e9))
+        for number in range(windows + 1):
+            at_ns = start_ns + round((warm_s + number * window_s) * 1e9)
+            await asyncio.sleep(max(0.0, (at_ns - time.monotonic_ns()) / 1e9))
+            found.looks.append(await look(site, marks, pids, start_ns))
+        for client in clients:
+            await client.wait(KIND.deadline_us / 1e6)
+    return found
+
+
+@dataclass(slots=True)
+class Found:
+    """All turns of a run."""
+
+    points: Points = field(default_factory=dict)
+    took: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # latencies in us, by length and way
+    calm: dict[int, dict[str, list[int]]] = field(default_factory=dict)  # the same, of quiet slices alone
+    ends: dict[int, Counter[str]] = field(default_factory=dict)
+
+    def add(self, played: Turn, first: int) -> None:
+        for name, points in played.points(first).items():
+            self.points.setdefault(name, []).extend(points)
+        self.ends.setdefault(played.upstreams, Counter()).update(played.ends())
+        ways, calm = (held.setdefault(played.upstreams, {way: [] for way in WAYS}) for held in (self.took, self.calm))
+        for a, b in played.spans():
+            quiet = played.quiet(a, b)
+            for way in WAYS:
+                ways[way] += played.calls(way, a, b)
+                calm[way] += quiet[way]
+
+
+async def play(lengths: Sequence[int], rate: float, sidecars: int = 0, warm_s: float = WARM_S,
+               window_s: float = 8.0, windows: int = 3, rounds: int = 1, seed: str = "path",
+               tell: Callable[[str], None] = lambda line: None) -> Found:
+    """By length of the list; rounds go through all lengths before the next begins. The sidecar is told of so many
+    `sidecars`; 0: one for each upstream, as at the size. Were it told of more, it would hold back for calls of others
+    that nobody sends here."""
+    found = Found()
+    for number in range(rounds):
+        for upstreams in lengths:
+            tell(f"path: {upstreams} upstreams, round {number + 1} of {rounds}")
+            played = await turn(upstreams, sidecars or upstreams, rate, warm_s, window_s, windows, f"{seed}/{number}")
+            found.add(played, number * windows)
+    return found
+
+
+UNITS = {"cpu_us": "us", "added_p50_us": "ms", "added_p99_us": "ms", "any_added_p50_us": "ms",
+         "any_added_p99_us": "ms", "quiet_share": "of calls", "new_connection_share": "of calls",
+         "opened_per_s": "/s", "connections_held": "connections", "sidecar_files": "files", "rss_mb": "MB"}
+
+
+def record(scene: Scene, found: Found, prefix: str, note: str) -> None:
+    """Slopes over three lengths and more, else readings by length; and what each way took, of all windows."""
+    for name, points in found.points.items():
+        _, figure, way = (*name.split("."), "call")[:3]
+        if figure not in UNITS:
+            continue
+        factor = 1e-3 if UNITS[figure] == "ms" else 1.0
+        by_length: dict[int, list[float]] = {}
+        for length, value, _ in points:
+            by_length.setdefault(int(length), []).append(round(value * factor, 5))
+        told = figure.replace("_us", "_ms") if factor < 1 else figure
+        full = f"{prefix}.{'call' if way == 'sidecar' else way}.{told}"
+        if len(by_length) >= LEAST_SIZES:
+            scene.add_slope(full, ROLE, "upstreams in the list", UNITS[figure], by_length, note)
+        else:
+            for length, values in by_length.items():
+                scene.add_reading(f"{full}.{length}", ROLE, UNITS[figure], values, note)
+    # of all windows together: one knows too few calls for the 999th in 1,000
+    for upstreams in found.took:
+        for kind, ways in (("any", found.took[upstreams]), ("quiet", found.calm[upstreams])):
+            for way, took in ways.items():
+                for label, share in (("p50", 0.5), ("p99", 0.99), ("p999", 0.999)):
+                    scene.add_reading(f"{prefix}.{kind}.{way}.{label}_ms.{upstreams}", ROLE, "ms",
+                                      [percentile(took, share) / 1000], f"{len(took)} calls; {note}")
+        ends = found.ends[upstreams]
+        scene.add_reading(f"{prefix}.unserved_share.{upstreams}", ROLE, "of calls",
+                          [1 - ends["served"] / max(1, ends.total())], f"{dict(ends)}; {note}")
+
+
+async def measure(scene: Scene) -> None:
+    """For a scale run: the size's lists, and its longest once more with a sidecar that is told of few others."""
+    lists, rate, windows = scene.size.play.lists, scene.size.calls_each, scene.size.play.repeats
+    scene.check(0, 0, real=1, others=2)
+    note = (f"{rate:.0f} calls a second, drawn; any_: all calls, else slices of {SLICE_US // 1000} ms in which neither "
+            f"the direct way nor the byte relay took over {QUIET_US / 1000:g} ms; the sidecar is told of ")
+    try:
+        found = await play(lists, rate, windows=windows, tell=scene.progress)
+        record(scene, found, "path", note + "a sidecar for each upstream")
+        few = await play(lists[-1:], rate, sidecars=FEW, windows=windows, tell=scene.progress)
+        record(scene, few, "path_few", note + f"{FEW} sidecars")
+    except ChildError as error:
+        raise RunError(str(error)) from error
+
+
+async def main() -> None:
+    host, _, port = sys.stdin.readline().strip().rpartition(":")
+    print(await pass_bytes(host, int(port)), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- /dev/null
+++ b/tests/agent/test_serving.py
@@ -0,0 +1,499 @@
+"""Agents that follow the record's log and serve it over loopback sockets, also when they are cut off from it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironscale.agent import serving
+from ironscale.agent.serve import Agent, AgentError, running
+from ironscale.agent.store import StoreError
+from ironscale.control.frames import Decoder, encode
+from ironscale.control.messages import PROTOCOL, TO_FOLLOWER, Denied, Follow, Runs, Update, read, write
+from ironscale.operator_file import read_secret
+from ironscale.versions.model import ALL, Entry, Labels, Scope, digest, effective, read_scope
+from ironscale.versions.publishing import Draft
+from ironscale.versions.serving import Bucket
+from ironscale.versions.snapshot import Snapshot, SnapshotError, Token, assemble, decode
+from ironscale.versions.snapshot import encode as to_bytes
+from ironscale.versions.view import Change, View
+from tests.agent.scene import run, section, until
+
+TERM_S = 1.0
+
+
+class Raw:
+    """A follower that is a socket and a view."""
+
+    def __init__(self, agent: Agent, name: str = "i0", token: str = "", zone: str = "", lineage: str = "",
+                 position: int = 0) -> None:
+        self.port, self.view, self.updates = agent.control_port, View(), list[Update]()
+        self.labels = Labels(name, zone=zone)
+        self.token = token or TOKENS[-1]
+        self.lineage, self.position = lineage, position
+        self.denied: Denied | None = None
+        self.ended = False
+        self.reads = asyncio.Event()
+        self.reads.set()
+        self.heard_s = 0.0
+        self.task = asyncio.create_task(self.run())
+
+    async def run(self) -> None:
+        reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 12)
+        try:
+            self.writer.write(encode(write(Follow(PROTOCOL, self.token, self.labels.instance, "b", "",
+                                                  self.labels.zone, "", self.lineage, self.position))))
+            decoder = Decoder()
+            while True:
+                await self.reads.wait()
+                data = await reader.read(1 << 16)
+                if not data:
+                    break
+                decoder.feed(data)
+                while (raw := decoder.next()) is not None:
+                    message = read(raw, TO_FOLLOWER)
+                    if isinstance(message, Denied):
+                        self.denied = message
+                    elif isinstance(message, Update):
+                        self.take(message)
+        except OSError:
+            pass
+        finally:
+            self.ended = True
+            self.writer.close()
+
+    def take(self, update: Update) -> None:
+        self.updates.append(update)
+        self.heard_s = time.monotonic()
+        if update.position < max(self.position, self.view.position):
+            assert not update.entries, "told what is older"
+            return
+        entries = tuple(Entry(layer.version, read_scope(layer.scope), layer.overlay) for layer in update.entries)
+        self.view.take(Change(update.lineage, update.position, update.since if self.view.position else 0,
+                              update.snapshot, update.floor, entries))
+        if not self.position:
+            assert update.digest == digest(effective(self.view.layers(self.labels)))
+
+    def runs(self, status: str = "applied", **changes: Any) -> None:
+        at = self.view.position
+        values = {"position": at, "running": at, "digest": digest(effective(self.view.layers(self.labels))), **changes}
+        self.writer.write(encode(write(Runs(status=status, **values))))
+
+    async def close(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+TOKENS = [""]
+
+
+def standing(folder: Path, name: str, **changes: Any) -> Any:
+    (folder / "r").mkdir(exist_ok=True)
+    return section(folder / name, record=folder / "r" / "record.db", standby=True, term_s=TERM_S, **changes)
+
+
+@contextlib.asynccontextmanager
+async def two(folder: Path, **changes: Any) -> AsyncIterator[tuple[Agent, Agent]]:
+    """One that leads, and one that stands by."""
+    async with running(standing(folder, "a0")) as first:
+        await first.leading.wait()
+        TOKENS.append(read_secret(folder / "a0" / "instance.token"))
+        async with running(standing(folder, "a1", **changes)) as second:
+            yield first, second
+
+
+async def publish(agent: Agent, overlay: dict[str, Any] | None = None, scope: Scope = ALL) -> int:
+    newest = agent.following.serving.view.entries.get(scope)
+    draft = Draft(scope, overlay or {"settings": {"instances": 2}}, newest.version if newest else 0)
+    return (await agent.engine.publisher.publish("ann", draft))[0].entry.version
+
+
+def test_one_that_stands_by_serves_what_the_other_publishes(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with two(tmp_path) as (first, second):
+            near, far = Raw(first, "i0"), Raw(second, "i1", zone="a")
+            await until(lambda: near.updates and far.updates)
+            assert await publish(first) == 1
+            at_s = time.monotonic()
+            await until(lambda: near.view.position == 1 and far.view.position == 1)
+            assert time.monotonic() - at_s < 5.0
+            await publish(first, {"settings": {"instances": 3}}, read_scope("zone=a"))
+            await until(lambda: near.view.position == 2 and far.view.position == 2)
+            assert near.view.entries.keys() == {ALL} and len(far.view.entries) == 2
+            assert not second.leading.is_set() and far.updates[-1].age_ms < 2_500
+            # while nothing is published it says where it is, once a second and no more often
+            count = len(far.updates)
+            await asyncio.sleep(2.2)
+            assert 2 <= len(far.updates) - count <= 5
+            await near.close()
+            await far.close()
+
+    run(test)
+
+
+def test_a_version_whose_publisher_ends_before_it_tells_is_heard_from_the_log(tmp_path: Path) -> None:
+    """And the follower's connection is the same when the agent that it follows leads in its place."""
+    async def test() -> None:
+        async with contextlib.AsyncExitStack() as later:
+            async with running(standing(tmp_path, "a0")) as first:
+                await first.leading.wait()
+                TOKENS.append(read_secret(tmp_path / "a0" / "instance.token"))
+                second = await later.enter_async_context(running(standing(tmp_path, "a1")))
+                follower = Raw(second)
+                await until(lambda: follower.updates)
+
+                def step(where: str) -> None:
+                    if where == "after a version's commit":
+                        raise RuntimeError("gone")
+
+                first.following.attach(None)
+                first.engine.publisher.step = step
+                with pytest.raises(RuntimeError):
+                    await publish(first)
+                await until(lambda: follower.view.position == 1)
+                assert first.following.serving.view.position == 0
+            await second.leading.wait()
+            await publish(second, {"settings": {"instances": 5}})
+            await until(lambda: follower.view.position == 2)
+            assert not follower.ended
+            await follower.close()
+
+    run(test)
+
+
+def test_without_the_record_it_goes_on_with_its_age_told_and_catches_up(tmp_path: Path,
+                                                                         monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with two(tmp_path) as (first, second):
+            await publish(first)
+            follower = Raw(second)
+            await until(lambda: follower.view.position == 1)
+            store = second.following.store
+            assert store is not None
+            read_was = store.read
+
+            async def away(work: Callable[..., Any]) -> Any:
+                raise StoreError("AWAY", "the record is not reached")
+
+            monkeypatch.setattr(store, "read", away)
+            await publish(first, {"settings": {"instances": 4}})
+            await until(lambda: follower.updates[-1].age_ms > 2_500)
+            assert follower.view.position == 1
+            newcomer = Raw(second, "i9")  # one that starts there gets what there is
+            await until(lambda: newcomer.view.position == 1)
+            assert newcomer.updates[-1].age_ms > 2_500
+            monkeypatch.setattr(store, "read", read_was)
+            await until(lambda: follower.view.position == 2 and newcomer.view.position == 2)
+            assert follower.updates[-1].age_ms < 2_500
+            assert [u.position for u in follower.updates] == sorted(u.position for u in follower.updates)
+            for one in (follower, newcomer):
+                await one.close()
+
+    run(test)
+
+
+def test_a_leader_whose_term_is_not_sure_is_not_fresh(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(standing(tmp_path, "a0")) as agent:
+            await agent.leading.wait()
+            TOKENS.append(read_secret(tmp_path / "a0" / "instance.token"))
+            await publish(agent)
+            store = agent.following.store
+            assert store is not None
+            store.renewed = lambda: None  # type: ignore[attr-defined]
+            store.term = replace(store.term, until_ms=0)
+            at = agent.following.reached_ms
+            await asyncio.sleep(0.8)
+            assert agent.following.reached_ms == at
+
+    run(test)
+
+
+def kept(folder: Path, **changes: Any) -> Snapshot:
+    """What the agent's file holds once it has reached `position`."""
+    return replace(decode((folder / "versions.snapshot").read_bytes()), **changes)
+
+
+async def saved(folder: Path, position: int) -> None:
+    path = folder / "versions.snapshot"
+
+    def there() -> bool:
+        with contextlib.suppress(SnapshotError):  # what a test has put there
+            return path.exists() and decode(path.read_bytes()).position == position
+        return False
+
+    await until(there)
+
+
+@contextlib.contextmanager
+def record_away(folder: Path) -> Any:
+    (folder / "r").rename(folder / "elsewhere")
+    try:
+        yield
+    finally:
+        (folder / "elsewhere").rename(folder / "r")
+
+
+def standing_section(folder: Path, name: str) -> Any:
+    return section(folder / name, record=folder / "r" / "record.db", standby=True, term_s=TERM_S)
+
+
+async def one_version(folder: Path) -> None:
+    """Two agents ran, one version is published, and both have kept it."""
+    async with two(folder) as (first, second):
+        await publish(first)
+        await saved(folder / "a1", 1)
+        assert (folder / "a1" / "versions.snapshot").stat().st_mode & 0o777 == 0o600
+        assert second.can_serve is False
+
+
+def test_one_that_starts_without_the_record_serves_its_snapshot_and_catches_up(tmp_path: Path,
+                                                                                capsys: Any) -> None:
+    async def test() -> None:
+        await one_version(tmp_path)
+        path = tmp_path / "a1" / "versions.snapshot"
+        now_ms = time.time_ns() // 1_000_000
+        path.write_bytes(to_bytes(kept(tmp_path / "a1", reached_ms=now_ms - 86_400_000)))  # yesterday's
+        async with contextlib.AsyncExitStack() as later:
+            with record_away(tmp_path):
+                agent = await later.enter_async_context(running(standing_section(tmp_path, "a1")))
+                follower = Raw(agent)
+                await until(lambda: follower.view.position == 1)
+                assert 86_000_000 < follower.updates[-1].age_ms < 87_000_000
+                ahead = Raw(agent, "i1", lineage=follower.view.lineage, position=3)
+                await until(lambda: len(ahead.updates) > 1)
+                stranger = Raw(agent, "i2", token="x" * 40)  # the tokens are those that it knew
+                await until(lambda: stranger.ended)
+                assert stranger.denied is not None and stranger.denied.code == "TOKEN"
+            await agent.leading.wait()  # the record is back: it goes on from there, on the same connections
+            await until(lambda: follower.updates[-1].age_ms < 2_500)
+            for n in (2, 3, 4):
+                await publish(agent, {"settings": {"instances": n}})
+            await until(lambda: follower.view.position == 4 and ahead.updates[-1].position == 4)
+            assert all(layer.version == 4 for update in ahead.updates for layer in update.entries)
+            for one in (follower, ahead, stranger):
+                await one.close()
+        assert "position 1, 1 scopes, 86" in capsys.readouterr().err
+
+    run(test)
+
+
+@pytest.mark.parametrize(("bytes_of", "told"), [
+    (lambda data: data[:-9], "as its length says, got"), (lambda data: b"", "expected it to begin with"),
+    (lambda data: assemble([], 9), "expected version 1 to 1, got 9: written by a newer program; not used")])
+def test_a_snapshot_that_can_t_be_used_is_told_and_not_served(tmp_path: Path, capsys: Any, told: str,
+                                                              bytes_of: Callable[[bytes], bytes]) -> None:
+    async def test() -> None:
+        await one_version(tmp_path)
+        path = tmp_path / "a1" / "versions.snapshot"
+        path.write_bytes(bytes_of(path.read_bytes()))
+        with record_away(tmp_path), pytest.raises((StoreError, AgentError)):
+            async with running(standing_section(tmp_path, "a1")):
+                pass
+        err = capsys.readouterr().err
+        assert f"{path}: " in err and told in err
+        async with running(standing_section(tmp_path, "a1")) as agent:  # with the record it comes up, and keeps it anew
+            await until(lambda: agent.following.serving.view.position == 1)
+            await saved(tmp_path / "a1", 1)
+
+    run(test)
+
+
+def test_a_snapshot_of_another_log_ends_when_the_record_is_reached_and_a_later_change_of_log_is_refused(
+        tmp_path: Path, capsys: Any) -> None:
+    async def test() -> None:
+        await one_version(tmp_path)
+        path = tmp_path / "a1" / "versions.snapshot"
+        path.write_bytes(to_bytes(kept(tmp_path / "a1", lineage="ffff", position=50)))
+        async with contextlib.AsyncExitStack() as later:
+            with record_away(tmp_path):
+                agent = await later.enter_async_context(running(standing_section(tmp_path, "a1")))
+                follower = Raw(agent)
+                await until(lambda: follower.view.position == 50)
+            await until(lambda: follower.ended)
+            assert follower.denied is not None and follower.denied.code == "LINEAGE"
+            again = Raw(agent)
+            await until(lambda: again.view.position == 1)
+            lineage, reached = again.view.lineage, agent.following.reached_ms
+            agent.following.take(Change("eeee", 9, 0, True, 0, (Entry(9, ALL, {"no": 1}),)), 1e15)
+            assert agent.following.serving.view.lineage == lineage and agent.following.reached_ms == reached
+            await again.close()
+            await follower.close()
+        err = capsys.readouterr().err
+        assert "it is of lineage ffff, the record of" in err and "got eeee: position 1 of the former is served" in err
+
+    run(test)
+
+
+def test_it_never_goes_backwards(tmp_path: Path, capsys: Any) -> None:
+    async def test() -> None:
+        async with running(section(tmp_path / "a")) as agent:
+            for n in (2, 3):
+                await publish(agent, {"settings": {"instances": n}})
+            view = agent.following.serving.view
+            reached = agent.following.reached_ms
+            agent.following.take(Change(view.lineage, 1, 0, True, 0, ()), 1e15)
+            assert view.position == 2 and agent.following.reached_ms == reached
+        assert "the record is at position 1, behind 2 that is served" in capsys.readouterr().err
+
+    run(test)
+
+
+def test_one_that_reads_nothing_holds_nobody_up_and_costs_little(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(section(tmp_path / "a")) as agent:
+            TOKENS.append(read_secret(tmp_path / "a" / "instance.token"))
+            slow, other = Raw(agent, "i0"), Raw(agent, "i1")
+            await until(lambda: slow.updates and other.updates)
+            slow.reads.clear()
+            link = next(link for link in agent.followers.links.values() if link.name == "i0")
+            assert link.subscriber is not None and link.transport is not None
+            most = 0
+            for n in range(10_000):
+                if link.subscriber.slow_s >= 0:
+                    break
+                version = await publish(agent, {"settings": {"x": [f"{random.Random(n).random()}"] * 900}})
+                await until(lambda version=version: other.view.position == version)  # type: ignore[misc]
+                most = max(most, link.transport.get_write_buffer_size())
+            assert link.subscriber.slow_s >= 0, "it was never seen to be slow"
+            for n in range(5):
+                version = await publish(agent, {"settings": {"instances": n + 1}})
+                await until(lambda version=version: other.view.position == version)  # type: ignore[misc]
+                most = max(most, link.transport.get_write_buffer_size())
+            assert most < serving.UNSENT_BYTES + (64 << 10)
+            count = len(slow.updates)
+            slow.reads.set()
+            await until(lambda: slow.view.position == version)
+            assert len(slow.updates) - count < n + 200  # what it missed came as one
+            await slow.close()
+            await other.close()
+
+    run(test)
+
+
+def test_many_at_once_are_taken_on_at_the_rate_and_told_when_to_come_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(section(tmp_path / "a")) as agent:
+            TOKENS.append(read_secret(tmp_path / "a" / "instance.token"))
+            await publish(agent)
+            agent.following.serving.bucket = Bucket(100.0, 20.0)
+            began_s, joined, tries = time.monotonic(), list[float](), 0
+
+            async def one(number: int) -> Raw:
+                nonlocal tries
+                while True:
+                    tries += 1
+                    raw = Raw(agent, f"i{number}")
+                    while not (raw.updates or raw.denied):
+                        await asyncio.sleep(0.01)
+                    if raw.denied is None:
+                        joined.append(time.monotonic() - began_s)
+                        return raw
+                    assert raw.denied.code == "BUSY" and 0 < raw.denied.retry_ms <= 10_000
+                    await raw.close()
+                    await asyncio.sleep(raw.denied.retry_ms / 1000)
+
+            found = await asyncio.gather(*(one(n) for n in range(200)))
+            assert len(agent.followers.links) == 200
+            assert joined[-1] >= 1.7  # 180 at 100 a second
+            assert tries < 800
+            sent, made = agent.followers.sent, agent.followers.encoded.made
+            await publish(agent, {"settings": {"instances": 3}})
+            await until(lambda: all(raw.view.position == 2 for raw in found))
+            sent, made = agent.followers.sent - sent, agent.followers.encoded.made - made
+            assert sent >= 200 and made <= sent / 4  # one frame for many
+            for raw in found:
+                await raw.close()
+            await until(lambda: not agent.followers.links and not agent.following.serving.subscribers)
+
+    run(test)
+
+
+def test_a_burst_of_versions_is_told_as_few(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with two(tmp_path) as (first, second):
+            near, far = Raw(first, "i0"), Raw(second, "i1")
+            await until(lambda: near.updates and far.updates)
+            counts = len(near.updates), len(far.updates)
+            began_s = time.monotonic()
+            for n in range(50):
+                await publish(first, {"settings": {"instances": n + 1}})
+            await until(lambda: near.view.position == 50 and far.view.position == 50)
+            took_s = time.monotonic() - began_s
+            for follower, count in zip((near, far), counts, strict=True):
+                assert len(follower.updates) - count <= took_s / 0.1 + 2
+                assert follower.view.entries[ALL].overlay == {"settings": {"instances": 50}}
+                await follower.close()
+
+    run(test)
+
+
+def test_who_leads_is_told_who_runs_what_and_says_of_whom_it_does_not_know(tmp_path: Path,
+                                                                          monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(serving, "SUM_OLD_S", 1.6)
+
+    async def test() -> None:
+        async with contextlib.AsyncExitStack() as later:
+            first = await later.enter_async_context(running(standing(tmp_path, "a0")))
+            await first.leading.wait()
+            TOKENS.append(read_secret(tmp_path / "a0" / "instance.token"))
+            with_token = standing(tmp_path, "a1", token_file=tmp_path / "a0" / "instance.token")
+            async with running(with_token) as second, running(standing(tmp_path, "a2")) as quiet:
+                await publish(first)
+                ones = [Raw(second, "i0"), Raw(second, "i1"), Raw(quiet, "i2")]
+                await until(lambda: all(one.view.position == 1 for one in ones))
+                ones[0].runs()
+                ones[1].runs("refused", running=0, detail="settings.no: what is it?")
+
+                def told() -> Any:
+                    found = {one.agent: one for one in first.followers.summary()}
+                    return found.get(second.followers.agent)
+
+                await until(lambda: told() is not None and told().summary.counts == ((1, 1), (0, 1)))
+                assert told().known and told().age_ms < 3_000 and told().summary.position == 1
+                differs, = told().summary.differing
+                assert (differs.name, differs.status, differs.detail) == ("i1", "refused", "settings.no: what is it?")
+                # one without a token tells nothing, and who does not lead takes no sum
+                assert quiet.followers.agent not in [one.agent for one in first.followers.summary()]
+                assert [one.agent for one in second.followers.summary()] == [second.followers.agent]
+                for one in ones:
+                    await one.close()
+            await until(lambda: not told().known)
+
+    run(test)
+
+
+def test_followers_are_kept_apart_from_strangers_and_garbled_words(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(section(tmp_path / "a")) as agent:
+            token = read_secret(tmp_path / "a" / "instance.token")
+            for messages, code in (
+                    ([Follow(PROTOCOL + 1, token, "i", "b", "", "", "", "", 0)], "PROTOCOL"),
+                    ([Follow(PROTOCOL, "no", "i", "b", "", "", "", "", 0)], "TOKEN"),
+                    ([Follow(PROTOCOL, token, "i", "b", "", "", "", "other", 3)], "LINEAGE"),
+                    ([Follow(PROTOCOL, token, "i", "b", "", "", "", "", 0)] * 2, "NOT_UNDERSTOOD")):
+                reader, writer = await asyncio.open_connection("127.0.0.1", agent.control_port)
+                writer.write(b"".join(encode(write(message)) for message in messages))
+                decoder = Decoder()
+                decoder.feed(await reader.read())  # to its end: the agent closes it
+                found = []
+                while (raw := decoder.next()) is not None:
+                    found.append(read(raw, TO_FOLLOWER))
+                assert isinstance(found[-1], Denied) and found[-1].code == code
+                writer.close()
+            await until(lambda: not agent.followers.open)
+
+    run(test)
+
+
+def test_a_token_that_was_kept_admits_no_more_than_it_did() -> None:
+    token = Token("instance", "instance", "ab", 1, 5)
+    assert decode(to_bytes(Snapshot("", 0, 0, (), (token,), 0))).tokens == (token,)
