--- a/ironscale/crowd.py
+++ b/ironscale/crowd.py
@@ -33,10 +33,10 @@
 
 
 def turn_us(settings: api.Settings, able: float, is_one_of_many: bool) -> int:
-    """Rule 4: how long a turn to send to a cold upstream stands unused; 0 = for good. In its window that
-    does `able`; N = factor x able and 2 root N + 2 are borne. `paced` turns come in it, and after a lull those
-    of all m warmers stand for a burst: no harm where paced + m are borne. Else turns end, so that what stands
-    (paced x turn / window) and what comes are N: the rest is left for chance."""
+    """Rule 4: how long a turn to send to a cold upstream stands unused; 0 = for good. In the rule's window
+    it does `able`; N = factor x able and 2 root N + 2 are borne. `paced` turns come in it; after a lull
+    those of all m warmers stand for a burst: no harm where paced + m are borne. Else turns end, so that what
+    stands (paced x turn / window) and what comes are N; the rest is chance's."""
     borne, warmers = settings.overload_factor * able, min(WARMING, settings.instances)
     paced = SMALL * able * (1.0 if is_one_of_many else max(1.0, settings.overload_factor / 2))
     ends = paced + warmers > borne + 2.0 * math.sqrt(borne) + 2.0
