--- a/ironscale/load/run.py
+++ b/ironscale/load/run.py
@@ -330,9 +330,8 @@
             told = json.loads(line)
             if "mark" in told:
                 self.on_mark(told)
-            elif "once" in told:
-                if not self.truth.done():  # cancelled with who waited for it, by a signal
-                    self.truth.set_result(told)
+            elif "once" in told and not self.truth.done():  # done: cancelled with who waited for it, by a signal
+                self.truth.set_result(told)
         if not self.truth.done():
             self.truth.set_exception(RunError("the stand-ins ended before the run did"))
             self.truth.exception()  # nobody may wait for it any more
