Both stages keep a play's folder by one piece; [versions] alone is held by a test

The new assertions failed with the check in operator_file.py switched off, and pass with it; tests/control/test_off.py and the region play of tests/stage/test_published_processes.py pass.

--- a/ironscale/stage/published_run.py
+++ b/ironscale/stage/published_run.py
@@ -8,10 +8,8 @@
 import json
 import os
 import random
-import shutil
 import signal
 import sys
-import tempfile
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -25,7 +23,7 @@
 from ironscale.control.light import LightInstance, light_follower
 from ironscale.stage.history import History
 from ironscale.stage.relay import Port, Relay
-from ironscale.stage.run import AGENT, LOOK_S, START_S, Process, StageError
+from ironscale.stage.run import AGENT, LOOK_S, START_S, Process, StageError, apart
 from ironscale.standins.discovery import ListedDiscovery
 from ironscale.standins.postgres import Data, Host
 from ironscale.standins.settings import SETTINGS
@@ -304,20 +302,13 @@
 
 async def played(size: Size, work: Callable[[PublishedStage], Awaitable[None]], keep: Path | None = None,
                  agent: Sequence[str] = AGENT) -> History:
-    """One play in a folder of its own; `keep`: its history and logs stay there. Raises StageError."""
-    folder = Path(tempfile.mkdtemp(prefix="stage-"))
-    history = History(folder / "history.jsonl")
-    stage = PublishedStage(size, folder, history, agent)
-    try:
-        await stage.set_up()
-        await work(stage)
-        history.add("end")
-    finally:
-        await stage.close()
-        history.close()
-        if keep is not None:
-            keep.mkdir(parents=True, exist_ok=True)
-            for path in (*folder.glob("*.jsonl"), *folder.glob("*.log")):
-                shutil.copy(path, keep / path.name)
-        shutil.rmtree(folder, ignore_errors=True)
+    """One play, `apart`. Raises StageError."""
+    with apart(keep) as (folder, history):
+        stage = PublishedStage(size, folder, history, agent)
+        try:
+            await stage.set_up()
+            await work(stage)
+            history.add("end")
+        finally:
+            await stage.close()
     return history
--- a/ironscale/stage/run.py
+++ b/ironscale/stage/run.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import uuid
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -371,12 +371,13 @@
         await self.client.aclose()
 
 
-async def played(world: World, keep: Path | None = None, agent: Sequence[str] = AGENT) -> History:
-    """One play in a folder of its own; `keep`: its history and logs stay there. Raises StageError."""
+@contextlib.contextmanager
+def apart(keep: Path | None) -> Iterator[tuple[Path, History]]:
+    """A folder of its own for one play, and its history there; `keep`: that and the logs stay there."""
     folder = Path(tempfile.mkdtemp(prefix="stage-"))
     history = History(folder / "history.jsonl")
     try:
-        await Stage(world, folder, history, agent).play()
+        yield folder, history
     finally:
         history.close()
         if keep is not None:
@@ -384,4 +385,10 @@
             for path in (*folder.glob("*.jsonl"), *folder.glob("*.log")):
                 shutil.copy(path, keep / path.name)
         shutil.rmtree(folder, ignore_errors=True)
+
+
+async def played(world: World, keep: Path | None = None, agent: Sequence[str] = AGENT) -> History:
+    """One play, `apart`. Raises StageError."""
+    with apart(keep) as (folder, history):
+        await Stage(world, folder, history, agent).play()
     return history
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -125,6 +125,12 @@
         from_environment({"GW_AGENT": "x"})
     with pytest.raises(OperatorFileError, match="GW_AGENT_TOKEN_FILE: expected a path"):
         from_environment({"GW_AGENT": "h:1"})
+    alone = tmp_path / "versions.toml"
+    alone.write_text('[versions]\n[[versions.agent]]\naddress = "h:1"\n')
+    with pytest.raises(OperatorFileError, match="versions: expected .control. or GW_AGENT beside it, got neither"):
+        from_environment({"GW_OPERATOR": str(alone)})
+    beside = from_environment({"GW_OPERATOR": str(alone), "GW_AGENT": "h:2", "GW_AGENT_TOKEN_FILE": "t"})
+    assert beside.control is not None and beside.versions is not None
     with pytest.raises(ConfigError, match="expected a file that can be read"):
         operated({"GW_OPERATOR": str(tmp_path / "none.toml")})
 
