--- a/tests/agent/test_postgres.py
+++ b/tests/agent/test_postgres.py
@@ -725,6 +725,26 @@
     run(test)
 
 
+def test_a_read_whose_commit_breaks_off_bars_no_write() -> None:
+    """Nothing of it can stand, so there is nothing to wait for."""
+    async def test() -> None:
+        async with hosts(Data()) as (host,), store_on(host) as store:
+            await store.write(lambda r: r.set_alive(1))
+
+            async def cut(session: Session, kind: str, after: bool) -> None:
+                if kind == "commit":
+                    host.hook = None
+                    host.wires[session.number].writer.transport.abort()
+
+            host.hook = cut
+            with pytest.raises(StoreError):
+                await store.read(lambda r: r.alive_ms())
+            await store.write(lambda r: r.set_alive(2))
+            assert await store.read(lambda r: r.alive_ms()) == 2 and store.resolving is None
+
+    run(test)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_a_rollout_in_bad_weather_has_every_effect_once_and_a_true_log(tmp_path: Path, seed: int) -> None:
     async def test() -> None:
