A log line that cannot be written costs nothing but itself

Callers saw requests closed or left without an answer while writes to standard error failed with ENOSPC, EIO or EAGAIN. Cause: the log was print(file=sys.stderr), called in the middle of an action list; its OSError dropped the actions behind it (sends, answers, timers) and the backstop that would have answered, as that logs first; a pipe that nobody reads held up the whole loop. All writers of the log go through ironscale/logs.py now: it polls for room first, keeps within 64 KiB what cannot be written, follows later with whole lines in order, and counts what it drops. The recording test's full disk spares the log's own descriptor now: the log no longer raises there, and the assertion on the one line stays.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -9,26 +9,29 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import contextlib  # noqa: E402
+import logging  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
 from collections.abc import AsyncIterator, Callable, Mapping  # noqa: E402
 
 import uvloop  # noqa: E402
 
+from ironscale import logs  # noqa: E402
 from ironscale.net.config import ConfigError  # noqa: E402
 from ironscale.net.sidecar import Beside, Sidecar, serve  # noqa: E402
 
 
 def main(environ: Mapping[str, str] = os.environ) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    logging.basicConfig(level=logging.WARNING, handlers=[logs.Handler()])
     try:
         beside, reuse_port = operated(environ)
         uvloop.run(serve(environ, beside, reuse_port))
     except ConfigError as error:
-        print(f"ironscale: {error}", file=sys.stderr)
+        logs.line(f"ironscale: {error}")
         return 2
     except OSError as error:
-        print(f"ironscale: {error}", file=sys.stderr)
+        logs.line(f"ironscale: {error}")
         return 1
     return 0
 
--- a/ironscale/agent/api.py
+++ b/ironscale/agent/api.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import json
-import sys
 import traceback
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -33,6 +32,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from ironscale import logs
 from ironscale.agent import limits
 from ironscale.agent.schema import Caller, Context
 from ironscale.agent.store import StoreError
@@ -101,7 +101,7 @@
         self.authenticate = authenticate
         self.context = context
         self.rules = [*specified_rules, *([] if introspection else [NoSchemaIntrospectionCustomRule])]
-        self.log = log or (lambda text: print(text, file=sys.stderr, flush=True))
+        self.log = log or logs.line
         self.ending = asyncio.Event()
         self.app = Starlette(routes=[Route("/graphql", self.endpoint, methods=["GET", "POST", "HEAD", "OPTIONS", "PUT",
                                                                                "DELETE", "PATCH"])])
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -10,13 +10,13 @@
 import random
 import signal
 import socket
-import sys
 import time
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import uvicorn
 
+from ironscale import logs
 from ironscale.agent import tokens
 from ironscale.agent.api import Api
 from ironscale.agent.engine import Engine
@@ -89,7 +89,7 @@
         return engine.leader.control if engine is not None and engine.leader is not None else ""
 
     def log(self, text: str) -> None:
-        print(f"{time.strftime('%H:%M:%S')} agent: {text}", file=sys.stderr, flush=True)
+        logs.line(f"{time.strftime('%H:%M:%S')} agent: {text}")
 
     @contextlib.contextmanager
     def alone(self) -> Iterator[None]:
--- a/ironscale/control/client.py
+++ b/ironscale/control/client.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import sys
 import time
 import traceback
 from collections import deque
@@ -17,6 +16,7 @@
 from functools import partial
 from typing import Any, cast
 
+from ironscale import logs
 from ironscale.control.commands import Commands
 from ironscale.control.frames import MAX_FRAME, Decoder, FrameError, encode
 from ironscale.control.instance import Instance, Refused, RestartNeeded
@@ -78,7 +78,7 @@
         self.commands = Commands(identity.boot)
         self.redial = Redial(rng)
         self.slice = Slice()
-        self.log_line = log or (lambda text: print(f"{identity.name}: {text}", file=sys.stderr, flush=True))
+        self.log_line = log or (lambda text: logs.line(f"{identity.name}: {text}"))
         self.next_log_s = 0.0
         self.session: Session | None = None
         self.tried = 0  # agents that were dialled in vain since one was there
@@ -154,7 +154,7 @@
         except RestartNeeded as error:
             return Result(command.id, "needs restart", str(error))
         except Exception as error:  # hazard: the agent would wait, and the next frame never be read
-            traceback.print_exc()
+            logs.line(traceback.format_exc())
             return Result(command.id, "failed", f"{type(error).__name__}: {error}")
         return Result(command.id, "applied", detail, self.report())
 
--- a/ironscale/control/follower.py
+++ b/ironscale/control/follower.py
@@ -6,13 +6,13 @@
 import asyncio
 import contextlib
 import random
-import sys
 import time
 import traceback
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
+from ironscale import logs
 from ironscale.control.frames import Decoder, FrameError, encode
 from ironscale.control.instance import Refused, RestartNeeded
 from ironscale.control.messages import (
@@ -65,7 +65,7 @@
         self.own: _Link | None = None
         self.spread_s = AGAIN_S
         self.rounds = 0  # of all agents, in vain
-        self.log_line = log or (lambda text: print(f"{who.labels.instance}: {text}", file=sys.stderr, flush=True))
+        self.log_line = log or (lambda text: logs.line(f"{who.labels.instance}: {text}"))
         self.next_log_s = 0.0
         self.changed: Callable[[], None] = lambda: None  # what it holds or runs has changed
         self.dialled = 0
@@ -202,7 +202,7 @@
         except RestartNeeded as error:
             state.refused("needs restart", str(error))
         except Exception as error:  # hazard: the connection would break, and the same version come again and again
-            traceback.print_exc()
+            logs.line(traceback.format_exc())
             state.refused("failed", f"{type(error).__name__}: {error}")
         else:
             state.applied()
--- a/ironscale/load/recording.py
+++ b/ironscale/load/recording.py
@@ -11,11 +11,11 @@
 import json
 import os
 import secrets
-import sys
 from collections.abc import AsyncIterator, Callable
 from hashlib import blake2b
 from pathlib import Path
 
+from ironscale import logs
 from ironscale.interface import RequestArrived
 from ironscale.load.traces import header
 from ironscale.net.sidecar import Beside, Sidecar
@@ -140,7 +140,7 @@
         now_us = self.sidecar.clock.now_us()
         if now_us - self.said_us >= SAY_S * 1e6:
             self.said_us = now_us
-            print(f"{self.sidecar.config.name}: record: {text}", file=sys.stderr, flush=True)
+            logs.line(f"{self.sidecar.config.name}: record: {text}")
 
 
 def beside(record: Record) -> Beside:
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -16,6 +16,8 @@
 
 import httptools
 
+from ironscale import logs
+
 MAX_BODY = 64 << 10
 MAX_HEAD = 64 << 10
 MAX_HEADERS = 100
@@ -200,7 +202,7 @@
         try:
             self.server.application.on_request(exchange)
         except Exception:  # hazard: it would look like a broken parse and leave the request unanswered
-            traceback.print_exc()
+            logs.line(traceback.format_exc())
             exchange.answer(502)
 
     def answer(self, exchange: Exchange, status: int, headers: Iterable[tuple[bytes, bytes]],
@@ -448,6 +450,7 @@
         return len(self.idle) > MANY_IDLE * self.most
 
     def sweep(self) -> None:
+        logs.flush()
         now_us = self.now_us()
         longest_s = LEAST_IDLE_S if self.has_many_idle() else LONGEST_IDLE_S
         for connections, most_s in ((self.silent, SILENCE_S), (self.idle, longest_s)):
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -9,7 +9,6 @@
 import re
 import resource
 import signal
-import sys
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -20,6 +19,7 @@
 from urllib.parse import parse_qs
 
 from ironscale import interface as api
+from ironscale import logs
 from ironscale.balance import Balancer
 from ironscale.net.config import Config, ConfigError, load, merged, parse
 from ironscale.net.discovery import Discovery, Listing
@@ -515,7 +515,7 @@
         return f"upstream {pool.member.name}" if pool else found[0]
 
     def log(self, text: str) -> None:
-        print(f"{self.config.name}: {text}", file=sys.stderr, flush=True)
+        logs.line(f"{self.config.name}: {text}")
 
 
 # What a subsystem runs beside a started sidecar: given the sidecar and what ends the process.
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -23,7 +23,7 @@
                           timeout=60)
     assert done.stdout.split() == [
         "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.crowd", "ironscale.interface",
-        "ironscale.net",
+        "ironscale.logs", "ironscale.net",
         "ironscale.net.config", "ironscale.net.discovery", "ironscale.net.jsonstream", "ironscale.net.lane",
         "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.turns",
         "ironscale.net.upstream", "ironscale.places", "ironscale.settings", "ironscale.trust"]
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -62,6 +62,8 @@
         await asyncio.sleep(0.5)
         for upstream, trouble in zip(site.upstreams, ("fail", "hang", "reset", "stray"), strict=False):
             upstream.trouble = trouble
+        site.upstreams[4].reset_all()  # sockets are needed anew
+        site.upstreams[5].reset_all()
         sidecar.shim.set(rates)
         await asyncio.sleep(2.0)
         sidecar.shim.set({})
--- a/tests/load/test_recording.py
+++ b/tests/load/test_recording.py
@@ -93,6 +93,8 @@
 
     def write(fd: int, data: bytes) -> int:
         nonlocal room
+        if fd == sys.stderr.fileno():  # the log is on another disk
+            return real(fd, data)
         if room <= 0:
             raise OSError(errno.ENOSPC, "No space left on device")
         done = real(fd, data[: min(len(data), room, 17)])  # in pieces, cut anywhere
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,91 @@
+"""A log that cannot be written costs nothing but its lines."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+import pytest
+
+from ironscale import interface as api
+from ironscale import logs
+from ironscale.standins.upstream import Peer
+from tests.sockets import Scene, run
+
+
+# Guards against a log line that raises in the middle of an action list and takes the answer behind it along.
+def test_a_request_is_answered_though_no_log_line_can_be_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    def full(descriptor: int, data: bytes) -> int:
+        raise OSError(28, "No space left on device")
+
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        monkeypatch.setattr(logs, "_process_log", logs.Log(2))
+        monkeypatch.setattr(os, "write", full)
+        real = scene.sidecar.balancer.handle
+
+        def chatty(now_us: int, event: api.Event) -> list[api.Action]:
+            return [api.Log("a line"), *real(now_us, event)]
+
+        monkeypatch.setattr(scene.sidecar.balancer, "handle", chatty)
+        assert (await scene.call()).status == 200
+        scene.sidecar.balancer.requests.clear()
+        monkeypatch.setattr(scene.sidecar.balancer, "handle", lambda now_us, event: 1 / 0)
+        assert (await scene.call()).status == 502
+
+    run(test)
+
+
+def pipe() -> tuple[int, int]:
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    return reading, writing
+
+
+# Guards against a reader of the log that has stopped and holds up the whole process.
+def test_a_pipe_that_nobody_reads_neither_blocks_nor_grows() -> None:
+    reading, writing = pipe()
+    log = logs.Log(writing)
+    for number in range(10_000):
+        log.line(f"{number:05} {'x' * 100}")
+    assert log.dropped and len(log.waiting) <= logs.MOST_WAITING_BYTES
+    found = b""
+    for _ in range(200):
+        try:
+            found += os.read(reading, 1 << 16)
+        except BlockingIOError:
+            break
+        log.flush()
+    log.line("the last")
+    found += os.read(reading, 1 << 16)
+    lines = found.decode().splitlines()
+    assert lines[-1] == "the last" and lines[-2].endswith("lines were dropped")
+    assert [int(line[:5]) for line in lines[:-2]] == list(range(len(lines) - 2)), "lines are whole and in order"
+    os.close(reading)
+    os.close(writing)
+
+
+def failing(times: int, real: Callable[[int, bytes], int] = os.write) -> Callable[[int, bytes], int]:
+    left = times
+
+    def write(descriptor: int, data: bytes) -> int:
+        nonlocal left
+        left -= 1
+        if left >= 0:
+            raise OSError(5, "Input/output error")
+        return real(descriptor, data[:max(1, len(data) // 2)])
+
+    return write
+
+
+# Guards against lines that are cut or swallowed where a write fails for a moment or is short.
+def test_lines_that_could_not_be_written_follow_whole_and_in_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    reading, writing = pipe()
+    log = logs.Log(writing)
+    monkeypatch.setattr(os, "write", failing(2))
+    for text in ("one", "two", "three"):
+        log.line(text)
+    assert os.read(reading, 100) == b"one\ntwo\nthree\n" and log.failed == 2
+    os.close(reading)
+    os.close(writing)
