A shutdown outlasts calls that fail: nobody who waits for an accept is reset

Callers saw requests in flight closed with no answer at a SIGTERM while socket(), bind(), listen() or setsockopt() failed, and new connections reset while accept() failed. Cause: closing the listener needs a socket of its own, and its OSError ended the whole stop before the last answers; an accept that failed was taken for an empty queue, and one that was aborted for the last. Now an accept goes on behind a connection that has gone (accept(2)), pauses 20 ms where the machine lacks something, and the listener is closed only once its queue is empty and sealed; else it stays open and is tried again until the last answers are due. What has waited for such an accept counts its time from its last byte (TCP_INFO), so that upstreams are not told more than its client has left.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import errno
 import select
 import socket
@@ -17,7 +18,8 @@
 import httptools
 
 from ironscale import logs
-from ironscale.net.stream import Stream
+from ironscale.net.errors import Severity, severity
+from ironscale.net.stream import Stream, since_last_byte_us
 
 MAX_BODY = 64 << 10
 MAX_HEAD = 64 << 10
@@ -40,7 +42,10 @@
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LOOKED_AT = 8  # connections that are asked whether they can make room
 LAST_S = 0.04  # for the last answers to leave, at the end of the process
-SHUT_TRIES, SHUT_WAIT_MS = 64, 20  # to fill the listener's own queue before it is closed
+SHUT_TRIES, SHUT_WAIT_MS = 4, 20  # to fill the listener's own queue before it is closed, each time
+PORT_TRIES = 64  # to find a port from which the kernel leads to this listener
+ACCEPT_PAUSE_S = 0.02  # after an accept that failed for want of something
+CLOSE_AGAIN_S = 0.02  # between two tries to close the listener
 READY_PATH = b"/health/ready"
 REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
            502: b"Bad Gateway", 503: b"Service Unavailable"}
@@ -112,6 +117,7 @@
         self.paused = False  # reading, and so the client's end is not told
         self.ends: select.poll | None = None
         self.since_us = server.now_us()  # silent or idle since then
+        self.has_waited = False  # for its accept, longer than usual: its request has come before it could be read
 
     def open(self) -> None:
         self.transport = Stream(self.sock, self)
@@ -189,8 +195,12 @@
         self.reading = False
         if self.final:  # behind a request that ended the connection
             return
+        arrived_us = self.server.now_us()
+        if self.has_waited:
+            self.has_waited = False
+            arrived_us -= since_last_byte_us(self.sock)
         exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, b"".join(self.body),
-                            self.parser.should_keep_alive(), self.server.now_us())
+                            self.parser.should_keep_alive(), arrived_us)
         if self.current is None and not self.waiting:
             self.begin(exchange)
         else:
@@ -327,6 +337,14 @@
     return bool(waiting.poll(SHUT_WAIT_MS)) and own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
 
 
+class Accepted(enum.Enum):
+    """What has become of the connections that waited."""
+
+    ALL = "all"
+    SOME = "some"  # more may wait
+    FAILED = "failed"  # more may wait, and cannot be accepted now
+
+
 class Server:
     """Listens, and knows the clients' connections."""
 
@@ -342,6 +360,7 @@
         self.idle: dict[ClientConnection, None] = {}
         self.stopping = False
         self.is_full = False  # no connection is accepted until there is room
+        self.accept_failed = False  # the last accept did: who comes out of the queue has waited
         self.last_opened_us = now_us()
         self.listener: socket.socket | None = None
         self.reuse_port = False
@@ -365,33 +384,42 @@
         if self.listener is not None:
             self.accept_from(self.listener)
 
-    def accept_from(self, listener: socket.socket) -> bool:
-        """Some of those that wait; whether more may. Hazard: without a descriptor to spare the event loop's own
+    def accept_from(self, listener: socket.socket) -> Accepted:
+        """Some of those that wait. Hazard: without a descriptor to spare the event loop's own
         server accepts and closes, and a request that is written already is lost. What is not accepted waits in the
         kernel."""
         for _ in range(ACCEPTS):
             if len(self.connections) >= self.most and not self.make_room():
                 self.wait_for_room()
-                return False
+                self.accept_failed = True
+                return Accepted.FAILED
             try:
                 sock, peer = listener.accept()
-            except (BlockingIOError, ConnectionError):
-                return False
-            except OSError:  # out of descriptors all the same
-                self.wait_for_room()
-                return False
+            except OSError as error:
+                if severity(error) is Severity.AGAIN:
+                    self.accept_failed = False
+                    return Accepted.ALL
+                self.accept_failed = True
+                if severity(error) is Severity.EXHAUSTED:
+                    break
+                continue  # that connection has gone, or its way; others may wait behind it (accept(2))
             if peer == self.probe or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                 # our own, or one that was reset before it was accepted: another's probe, as it closes its listener
                 self.probe = None if peer == self.probe else self.probe
                 sock.close()
                 continue
             connection = ClientConnection(self, sock)
+            connection.has_waited = self.accept_failed
             self.connections.add(connection)
             self.silent[connection] = None
             self.last_opened_us = self.now_us()
             sock.setblocking(False)
             connection.open()
-        return True
+        else:
+            return Accepted.SOME
+        self.wait_for_room()
+        self.loop.call_later(ACCEPT_PAUSE_S, self.accept_again)
+        return Accepted.FAILED
 
     def wait_for_room(self) -> None:
         if self.listener is not None and not self.is_full:
@@ -490,37 +518,58 @@
                 connection.close()
                 self.settle(connection)
 
-    def close_listener(self) -> None:
-        """Hazard: what waits in the listener's queue when it closes is reset, and one more can come between the last
-        accept and the close. So the queue is cut to one place, and a connection of our own takes it: later ones then
-        wait within their own connect, and find nobody, or another process, before they have sent anything.
+    def close_listener(self) -> bool:
+        """Whether it is closed. Hazard: what waits in the listener's queue when it closes is reset, and one more can
+        come between the last accept and the close. So the queue is cut to one place, and a connection of our own takes
+        it: later ones then wait within their own connect, and find nobody, or another process, before they have sent
+        anything. Where a call fails, or somebody who waits can't be accepted, it stays open, to be tried again.
         """
-        listener, self.listener = self.listener, None
+        listener = self.listener
         if listener is None:
-            return
-        self.loop.remove_reader(listener)
+            return True
         with contextlib.ExitStack() as stack:
-            stack.enter_context(listener)
-            listener.listen(0)
-            port = self.port_to(listener) if self.reuse_port else 0
-            for _ in range(SHUT_TRIES):
-                self.empty(listener)  # a client's may have the place
-                if port is None:
-                    break
-                own = stack.enter_context(socket.socket())
-                if connects(own, listener.getsockname(), port):
-                    break
-                own.close()  # it holds the port that the next one needs
+            try:
+                if not self.seal(listener, stack):
+                    return False
+            except OSError as error:
+                logs.line(f"closing the listener: {error}; tried again")
+                return False
+            self.drop_listener()
+        return True
 
-    def empty(self, listener: socket.socket) -> None:
+    def seal(self, listener: socket.socket, stack: contextlib.ExitStack) -> bool:
+        """Whether nobody waits in the listener's queue, and nobody can come until what `stack` holds is closed."""
+        listener.listen(0)
+        port = self.port_to(listener) if self.reuse_port else 0
+        for _ in range(SHUT_TRIES):
+            if not self.empty(listener):  # a client's may have the place
+                return False
+            if port is None:
+                return True
+            own = stack.enter_context(socket.socket())
+            if connects(own, listener.getsockname(), port):
+                return True
+            own.close()  # it holds the port that the next one needs
+        return False
+
+    def drop_listener(self) -> None:
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            self.loop.remove_reader(listener)
+            listener.close()
+
+    def empty(self, listener: socket.socket) -> bool:
+        """Whether all that waited have been accepted."""
         for _ in range(self.most // ACCEPTS + 1):
-            if not self.accept_from(listener):
-                break
+            accepted = self.accept_from(listener)
+            if accepted is not Accepted.SOME:
+                return accepted is Accepted.ALL
+        return False
 
     def port_to(self, listener: socket.socket) -> int | None:
         """A port from which connections come to this listener, and not to another process's that shares its port: the
         kernel chooses by the addresses and ports of both ends. None if none was found."""
-        for _ in range(SHUT_TRIES):
+        for _ in range(PORT_TRIES):
             self.empty(listener)
             with socket.socket() as probe:
                 # ended by a reset, it leaves its port free, and whoever has it in his queue can tell
@@ -550,11 +599,13 @@
             quiet = now_us - self.last_opened_us >= quiet_s * 1e6
             if now_us - start_us >= (least_s if quiet else most_s) * 1e6:
                 break
-        self.close_listener()
-        while self.connections and (left_s := end_s - (self.now_us() - start_us) / 1e6) > 0.0:
-            await asyncio.sleep(min(0.02, left_s))
+        closed = self.close_listener()
+        while (self.connections or not closed) and (left_s := end_s - (self.now_us() - start_us) / 1e6) > 0.0:
+            await asyncio.sleep(min(CLOSE_AGAIN_S, left_s))
             self.close_idle()
+            closed = closed or self.close_listener()
         at_end()
+        self.drop_listener()
         while self.connections and self.now_us() - start_us < (end_s + LAST_S) * 1e6:
             for connection in list(self.connections):
                 if not connection.is_busy() and not (connection.final and connection.transport is not None):
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import sys
 from collections.abc import Callable
 from typing import Protocol
 
@@ -16,9 +17,19 @@
 from ironscale.net.errors import Severity, severity
 
 READ_BYTES = 64 << 10
+LAST_DATA_AT = 52  # of tcpi_last_data_recv in the kernel's struct tcp_info, in milliseconds
 PAUSE_S = 0.005  # before a call that failed for want of something is made again
 
 
+def since_last_byte_us(sock: socket.socket) -> int:
+    """How long ago the last byte came to this machine, read or not; 0 where nobody can tell."""
+    with contextlib.suppress(OSError):
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_AT + 4)
+        if len(info) == LAST_DATA_AT + 4:
+            return int.from_bytes(info[LAST_DATA_AT:], sys.byteorder) * 1000
+    return 0
+
+
 class StreamUser(Protocol):
     """Who owns the connection."""
 
