--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -31,6 +31,7 @@
 # LONGEST_IDLE_S, sooner only to make room.
 SILENCE_S = 2.4
 LONGEST_IDLE_S = 15.0
+UNREAD_ANSWER_S = 5.0  # for an answer to leave; longer than any client waits
 LEAST_IDLE_S, LEAST_SILENCE_S = 2.0, 0.1  # to make room, no sooner
 SWEEP_S = 0.2
 LOOK_S = 0.03  # between two looks for the ends of clients that the loop does not read; 0.1 s are allowed
@@ -116,7 +117,7 @@
         self.final = False  # nothing more is read: it ends with the answers that are owed
         self.paused = False  # reading, and so the client's end is not told
         self.ends: select.poll | None = None
-        self.since_us = server.now_us()  # silent or idle since then
+        self.since_us = self.answered_us = server.now_us()  # silent or idle since then; the last answer was given
         self.has_waited = False  # for its accept, longer than usual: its request has come before it could be read
 
     def open(self) -> None:
@@ -233,6 +234,7 @@
         parts.append(b"\r\n")
         parts.append(body)
         self.transport.write(b"".join(parts))
+        self.answered_us = self.server.now_us()
         self.current = None
         if self.transport.get_write_buffer_size() > MOST_UNREAD:  # hazard: who sends ahead and reads no answer
             self.lost()
@@ -293,12 +295,21 @@
         if self.transport is None:
             return
         if self.transport.is_closing():
-            self.transport.abort()  # hazard: who never reads its answer would hold the descriptor
+            # hazard: who never reads its answer would hold the descriptor, but one that still leaves is owed
+            unsent = self.transport.get_write_buffer_size() > 0
+            if not unsent or self.server.now_us() - self.answered_us >= UNREAD_ANSWER_S * 1e6:
+                self.transport.abort()
         elif self.reading:
             self.reject(408)
         else:
             self.transport.close()
 
+    def can_be_cut(self) -> bool:
+        """Whether it may be closed at once, to make room: nothing has come on it, and no answer is still leaving."""
+        if self.transport is None or self.transport.get_write_buffer_size():
+            return False
+        return self.final or self.reading or not self.has_unread()
+
     def is_busy(self) -> bool:
         return self.current is not None or bool(self.waiting)
 
@@ -438,7 +449,7 @@
             for oldest in islice(connections, LOOKED_AT):
                 if now_us - oldest.since_us < least_s * 1e6:
                     break
-                if oldest.transport is not None and (oldest.final or oldest.reading or not oldest.has_unread()):
+                if oldest.transport is not None and oldest.can_be_cut():
                     oldest.transport.abort()
                     self.lost(oldest)
                     return True
--- /dev/null
+++ b/tests/ends/test_unsent.py
@@ -0,0 +1,77 @@
+"""An answer that is still leaving is not cut off by what closes quiet connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from ironscale.net.server import UNREAD_ANSWER_S, Exchange, Server
+from ironscale.standins.http import read_message
+from tests.sockets import run, until
+from tests.test_shutdown import Answers, now_us
+
+BODY = bytes(range(256)) * 256
+
+
+class LongAnswers(Answers):
+    def on_request(self, exchange: Exchange) -> None:
+        exchange.answer(200, [], BODY)
+
+
+@contextlib.asynccontextmanager
+async def leaving(close: bool) -> AsyncIterator[tuple[Server, socket.socket]]:
+    """A connection with an answer that its client has not begun to read, past what the kernel holds."""
+    server = Server(LongAnswers(), 8, now_us)
+    await server.listen(("127.0.0.1", 0))
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(server.listener.getsockname())  # type: ignore[union-attr]
+        client.setblocking(False)
+        await until(lambda: server.connections)
+        connection, = server.connections
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(b"GET / HTTP/1.1\r\nHost: x\r\n%s\r\n" % (b"Connection: close\r\n" if close else b""))
+        await until(lambda: connection.transport is not None and connection.transport.get_write_buffer_size())
+        yield server, client
+    await server.stop(0.0, 0.0, 0.0, 5.0)
+
+
+def make_room(server: Server) -> None:
+    server.make_room()
+
+
+def sweep(server: Server) -> None:
+    server.sweep()
+
+
+# Guards against half an answer where the sweep comes, or room is needed, while its client still reads.
+@pytest.mark.parametrize("close", [False, True])
+@pytest.mark.parametrize("closing", [make_room, sweep])
+def test_an_answer_that_still_leaves_arrives_whole(closing: Callable[[Server], None], close: bool) -> None:
+    async def test() -> None:
+        async with leaving(close) as (server, client):
+            for connection in server.connections:
+                connection.since_us -= 60_000_000
+            closing(server)
+            closing(server)
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).body == BODY
+            writer.close()
+
+    run(test)
+
+
+def test_a_closing_connection_whose_client_never_reads_is_given_up() -> None:
+    async def test() -> None:
+        async with leaving(True) as (server, client):
+            connection, = server.connections
+            connection.answered_us -= int(UNREAD_ANSWER_S * 1e6)
+            connection.since_us -= 60_000_000
+            server.sweep()
+            await until(lambda: not server.connections)
+
+    run(test)
