A start and a reload outlast calls that fail for a moment

Operators saw processes end with status 1 or 2 as socket(), bind(), setsockopt(), epoll_create() or the open of the configuration failed once at their start, and a SIGHUP that was never heeded as its file could not be opened just then. Cause: the first error of any kind was final, and nobody signals twice. The start is tried again every 0.1 s for 20 s (30 s are given) as long as the process has taken nothing and the error is one that passes (net/errors.py); a reload as long as it lasts. What does not pass (no such file, no JSON, a wrong key) ends the process at once, as before.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -8,32 +8,59 @@
 if __name__ == "__main__":
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import asyncio  # noqa: E402
 import contextlib  # noqa: E402
 import logging  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 from collections.abc import AsyncIterator, Callable, Mapping  # noqa: E402
 
 import uvloop  # noqa: E402
 
 from ironscale import logs  # noqa: E402
 from ironscale.net.config import ConfigError  # noqa: E402
-from ironscale.net.sidecar import Beside, Sidecar, serve  # noqa: E402
+from ironscale.net.errors import passes  # noqa: E402
+from ironscale.net.sidecar import Beside, Sidecar, StartFailed, serve  # noqa: E402
+
+START_PATIENCE_S = 20.0  # of 30 s that a start may take
+START_AGAIN_S = 0.1
 
 
 def main(environ: Mapping[str, str] = os.environ) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(level=logging.WARNING, handlers=[logs.Handler()])
+    give_up_s = time.monotonic() + START_PATIENCE_S
+    while True:
+        try:
+            run(environ)
+            return 0
+        except StartFailed as failed:
+            error = failed.__cause__ or failed
+            if not passes(error) or time.monotonic() >= give_up_s:
+                return said(error)
+            logs.line(f"ironscale: {error}; the start is tried again")
+            time.sleep(START_AGAIN_S)
+        except (ConfigError, OSError) as error:
+            return said(error)
+
+
+def run(environ: Mapping[str, str]) -> None:
+    """One sidecar, from its start to its end. Raises StartFailed as long as it has taken nothing."""
     try:
         beside, reuse_port = operated(environ)
-        uvloop.run(serve(environ, beside, reuse_port))
-    except ConfigError as error:
-        logs.line(f"ironscale: {error}")
-        return 2
-    except OSError as error:
-        logs.line(f"ironscale: {error}")
-        return 1
-    return 0
+        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        runner.get_loop()
+    except (ConfigError, OSError) as error:
+        raise StartFailed from error
+    with runner:
+        runner.run(serve(environ, beside, reuse_port))
+
+
+def said(error: BaseException) -> int:
+    """The status of a process that ends by this error."""
+    logs.line(f"ironscale: {error}")
+    return 2 if isinstance(error, ConfigError) else 1
 
 
 def operated(environ: Mapping[str, str]) -> tuple[Beside | None, bool]:
--- a/ironscale/net/errors.py
+++ b/ironscale/net/errors.py
@@ -32,6 +32,9 @@
     return _SEVERITIES.get(error.errno or 0, Severity.FATAL)
 
 
-def passes(error: OSError) -> bool:
-    """Whether the same call may succeed a moment later."""
-    return severity(error) in (Severity.AGAIN, Severity.EXHAUSTED)
+def passes(error: BaseException) -> bool:
+    """Whether what has failed may succeed a moment later: an error of the system, or one that it has caused."""
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, OSError):
+        cause = cause.__cause__
+    return cause is not None and severity(cause) in (Severity.AGAIN, Severity.EXHAUSTED)
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -23,6 +23,7 @@
 from ironscale.balance import Balancer
 from ironscale.net.config import Config, ConfigError, load, merged, parse
 from ironscale.net.discovery import Discovery, Listing
+from ironscale.net.errors import passes
 from ironscale.net.lane import Front, Lane
 from ironscale.net.server import HOP_BY_HOP, Exchange, Headers, Server
 from ironscale.net.upstream import Answer, Attempt, Upstreams
@@ -36,6 +37,7 @@
 # most) after it: what clients would wait for longer has its answer by then.
 STOP_LEAST_S, STOP_QUIET_S, STOP_MOST_S = 0.45, 0.2, 0.65
 STOP_END_S, STOP_DEADLINE_S = 0.62, 3.0
+RELOAD_AGAIN_S = 0.1
 UPSTREAM = re.compile(r"\bupstream (\d+)")
 REMAINING = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
 UNITS_US = {"m": 1000.0, "u": 1.0}
@@ -218,6 +220,7 @@
         self.by_txn: dict[str, Request] = {}  # those not yet answered
         self.next_request = 1
         self.fronts: dict[int, Front] = {}  # by index of the class: where its requests go in place of the upstreams
+        self.reload_again: asyncio.TimerHandle | None = None  # after one that could not read its file
         self.has_list = False
         self.cut_off = True  # from discovery: its last word was a failure, or there was none yet
         self.draining = False
@@ -238,12 +241,17 @@
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again. Discovery's address can change; the rest needs a restart."""
+        if self.reload_again is not None:
+            self.reload_again.cancel()
+            self.reload_again = None
         if self.server.stopping:
             return
         try:
             config = load(environ)
         except ConfigError as error:  # hazard: half a file must not end or half change what runs
             self.log(f"reload: the configuration stays as it was: {error}")
+            if passes(error):  # the file is there, and nobody signals again
+                self.reload_again = self.loop.call_later(RELOAD_AGAIN_S, self.reload, environ)
             return
         address, before = config.discovery_in_file, self.config.discovery_in_file
         self.config.discovery_in_file = address
@@ -522,24 +530,34 @@
 Beside = Callable[[Sidecar, Callable[[], None]], AbstractAsyncContextManager[None]]
 
 
+class StartFailed(Exception):
+    """Nothing has been taken yet; the cause says what failed."""
+
+
 async def serve(environ: Mapping[str, str], beside: Beside | None = None,
                 reuse_port: bool = False) -> None:
-    """One sidecar from its start to its end by a signal, or by `beside`."""
+    """One sidecar from its start to its end by a signal, or by `beside`. Raises StartFailed until it listens."""
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    try:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+    except OSError as error:
+        raise StartFailed from error
     running: list[Sidecar] = []
 
     def reload() -> None:
         for one in running:
             one.reload(environ)
 
-    # hazard: the file that is read next may be replaced as it is being read, and nobody would hear of it
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    sidecar = Sidecar(load(environ), environ)
-    running.append(sidecar)
-    await sidecar.start(reuse_port)
+    try:
+        # hazard: the file that is read next may be replaced as it is being read, and nobody would hear of it
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        sidecar = Sidecar(load(environ), environ)
+        running.append(sidecar)
+        await sidecar.start(reuse_port)
+    except (OSError, ConfigError) as error:
+        raise StartFailed from error
     gc.collect()
     gc.freeze()  # what is here stays: the collector need not walk it again
     gc.set_threshold(YOUNG, *gc.get_threshold()[1:])
--- a/tests/faults/shim.c
+++ b/tests/faults/shim.c
@@ -80,6 +80,16 @@
   return FAILS(SOCKET, ENFILE, EMFILE, ENOBUFS, ENOMEM) ? -1 : real(a, b, c);
 }
 
+int socketpair(int a, int b, int c, int pair[2]) {
+  REAL(int, "socketpair", int, int, int, int *);
+  return FAILS(SOCKET, ENFILE, EMFILE, ENOBUFS, ENOMEM) ? -1 : real(a, b, c, pair);
+}
+
+int epoll_create1(int flags) {
+  REAL(int, "epoll_create1", int);
+  return FAILS(SOCKET, ENFILE, EMFILE, ENOMEM) ? -1 : real(flags);
+}
+
 int connect(int fd, const struct sockaddr *to, socklen_t size) {
   REAL(int, "connect", int, const struct sockaddr *, socklen_t);
   return FAILS(CONNECT, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, ENOBUFS) ? -1 : real(fd, to, size);
