The deadline that an upstream is told is what is left as the request is written

Cause: the request's bytes were made when the send was decided. They are made as they are written now.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -448,7 +448,8 @@
         timeout_us = min(action.timeout_us or left_us, left_us)
         timer: Timer | None = None
         until_us = min(request.due_us, action.until_us or request.due_us)
-        attempt = Attempt(self.payload(request.exchange, timeout_us), partial(self.is_wanted, request, until_us),
+        attempt = Attempt(partial(self.payload, request.exchange, now_us + timeout_us),
+                          partial(self.is_wanted, request, until_us),
                           lambda *end: self.on_attempt_end(request, number, action.upstream, now_us, timer, *end))
         request.attempts.append(attempt)
         request.out += 1
@@ -463,10 +464,10 @@
         """Asked just before the first byte of an attempt leaves, which may be long after it was decided."""
         return self.is_open(request.ident) and self.clock.now_us() < until_us and not request.exchange.has_left()
 
-    def payload(self, exchange: Exchange, timeout_us: int) -> bytes:
+    def payload(self, exchange: Exchange, give_up_us: int) -> bytes:
         parts = [b"%s %s HTTP/1.1\r\n" % (exchange.method, exchange.target)]
         parts += [b"%s: %s\r\n" % h for h in exchange.headers if h[0] not in NOT_PASSED]
-        parts.append(b"x-remaining: %du\r\n" % timeout_us)
+        parts.append(b"x-remaining: %du\r\n" % max(0, give_up_us - self.clock.now_us()))
         if exchange.body or exchange.method not in (b"GET", b"HEAD"):
             parts.append(b"content-length: %d\r\n" % len(exchange.body))
         parts.append(b"\r\n")
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -58,9 +58,9 @@
 class Attempt:
     """One send. It ends once, by whatever comes first."""
 
-    def __init__(self, payload: bytes, wanted: Callable[[], bool],
+    def __init__(self, payload: Callable[[], bytes], wanted: Callable[[], bool],
                  on_end: Callable[[Outcome, Answer | None], None]) -> None:
-        self.payload = payload
+        self.payload = payload  # made as it is written: it tells the time that is left then
         self.wanted = wanted  # asked just before the first byte is written
         self.on_end: Callable[[Outcome, Answer | None], None] | None = on_end
         self.connection: Connection | None = None
@@ -126,7 +126,7 @@
         self.used = True
         self.answer, self.complete, self.written = Answer(), False, False
         self.in_head, self.head_size, self.headers_seen, self.answered = True, 0, 0, False
-        self.transport.write(attempt.payload)
+        self.transport.write(attempt.payload())
         self.written = self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing()
 
     def resume_writing(self) -> None:
--- a/tests/ends/test_upstreams.py
+++ b/tests/ends/test_upstreams.py
@@ -27,7 +27,7 @@
             upstreams = Upstreams(now_us, 15_000_000, 1_000_000, 10)
             upstreams.apply(members(entry), True)
             ends: list[Outcome] = []
-            attempt = Attempt(GET, lambda: True, lambda outcome, _: ends.append(outcome))
+            attempt = Attempt(lambda: GET, lambda: True, lambda outcome, _: ends.append(outcome))
             next(iter(upstreams.pools.values())).start(attempt)
             accepted = await asyncio.to_thread(listener.accept)
             await until(lambda: attempt.connection is not None)
@@ -180,3 +180,22 @@
         assert [(await call).status for call in calls] == [200, 200]
 
     run(test)
+
+
+# Guards against a deadline that was reckoned before the connection came up and promises time that has passed.
+def test_a_request_whose_connection_comes_up_late_tells_the_time_that_is_left_then(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        gate = Gate(monkeypatch)
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        calling = asyncio.create_task(scene.call("pay", remaining="8000m"))
+        await until(lambda: gate.held)
+        late_ns = 700_000_000
+        scene.sidecar.clock.offset_ns += late_ns  # as if so much had passed
+        gate.open.set()
+        assert (await calling).status == 200
+        told_us = int(peer.got[0].headers["x-remaining"].removesuffix("u"))
+        assert told_us <= 8_000_000 - late_ns // 1000
+
+    run(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -47,7 +47,7 @@
 
     def start(self, payload: bytes = GET, wanted: bool = True) -> tuple[Attempt, asyncio.Future[Any]]:
         ended: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        attempt = Attempt(payload, lambda: wanted, lambda *end: ended.set_result(end))
+        attempt = Attempt(lambda: payload, lambda: wanted, lambda *end: ended.set_result(end))
         self.pool.start(attempt)
         return attempt, ended
 
@@ -285,7 +285,7 @@
         peer = await Peer(one).start()
         line = Line(peer)
         follower: list[asyncio.Future[Any]] = []
-        first = Attempt(GET, lambda: True, lambda *end: follower.append(line.start()[1]))
+        first = Attempt(lambda: GET, lambda: True, lambda *end: follower.append(line.start()[1]))
         line.pool.start(first)
         await until(lambda: follower)
         # to the first connection alone: the follower's may be up already, and strays would end it
@@ -507,7 +507,7 @@
         line.upstreams.apply(members(other.entry("s-2")), False)
         pool = line.upstreams.pools[members(other.entry("s-2"))[0].upstream.id]
         done: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-        pool.start(Attempt(GET, lambda: True, lambda outcome, answer: done.set_result(outcome)))
+        pool.start(Attempt(lambda: GET, lambda: True, lambda outcome, answer: done.set_result(outcome)))
         assert await done is Outcome.OK  # in place of the idle one
         assert line.upstreams.open == 1
 
@@ -559,7 +559,7 @@
 
         async def ask(pool: module.Pool) -> Outcome:
             ended: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-            pool.start(Attempt(GET, lambda: True, lambda outcome, answer: ended.set_result(outcome)))
+            pool.start(Attempt(lambda: GET, lambda: True, lambda outcome, answer: ended.set_result(outcome)))
             return await ended
 
         for number in (1, 0, 2, 1):  # the first one is asked again, and is no longer the oldest
