An interrupted poll no longer says of a connection that nothing has come on it

Callers could get another request's bytes, a reset of what may have run, or an attempt after they had left, while waits were interrupted. Cause: a poll of no time that a signal interrupts (EINTR) returns nothing, and the two looks before a send (has the kept connection gone bad, has the client left) took that for an answer. They read with MSG_PEEK now, which is made again; only an end behind unread bytes still needs a poll, which is asked three times.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -19,7 +19,7 @@
 
 from ironscale import logs
 from ironscale.net.errors import Severity, severity
-from ironscale.net.stream import Stream, since_last_byte_us
+from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_BODY = 64 << 10
 MAX_HEAD = 64 << 10
@@ -39,7 +39,7 @@
 # it has only asked for readiness.
 MANY_IDLE, MANY = 1 / 3, 1 / 2
 ACCEPTS = 32  # connections accepted before other work has its turn
-UNREAD = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+LOOKS = 3  # at what a poll says, where a missed end would have a request sent on for nobody
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LOOKED_AT = 8  # connections that are asked whether they can make room
 LAST_S = 0.04  # for the last answers to leave, at the end of the process
@@ -261,10 +261,7 @@
     def has_unread(self) -> bool:
         """Whether bytes have come that the loop has not read yet. Hazard: after a moment without CPU a request may
         lie there, and a close would reset it."""
-        try:
-            return bool(self.sock.recv(1, UNREAD))
-        except OSError:
-            return False
+        return peek(self.sock) is Unread.BYTES
 
     def has_left(self) -> bool:
         """Whether the client has ended its side, seen or not; if so, nothing more is owed here. Hazard: the loop may
@@ -272,14 +269,19 @@
         if self.transport is None:
             return True
         if not self.transport.is_closing():  # else an answer could not be written, and the loop tells its end later
-            if self.ends is None:
-                self.ends = select.poll()
-                self.ends.register(self.sock, LEFT)
-            if not any(events & LEFT for _, events in self.ends.poll(0)):
+            unread = peek(self.sock)
+            if unread is Unread.NOTHING or (unread is Unread.BYTES and not self.has_left_behind_bytes()):
                 return False
         self.leave()
         return True
 
+    def has_left_behind_bytes(self) -> bool:
+        if self.ends is None:
+            self.ends = select.poll()
+            self.ends.register(self.sock, LEFT)
+        # hazard: a poll that a signal interrupts says nothing
+        return any(events & LEFT for _ in range(LOOKS) for _, events in self.ends.poll(0))
+
     def leave(self) -> None:
         """The client has ended its side."""
         self.lost()
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import sys
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 
 READ_BYTES = 64 << 10
 LAST_DATA_AT = 52  # of tcpi_last_data_recv in the kernel's struct tcp_info, in milliseconds
+UNREAD_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 PAUSE_S = 0.005  # before a call that failed for want of something is made again
 
 
@@ -30,6 +32,24 @@
     return 0
 
 
+class Unread(enum.Enum):
+    """What has come on a socket and has not been read."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "end"  # the other side's, or an error that ended the connection
+
+
+def peek(sock: socket.socket) -> Unread:
+    """Hazard: a poll that a signal interrupts says that nothing is there; a read is made again."""
+    try:
+        return Unread.BYTES if sock.recv(1, UNREAD_FLAGS) else Unread.END
+    except BlockingIOError:
+        return Unread.NOTHING
+    except OSError as error:
+        return Unread.NOTHING if severity(error) is Severity.EXHAUSTED else Unread.END
+
+
 class StreamUser(Protocol):
     """Who owns the connection."""
 
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import select
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -14,7 +13,7 @@
 
 from ironscale.interface import Outcome, UpstreamState
 from ironscale.net.server import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
-from ironscale.net.stream import Stream
+from ironscale.net.stream import Stream, Unread, peek
 
 if TYPE_CHECKING:
     from ironscale.net.discovery import Member
@@ -92,9 +91,6 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool = pool
         self.sock = sock
-        # what it polls for comes at once: bytes, their end, or a reset
-        self.incoming = select.poll()
-        self.incoming.register(sock, select.POLLIN)
         self.opened_us = self.idle_since_us = pool.upstreams.now_us()
         self.transport: Stream | None = None
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -117,7 +113,7 @@
     def is_stale(self) -> bool:
         """Whether the upstream has closed it or sent what nobody asked for, and the loop has not seen
         it yet. Hazard: a request written to it ends as a reset and may not be tried again."""
-        return bool(self.incoming.poll(0))
+        return peek(self.sock) is not Unread.NOTHING
 
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ironscale.net import errors
-from ironscale.net.stream import Stream
+from ironscale.net.stream import Stream, Unread, peek
 from tests.sockets import run, until
 
 PASSING = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
@@ -157,3 +157,18 @@
     assert errors.severity(OSError(errno.ENOTTY, "")) is errors.Severity.FATAL
     assert errors.severity(OSError("no number")) is errors.Severity.FATAL
     assert errors.passes(OSError(errno.EINTR, "")) and not errors.passes(ConnectionResetError(errno.ECONNRESET, ""))
+
+
+# Guards against an interrupted look that says "nothing is there" of a connection that has ended.
+def test_what_lies_unread_is_seen() -> None:
+    ours, other = pair()
+    with ours, other:
+        assert peek(ours) is Unread.NOTHING
+        other.send(b"x")
+        assert peek(ours) is Unread.BYTES and ours.recv(10) == b"x"
+        ours.script.append(errno.ENOMEM)
+        assert peek(ours) is Unread.NOTHING, "not known: the loop tells what there is"
+        other.close()
+        assert peek(ours) is Unread.END
+        ours.script.append(errno.ECONNRESET)
+        assert peek(ours) is Unread.END
