A request that is half written at its end never becomes whole at its upstream

Cause: only the first byte was guarded; a request's end did not reach what waits for room in its upstreams' connections. The end of a request withdraws them now, and tells the decisions that they never ran.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -509,6 +509,8 @@
             del self.by_txn[request.txn]
         if request.backstop is not None:
             request.backstop.cancel()
+        for attempt in request.attempts:
+            attempt.withdraw()
         self.forget(request)
 
     def forget(self, request: Request) -> None:
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -85,6 +85,15 @@
         self.end(outcome if written else Outcome.CONNECT_FAILED)
 
 
+    def withdraw(self) -> None:
+        """Nobody waits any more: what is not yet whole at its upstream never becomes so."""
+        connection = self.connection
+        if not self.ended and connection is not None and not connection.written:
+            self.connection = None
+            connection.drop()
+            self.end(Outcome.NOT_SENT)
+
+
 class Connection:
     """One connection to an upstream, carrying one attempt at a time."""
 
--- a/tests/ends/test_upstreams.py
+++ b/tests/ends/test_upstreams.py
@@ -8,12 +8,13 @@
 import pytest
 
 from ironscale.interface import ListKind, Outcome
+from ironscale.net.stream import Stream
 from ironscale.net.upstream import Attempt, Connection, Pool, Upstreams
 from ironscale.standins.discovery import listing
-from ironscale.standins.http import ok
+from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply, reset
 from tests.ends.test_clients import settled
-from tests.sockets import Scene, run, until
+from tests.sockets import Scene, ask, run, until
 from tests.test_upstream import GET, members, now_us
 
 
@@ -199,3 +200,45 @@
         assert told_us <= 8_000_000 - late_ns // 1000
 
     run(test)
+
+
+def hold_back(monkeypatch: pytest.MonkeyPatch) -> list[Stream]:
+    """Of what is written to upstreams the kernel takes ten bytes, until the test calls `send` on what this gives."""
+    held: list[Stream] = []
+    real = Stream.send
+
+    def send(stream: Stream) -> None:
+        if isinstance(stream.user, Connection) and stream not in held:
+            held.append(stream)
+            del stream.unsent[:stream.sock.send(stream.unsent[:10])]
+        else:
+            real(stream)
+
+    monkeypatch.setattr(Stream, "send", send)
+    return held
+
+
+# Guards against a request whose last byte reaches its upstream after its end, as the rest of it waited to be written.
+@pytest.mark.parametrize("end", ["its client leaves", "its time ends"])
+@pytest.mark.parametrize("lane", ["view", "pay", "mark"])
+def test_a_request_that_is_half_written_at_its_end_never_becomes_whole(
+        end: str, lane: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        held = hold_back(monkeypatch)
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        reader, writer = await ask(scene.port, scene.request(lane))
+        await until(lambda: held)
+        request = next(iter(scene.sidecar.requests.values()))
+        if end == "its client leaves":
+            writer.close()
+            await until(lambda: not scene.sidecar.by_txn)
+        else:
+            scene.sidecar.fail(request.ident)
+            assert (await read_message(reader)).status == 502
+            writer.close()
+        held[0].send()  # there is room now
+        await settled(scene, peer)
+        assert not peer.got and not scene.sidecar.requests
+
+    run(test)
