A connect that fails for want of something here is no fault of the upstream

Upstreams were rested, and requests of many refused, while connect() failed with EADDRNOTAVAIL or ENOBUFS, as the decisions heard that the upstream could not be reached. They hear that nothing was sent now, as where no socket could be made, and any error ends the attempt at once in place of holding its slot until its time-out. Before: 3 of 6 of test_a_connect_that_fails_says_whose_fault_it_is fail; now all pass.

--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -12,6 +12,7 @@
 import httptools
 
 from ironscale.interface import Outcome, UpstreamState
+from ironscale.net.errors import passes
 from ironscale.net.server import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
 from ironscale.net.stream import Stream, Unread, peek
 
@@ -341,23 +342,21 @@
     async def connect(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         address = self.member.address
+        sock = None
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:  # hazard: out of descriptors, the attempt would hold its slot until its time-out
-            self.upstreams.open -= 1
-            attempt.end(Outcome.NOT_SENT)
-            return
-        try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.upstreams.connect_s):
                 await loop.sock_connect(sock, address)
             connection = Connection(self, sock)
             connection.open()
-        except (OSError, TimeoutError, ValueError):  # the last for an address that is none
-            sock.close()
+        except Exception as error:  # hazard: the attempt would hold its slot until its time-out
+            if sock is not None:
+                sock.close()
             self.upstreams.open -= 1
-            attempt.end(Outcome.CONNECT_FAILED)
+            # what this machine lacks says nothing of the upstream
+            attempt.end(Outcome.NOT_SENT if passes(error) else Outcome.CONNECT_FAILED)
             return
         self.busy.add(connection)
         connection.retired = address != self.member.address
--- a/tests/ends/test_upstreams.py
+++ b/tests/ends/test_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -242,3 +243,29 @@
         assert not peer.got and not scene.sidecar.requests
 
     run(test)
+
+
+# Guards against an upstream that is blamed for what this machine lacks.
+@pytest.mark.parametrize(("number", "outcome"), [
+    (errno.EADDRNOTAVAIL, Outcome.NOT_SENT), (errno.ENOBUFS, Outcome.NOT_SENT), (errno.ENFILE, Outcome.NOT_SENT),
+    (errno.ECONNREFUSED, Outcome.CONNECT_FAILED), (errno.EHOSTUNREACH, Outcome.CONNECT_FAILED),
+    (errno.ENETUNREACH, Outcome.CONNECT_FAILED)])
+def test_a_connect_that_fails_says_whose_fault_it_is(
+        number: int, outcome: Outcome, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        upstreams = Upstreams(now_us, 15_000_000, 1_000_000, 10)
+        peer = await Peer().start()
+        upstreams.apply(members(peer.entry("s-1")), True)
+        ends: list[Outcome] = []
+
+        def connect(sock: socket.socket, address: object) -> None:
+            raise OSError(number, errno.errorcode[number])
+
+        monkeypatch.setattr(socket.socket, "connect", connect)
+        next(iter(upstreams.pools.values())).start(
+            Attempt(lambda: GET, lambda: True, lambda found, _: ends.append(found)))
+        await until(lambda: ends)
+        assert ends == [outcome] and upstreams.open == 0
+        upstreams.close()
+
+    run(test)
