One place says whether a request may be sent, answered or let go, and counts what was not allowed

Sends after the end, after the time or with too long a deadline and closes without an answer are counted and logged with the request's history; every test fails if one is counted in its process, and the plays with real processes look for them in the log. The reload test now wants that one line, with no violation, where it wanted silence.

--- /dev/null
+++ b/ironscale/net/lifecycle.py
@@ -0,0 +1,144 @@
+"""The life of one request: the one place that says whether it may be sent, answered or let go now.
+
+Each transition is noted with its reason; one that is not allowed is counted and logged with what came before it. The
+invariants are those of the service's rule on lost requests.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, deque
+from collections.abc import Callable
+
+SLACK_US = 150_000  # that the time told to an upstream may lie over what is left, and a send over its time
+MOST_NOTES = 2_000  # kept, the latest
+MOST_TOLD = 20  # notes of one request that a violation is logged with
+MOST_LOGGED = 50  # violations; more are only counted
+
+violations: deque[str] = deque(maxlen=MOST_NOTES)  # of all ledgers of this process, for tests
+
+
+class State(enum.Enum):
+    ACCEPTED = "accepted"  # read, and nothing of it sent
+    IN_FLIGHT = "in flight"
+    ANSWERED = "answered"
+    CANCELLED = "cancelled"  # its client has gone
+
+
+class Event(enum.Enum):
+    ACCEPTED = "accepted"
+    SENT = "sent"
+    RETRIED = "retried"
+    ATTEMPT_ENDED = "attempt ended"
+    ANSWERED = "answered"
+    CANCELLED = "cancelled"
+    CLOSED = "connection closed"
+
+
+class Invariant(enum.Enum):
+    """What must not happen."""
+
+    SENT_AFTER_END = "sent after its end"
+    SENT_TOO_LATE = "sent after its time"
+    TOLD_TOO_MUCH = "told more time than is left"
+    CLOSED_UNANSWERED = "closed with no answer"
+
+
+class Ledger:
+    """What a process has done with its requests and connections, and why."""
+
+    def __init__(self, now_us: Callable[[], int], log: Callable[[str], None]) -> None:
+        self.now_us, self.log = now_us, log
+        self.notes: deque[tuple[int, str, Event, str]] = deque(maxlen=MOST_NOTES)
+        self.counts: Counter[tuple[Event, str]] = Counter()
+        self.violations: Counter[Invariant] = Counter()
+
+    def note(self, event: Event, reason: str, request: str = "") -> None:
+        self.counts[event, reason] += 1
+        self.notes.append((self.now_us(), request, event, reason))
+
+    def violated(self, invariant: Invariant, request: str, detail: str) -> None:
+        self.violations[invariant] += 1
+        text = f"violation: request {request or '(unknown)'} {invariant.value}: {detail}"
+        violations.append(text)
+        if self.violations.total() <= MOST_LOGGED:
+            self.log("\n  ".join([text, *self.history(request)]))
+
+    def history(self, request: str) -> list[str]:
+        """The latest notes on one request, with milliseconds before now."""
+        now_us = self.now_us()
+        found = [f"{(at_us - now_us) / 1000:+.1f} ms {event.value}: {reason}"
+                 for at_us, about, event, reason in self.notes if about == request]
+        return found[-MOST_TOLD:]
+
+    def summary(self) -> str:
+        """All counts on one line."""
+        named = {f"{event.value} ({reason})" if reason else event.value: count
+                 for (event, reason), count in self.counts.items()}
+        counts = [f"{name} {named[name]}" for name in sorted(named)]
+        return f"{'; '.join(counts) or 'no request'}; violations {self.violations.total()}"
+
+
+class Lifecycle:
+    """One request, from its last byte read to its answer or its client's end."""
+
+    __slots__ = ("attempts", "due_us", "last", "ledger", "request", "state")
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+        self.state = State.ACCEPTED
+        self.request = ""
+        self.due_us: int | None = None  # its client waits until then
+        self.attempts = 0
+        self.last = ""  # how its latest attempt ended
+
+    @property
+    def is_over(self) -> bool:
+        return self.state is State.ANSWERED or self.state is State.CANCELLED
+
+    def begin(self, request: str, due_us: int) -> None:
+        self.request, self.due_us = request, due_us
+        self.ledger.note(Event.ACCEPTED, "", request)
+
+    def may_send(self, now_us: int, until_us: int, has_left: Callable[[], bool]) -> bool:
+        """Whether its first or a further attempt may begin now; `has_left` looks for its client's end."""
+        return not self.is_over and now_us < until_us and not has_left()
+
+    def sent(self, told_us: int) -> None:
+        """An attempt begins now, and tells its upstream so much time."""
+        now_us = self.ledger.now_us()
+        if self.is_over:
+            self.ledger.violated(Invariant.SENT_AFTER_END, self.request, self.state.value)
+        if self.due_us is not None and now_us > self.due_us + SLACK_US:
+            self.ledger.violated(Invariant.SENT_TOO_LATE, self.request, f"by {now_us - self.due_us} us")
+        if self.due_us is not None and told_us > max(0, self.due_us - now_us) + SLACK_US:
+            self.ledger.violated(Invariant.TOLD_TOO_MUCH, self.request, f"{told_us} of {self.due_us - now_us} us")
+        self.ledger.note(Event.RETRIED if self.attempts else Event.SENT, self.last, self.request)
+        self.attempts += 1
+        if not self.is_over:
+            self.state = State.IN_FLIGHT
+
+    def attempt_ended(self, outcome: str) -> None:
+        self.last = outcome
+        self.ledger.note(Event.ATTEMPT_ENDED, outcome, self.request)
+
+    def answer(self, status: int) -> bool:
+        """Whether this is its one answer."""
+        if self.is_over:
+            return False
+        self.state = State.ANSWERED
+        self.ledger.note(Event.ANSWERED, str(status), self.request)
+        return True
+
+    def cancel(self, reason: str) -> bool:
+        """Its client has gone; whether it was still owed something."""
+        if self.is_over:
+            return False
+        self.state = State.CANCELLED
+        self.ledger.note(Event.CANCELLED, reason, self.request)
+        return True
+
+    def connection_closed(self, reason: str) -> None:
+        """This side closes its connection now."""
+        if not self.is_over:
+            self.ledger.violated(Invariant.CLOSED_UNANSWERED, self.request, reason)
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -19,6 +19,7 @@
 
 from ironscale import logs
 from ironscale.net.errors import Severity, severity
+from ironscale.net.lifecycle import Event, Ledger, Lifecycle
 from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_BODY = 64 << 10
@@ -75,7 +76,7 @@
         self.body = body
         self.keep_alive = keep_alive
         self.arrived_us = arrived_us
-        self.closed = False  # answered, or the client has gone
+        self.lifecycle = Lifecycle(connection.server.ledger)
         self.has_left = connection.has_left
         self.fields: dict[bytes, bytes] = {}
         for name, value in headers:
@@ -87,8 +88,7 @@
         return self.fields.get(name, b"").decode("latin-1")
 
     def answer(self, status: int, headers: Iterable[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
-        if not self.closed:
-            self.closed = True
+        if self.lifecycle.answer(status):
             self.connection.answer(self, status, headers, body)
 
 
@@ -237,7 +237,7 @@
         self.answered_us = self.server.now_us()
         self.current = None
         if self.transport.get_write_buffer_size() > MOST_UNREAD:  # hazard: who sends ahead and reads no answer
-            self.lost()
+            self.lost("answers unread")
             self.transport.abort()
         elif self.waiting:
             asyncio.get_running_loop().call_soon(self.next)
@@ -284,11 +284,11 @@
 
     def leave(self) -> None:
         """The client has ended its side."""
-        self.lost()
+        self.lost("client left")
         if self.transport is not None:
             self.transport.close()
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """No request is open on it. One that has begun is told so; one that has come and is not read yet, or a part of
         it, goes on. Hazard: what is closed over unread bytes is reset, and takes a whole request for half of one."""
         if not self.final and (self.transport is None or self.has_unread()):
@@ -296,6 +296,7 @@
         self.final = True
         if self.transport is None:
             return
+        self.server.ledger.note(Event.CLOSED, reason)
         if self.transport.is_closing():
             # hazard: who never reads its answer would hold the descriptor, but one that still leaves is owed
             unsent = self.transport.get_write_buffer_size() > 0
@@ -316,21 +317,25 @@
         return self.current is not None or bool(self.waiting)
 
     def eof_received(self) -> None:
-        self.lost()
+        self.lost("client left")
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.lost()
+        is_peers = exc is None or (isinstance(exc, OSError) and severity(exc) is not Severity.FATAL)
+        self.lost(f"connection ended: {exc}" if exc is not None else "client left", is_ours=not is_peers)
         self.transport = None
         self.parser = None  # each refers to the other: only the collector would free them
         self.server.lost(self)
 
-    def lost(self) -> None:
+    def lost(self, reason: str, is_ours: bool = False) -> None:
+        """Nothing is owed on it any more; `is_ours`: as this side has failed."""
         self.final = True
         self.unparsed = b""
         exchange, self.current = self.current, None
+        for one in [*self.waiting, *([exchange] if exchange is not None else [])]:
+            if is_ours:
+                one.lifecycle.connection_closed(reason)
         self.waiting.clear()
-        if exchange is not None and not exchange.closed:
-            exchange.closed = True
+        if exchange is not None and exchange.lifecycle.cancel(reason):
             self.server.application.on_client_gone(exchange)
 
 
@@ -361,8 +366,10 @@
 class Server:
     """Listens, and knows the clients' connections."""
 
-    def __init__(self, application: Application, most: int, now_us: Callable[[], int]) -> None:
+    def __init__(self, application: Application, most: int, now_us: Callable[[], int],
+                 ledger: Ledger | None = None) -> None:
         self.application = application
+        self.ledger = ledger or Ledger(now_us, logs.line)
         self.most = most  # connections
         self.now_us = now_us
         self.loop = asyncio.get_running_loop()
@@ -452,6 +459,7 @@
                 if now_us - oldest.since_us < least_s * 1e6:
                     break
                 if oldest.transport is not None and oldest.can_be_cut():
+                    self.ledger.note(Event.CLOSED, "room")
                     oldest.transport.abort()
                     self.lost(oldest)
                     return True
@@ -489,12 +497,12 @@
         logs.flush()
         now_us = self.now_us()
         longest_s = LEAST_IDLE_S if self.has_many_idle() else LONGEST_IDLE_S
-        for connections, most_s in ((self.silent, SILENCE_S), (self.idle, longest_s)):
+        for connections, most_s, reason in ((self.silent, SILENCE_S, "silent"), (self.idle, longest_s, "idle")):
             for connection in list(connections):
                 if now_us - connection.since_us < most_s * 1e6:
                     break
                 del connections[connection]
-                connection.close()
+                connection.close(reason)
                 self.settle(connection)
         self.accept_again()
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
@@ -528,7 +536,7 @@
         quiet = [c for c in self.silent if not c.asked and not c.reading and c.since_us <= latest_us]
         for connection in [*self.idle, *quiet]:
             if not connection.final:
-                connection.close()
+                connection.close("shutdown")
                 self.settle(connection)
 
     def close_listener(self) -> bool:
@@ -622,8 +630,11 @@
         while self.connections and self.now_us() - start_us < (end_s + LAST_S) * 1e6:
             for connection in list(self.connections):
                 if not connection.is_busy() and not (connection.final and connection.transport is not None):
-                    connection.close()
+                    connection.close("shutdown")
             await asyncio.sleep(0.005)
+        for connection in self.connections:
+            if connection.current is not None:
+                connection.current.lifecycle.connection_closed("the process ends")
         for timer in (self.sweeper, self.looker):
             if timer is not None:
                 timer.cancel()
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -25,6 +25,7 @@
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.errors import passes
 from ironscale.net.lane import Front, Lane
+from ironscale.net.lifecycle import Ledger
 from ironscale.net.server import HOP_BY_HOP, Exchange, Headers, Server
 from ironscale.net.starts import StartTimes
 from ironscale.net.upstream import Answer, Attempt, Upstreams
@@ -162,7 +163,7 @@
         self.given: Answer | None = None  # an upstream's answer that waits for what follows
 
     def is_open(self) -> bool:
-        return not self.exchange.closed
+        return not self.exchange.lifecycle.is_over
 
 
 @lru_cache(1024)  # most requests of a class say the same; 2 us else
@@ -222,7 +223,8 @@
         super().__init__(Balancer(settings, config.seed, self.clock.now_us()), self.clock.now_us)
         half = connections_each(config.sockets)
         self.upstreams = Upstreams(self.clock.now_us, config.idle_us, settings.connect_timeout_us, half)
-        self.server = Server(self, half, self.clock.now_us)
+        self.ledger = Ledger(self.clock.now_us, self.log)
+        self.server = Server(self, half, self.clock.now_us, self.ledger)
         self.discovery = Discovery(config.discovery, config.directory, config.known.generation, self.on_list,
                                    config.answer_us / 1e6, self.log, self.balancer.list_turn_us() > 0, config.seed)
         self.requests: dict[int, Request] = {}
@@ -305,6 +307,7 @@
         longest_s = max(c.deadline_us for c in self.config.settings.classes) / 1e6
         end_s = STOP_END_S + min(longest_s, STOP_DEADLINE_S)
         await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, end_s, self.answer_all)
+        self.log(f"ended: {self.ledger.summary()}")
         self.clock_watch.cancel()
         self.discovery.close()
         self.upstreams.close()
@@ -339,6 +342,7 @@
             exchange.keep_alive = False
             exchange.answer(400)
             return
+        exchange.lifecycle.begin(txn, exchange.arrived_us + remaining_us)
         ident = self.next_request
         self.next_request += 1
         # hazard: counted from later, a request that waited behind another would be answered too late
@@ -403,6 +407,7 @@
         if timer is not None:
             timer.cancel()
         request.out -= 1
+        request.exchange.lifecycle.attempt_ended(outcome.value)
         self.forget(request)
         onward = None
         if outcome is api.Outcome.OK and answer is not None and request.is_open() and request.lane is self:
@@ -482,12 +487,17 @@
 
     def is_wanted(self, request: Request, until_us: int) -> bool:
         """Asked just before the first byte of an attempt leaves, which may be long after it was decided."""
-        return self.is_open(request.ident) and self.clock.now_us() < until_us and not request.exchange.has_left()
+        exchange = request.exchange
+        return (self.is_open(request.ident)
+                and exchange.lifecycle.may_send(self.clock.now_us(), until_us, exchange.has_left))
 
     def payload(self, exchange: Exchange, give_up_us: int) -> bytes:
+        """What is written now, as an attempt begins."""
+        told_us = max(0, give_up_us - self.clock.now_us())
+        exchange.lifecycle.sent(told_us)
         parts = [b"%s %s HTTP/1.1\r\n" % (exchange.method, exchange.target)]
         parts += [b"%s: %s\r\n" % h for h in exchange.headers if h[0] not in NOT_PASSED]
-        parts.append(b"x-remaining: %du\r\n" % max(0, give_up_us - self.clock.now_us()))
+        parts.append(b"x-remaining: %du\r\n" % told_us)
         if exchange.body or exchange.method not in (b"GET", b"HEAD"):
             parts.append(b"content-length: %d\r\n" % len(exchange.body))
         parts.append(b"\r\n")
--- a/ironscale/record/lane.py
+++ b/ironscale/record/lane.py
@@ -99,18 +99,23 @@
         now_us = self.now_us()
         number = self.numbers.get(action.request, 0)
         request = self.host.requests.get(action.request)
-        if request is None or not self.is_open(action.request) or request.exchange.has_left():
+        if request is None or not self.is_open(action.request) or not self.may_write(request):
             self.post(api.AttemptEnded(action.request, number, action.upstream, api.Outcome.NOT_SENT))
             return
         self.numbers[action.request] = number + 1
         left_us = request.due_us - now_us
         timeout_us = min(action.timeout_us or left_us, left_us)
+        request.exchange.lifecycle.sent(max(0, timeout_us))
         out = self.out[action.request, number] = Out(number, action.upstream, now_us)
         request.out += 1
         due = self.recorder.loop.time() + timeout_us / 1e6
         out.timer = self.host.at(now_us + max(0, timeout_us), partial(self.give_up, out, api.Outcome.TIMEOUT))
         out.handle = self.recorder.write(self.entry(request), due, partial(self.on_told, request, out))
 
+    def may_write(self, request: Request) -> bool:
+        exchange = request.exchange
+        return exchange.lifecycle.may_send(self.now_us(), request.due_us, exchange.has_left)
+
     def entry(self, request: Request) -> model.Entry:
         exchange, kind = request.exchange, self.host.config.settings.classes[request.index]
         tenant, key = exchange.header(b"x-org"), exchange.header(b"idempotency-key")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterator
 
 import pytest
 
+from ironscale.net import lifecycle
 from tests import known_red
 
 # Seconds by the end of a test's id, as measured on 8 cores; what is not named is short.
@@ -14,6 +16,14 @@
         "one_winner_each_round", "ctrl_c_in_the_middle_leaves_no_process")
 
 
+@pytest.fixture(autouse=True)
+def no_invariant_is_violated() -> Iterator[None]:
+    """What the lifecycle of a request counts as a violation fails the test, unless that clears it."""
+    lifecycle.violations.clear()
+    yield
+    assert not lifecycle.violations
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for entry in known_red.read():
         terminalreporter.write_line(f"known failure, not run: {entry.test} (issue {entry.issue}): {entry.seen}")
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -26,7 +26,7 @@
 
 async def close_idle_and_silent(own: module.Server) -> None:
     for one in list(own.connections):
-        one.close()
+        one.close("a test")
 
 
 def closes(client: socket.socket) -> None:
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -36,6 +36,7 @@
 def check(site: Site, served: int = 1) -> None:
     assert not site.ledger.violations(), (site.ledger.violations()[:5], site.ledger.results(),
                                           [one.log()[-1500:] for one in site.sidecars])
+    assert not [one for one in site.sidecars if "violation:" in one.log()], [one.log()[-3000:] for one in site.sidecars]
     assert site.ledger.results()["200"] >= served, site.ledger.results()
 
 
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,111 @@
+"""What may not happen to a request is counted, logged with what came before, and seen by the tests."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironscale.net import lifecycle as module
+from ironscale.net.lifecycle import MOST_LOGGED, SLACK_US, Event, Invariant, Ledger, Lifecycle, State
+from ironscale.standins.upstream import Peer
+from tests.sockets import Scene, run, until
+
+
+class Clock:
+    now_us = 1_000_000
+
+
+class Case:
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+        self.clock = Clock()
+        self.ledger = Ledger(lambda: self.clock.now_us, self.lines.append)
+        self.life = Lifecycle(self.ledger)
+        self.life.begin("t1", 2_000_000)
+
+    def found(self) -> dict[Invariant, int]:
+        module.violations.clear()  # they are what is tested
+        return dict(self.ledger.violations)
+
+
+def test_a_request_that_is_answered_once_violates_nothing() -> None:
+    case = Case()
+    life = case.life
+    assert life.may_send(case.clock.now_us, 2_000_000, lambda: False)
+    life.sent(1_000_000)
+    life.attempt_ended("reset")
+    life.sent(1_000_000 + SLACK_US)
+    life.attempt_ended("ok")
+    assert life.state is State.IN_FLIGHT
+    assert life.answer(200) and not life.answer(502) and not life.cancel("client left")
+    assert not life.may_send(case.clock.now_us, 2_000_000, lambda: False)
+    life.connection_closed("idle")
+    assert case.found() == {}
+    assert case.ledger.summary() == ("accepted 1; answered (200) 1; attempt ended (ok) 1; attempt ended (reset) 1; "
+                                     "retried (reset) 1; sent 1; violations 0")
+
+
+def test_nothing_may_be_sent_late_or_for_who_has_left() -> None:
+    case = Case()
+    assert not case.life.may_send(2_000_000, 2_000_000, lambda: False)
+    assert not case.life.may_send(case.clock.now_us, 2_000_000, lambda: True)
+    assert case.life.cancel("client left") and not case.life.may_send(case.clock.now_us, 2_000_000, lambda: False)
+
+
+@pytest.mark.parametrize("invariant", [Invariant.SENT_AFTER_END, Invariant.SENT_TOO_LATE, Invariant.TOLD_TOO_MUCH,
+                                       Invariant.CLOSED_UNANSWERED])
+def test_each_violation_is_counted_and_logged_with_its_history(invariant: Invariant) -> None:
+    case = Case()
+    match invariant:
+        case Invariant.SENT_AFTER_END:
+            case.life.cancel("client left")
+            case.life.sent(0)
+        case Invariant.SENT_TOO_LATE:
+            case.clock.now_us = 2_000_001 + SLACK_US
+            case.life.sent(0)
+        case Invariant.TOLD_TOO_MUCH:
+            case.life.sent(1_000_001 + SLACK_US)
+        case _:
+            case.life.connection_closed("idle")
+    assert case.found() == {invariant: 1}
+    assert f"request t1 {invariant.value}" in case.lines[0] and "ms accepted" in case.lines[0]
+
+
+def test_many_violations_are_counted_and_not_all_logged() -> None:
+    case = Case()
+    for _ in range(10 * MOST_LOGGED):
+        case.life.connection_closed("idle")
+    assert case.found() == {Invariant.CLOSED_UNANSWERED: 10 * MOST_LOGGED} and len(case.lines) == MOST_LOGGED
+
+
+# Guards against a check that no path passes: a fault put into the program is seen by it.
+def test_a_send_after_the_answer_is_seen_on_the_data_path() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        sidecar = scene.sidecar
+        real = sidecar.send
+
+        def late(action: object) -> None:
+            request = next(iter(sidecar.requests.values()))
+            request.exchange.answer(502)
+            real(action)  # type: ignore[arg-type]
+
+        sidecar.is_wanted = lambda request, until_us: True  # type: ignore[method-assign]
+        sidecar.send = late  # type: ignore[method-assign]
+        assert (await scene.call()).status == 502
+        await until(lambda: sidecar.ledger.violations)
+        assert dict(sidecar.ledger.violations) == {Invariant.SENT_AFTER_END: 1}
+        module.violations.clear()
+
+    run(test)
+
+
+def test_closes_are_counted_by_their_reason() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        assert (await scene.call()).status == 200
+        await until(lambda: not scene.sidecar.server.connections)
+        assert scene.sidecar.ledger.counts[Event.ANSWERED, "200"] == 1
+
+    run(test)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -786,6 +786,8 @@
         program.process.send_signal(signal.SIGHUP)
         assert await program.process.wait() == 0
         assert f"discovery is at 127.0.0.1:{new.port}" in await program.log_line()
+        ended = await program.log_line()
+        assert ended.startswith("n0: ended: accepted ") and ended.rstrip().endswith("; violations 0")
         assert await program.log_line() == ""
 
     run(test)
