A connection to an upstream needs no thread: none to be had no longer ends the process

Cause, by a backtrace from abort(): the event loop's sock_connect calls getaddrinfo for numeric addresses too, in a thread pool that calls abort() where pthread_create fails (EAGAIN). The sidecar connects by itself now (net/dialing.py): a non-blocking connect, a wait for room to write, SO_ERROR; only a name is looked up.

--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -12,6 +12,7 @@
 import httptools
 
 from ironscale.interface import Outcome, UpstreamState
+from ironscale.net import dialing
 from ironscale.net.errors import passes
 from ironscale.net.server import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
 from ironscale.net.stream import Stream, Unread, peek
@@ -340,7 +341,6 @@
         return self.upstreams.now_us() - connection.idle_since_us >= self.upstreams.idle_us
 
     async def connect(self, attempt: Attempt) -> None:
-        loop = asyncio.get_running_loop()
         address = self.member.address
         sock = None
         try:
@@ -348,7 +348,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.upstreams.connect_s):
-                await loop.sock_connect(sock, address)
+                await dialing.connect(sock, address)
             connection = Connection(self, sock)
             connection.open()
         except Exception as error:  # hazard: the attempt would hold its slot until its time-out
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -24,7 +24,7 @@
     assert done.stdout.split() == [
         "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.crowd", "ironscale.interface",
         "ironscale.logs", "ironscale.net",
-        "ironscale.net.config", "ironscale.net.discovery", "ironscale.net.errors",
+        "ironscale.net.config", "ironscale.net.dialing", "ironscale.net.discovery", "ironscale.net.errors",
         "ironscale.net.jsonstream", "ironscale.net.lane", "ironscale.net.lifecycle",
         "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.starts",
         "ironscale.net.stream", "ironscale.net.turns",
--- a/tests/ends/test_upstreams.py
+++ b/tests/ends/test_upstreams.py
@@ -258,10 +258,7 @@
         upstreams.apply(members(peer.entry("s-1")), True)
         ends: list[Outcome] = []
 
-        def connect(sock: socket.socket, address: object) -> None:
-            raise OSError(number, errno.errorcode[number])
-
-        monkeypatch.setattr(socket.socket, "connect", connect)
+        monkeypatch.setattr(socket.socket, "connect_ex", lambda sock, address: number)
         next(iter(upstreams.pools.values())).start(
             Attempt(lambda: GET, lambda: True, lambda found, _: ends.append(found)))
         await until(lambda: ends)
