An event loop that cannot be run or closed is no bad end of the process

Processes ended with status 1 after their last answer, and starts with a RuntimeError, as the loop's own socketpair could not be opened: the runner's tear-down runs the loop again. A loop that cannot run is a start that failed, to be tried again; at the end what fails of the tear-down is said and changes nothing.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -10,6 +10,7 @@
 
 import asyncio  # noqa: E402
 import contextlib  # noqa: E402
+import inspect  # noqa: E402
 import logging  # noqa: E402
 import os  # noqa: E402
 import sys  # noqa: E402
@@ -49,12 +50,32 @@
     """One sidecar, from its start to its end. Raises StartFailed as long as it has taken nothing."""
     try:
         beside, reuse_port = operated(environ)
-        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
-        runner.get_loop()
+        loop = uvloop.new_event_loop()
     except (ConfigError, OSError) as error:
         raise StartFailed from error
-    with runner:
-        runner.run(serve(environ, beside, reuse_port))
+    serving = serve(environ, beside, reuse_port)
+    try:
+        loop.run_until_complete(serving)
+    except OSError as error:
+        if inspect.getcoroutinestate(serving) != inspect.CORO_CREATED:
+            raise
+        raise StartFailed from error  # the loop could not run
+    finally:
+        tear_down(loop)
+        serving.close()
+
+
+def tear_down(loop: asyncio.AbstractEventLoop) -> None:
+    """Cancels what is left. Nothing is owed any more: what fails here is said and changes nothing."""
+    left = asyncio.all_tasks(loop)
+    for task in left:
+        task.cancel()
+    try:
+        if left:
+            loop.run_until_complete(asyncio.wait(left))
+        loop.close()
+    except (OSError, RuntimeError) as error:
+        logs.line(f"ironscale: the event loop could not be closed: {error}")
 
 
 def said(error: BaseException) -> int:
