A signal is heard though the byte that tells the event loop of it is lost

A SIGTERM could go unheard, so that SIGKILL ended a process in service, or a SIGHUP: the event loop learns of signals by a byte on a socket, and one that cannot be written (ENOBUFS, ENOMEM) is dropped. Before: test_signals_are_heard_while_the_loop_s_own_calls_fail[no write] fails (it still runs at its SIGKILL).

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -41,6 +41,7 @@
 STOP_END_S, STOP_DEADLINE_S = 0.62, 3.0
 RELOAD_AGAIN_S = 0.1
 CLOCK_LOOK_S = 0.5
+ENDING = (signal.SIGTERM, signal.SIGINT)
 UPSTREAM = re.compile(r"\bupstream (\d+)")
 REMAINING = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
 UNITS_US = {"m": 1000.0, "u": 1.0}
@@ -563,6 +564,14 @@
 Beside = Callable[[Sidecar, Callable[[], None]], AbstractAsyncContextManager[None]]
 
 
+def on_signal(number: int, act: Callable[[], None]) -> None:
+    """`act` runs on the loop. Hazard: the loop's own handlers learn of a signal by a byte that is written to a socket,
+    and one that cannot be written is lost; an interpreter's handler runs at the next step of the program all the same,
+    and the sweep takes one every 0.2 s."""
+    loop = asyncio.get_running_loop()
+    signal.signal(number, lambda *_: loop.call_soon(act))
+
+
 class StartFailed(Exception):
     """Nothing has been taken yet; the cause says what failed."""
 
@@ -570,26 +579,25 @@
 async def serve(environ: Mapping[str, str], beside: Beside | None = None,
                 reuse_port: bool = False) -> None:
     """One sidecar from its start to its end by a signal, or by `beside`. Raises StartFailed until it listens."""
-    loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
-    try:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopped.set)
-    except OSError as error:
-        raise StartFailed from error
     running: list[Sidecar] = []
 
     def reload() -> None:
         for one in running:
             one.reload(environ)
 
+    for number in ENDING:
+        on_signal(number, stopped.set)
+    # hazard: the file that is read next may be replaced as it is being read, and nobody would hear of it
+    on_signal(signal.SIGHUP, reload)
     try:
-        # hazard: the file that is read next may be replaced as it is being read, and nobody would hear of it
-        loop.add_signal_handler(signal.SIGHUP, reload)
         sidecar = Sidecar(load(environ), environ)
         running.append(sidecar)
         await sidecar.start(reuse_port)
     except (OSError, ConfigError) as error:
+        for number in ENDING:
+            signal.signal(number, signal.SIG_DFL)  # between two starts there is nothing to lose
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         raise StartFailed from error
     gc.collect()
     gc.freeze()  # what is here stays: the collector need not walk it again
@@ -597,3 +605,5 @@
     async with beside(sidecar, stopped.set) if beside is not None else nullcontext():
         await stopped.wait()
         await sidecar.stop()
+    for number in (*ENDING, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)  # it ends well, however often it is told to
--- /dev/null
+++ b/tests/faults/test_signals.py
@@ -0,0 +1,57 @@
+"""Signals are heard, and ends are good ends, though calls of the event loop itself fail."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.faults.shim import Fault
+from tests.faults.site import Site, always, load
+from tests.faults.test_calls import check, ends_well, play
+
+
+# Guards against a SIGTERM that is lost with the byte that tells the loop of it, so that SIGKILL ends the service.
+@pytest.mark.parametrize("faults", [(Fault.WRITE_ERROR,), (Fault.READ_ERROR,), (Fault.SOCKET, Fault.BIND)],
+                         ids=["no write", "no read", "no socket"])
+def test_signals_are_heard_while_the_loop_s_own_calls_fail(faults: tuple[Fault, ...], tmp_path: Path) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await site.serving()
+        await load(sidecar.clients, 0.2)
+        sidecar.shim.set(always(*faults))
+        sidecar.signal(signal.SIGHUP)
+        sidecar.signal(signal.SIGTERM)
+        await asyncio.sleep(0.6)
+        sidecar.shim.set({})
+        assert await sidecar.ended(site.deadline_s + 0.7) == 0, sidecar.log()[-2000:]
+        check(site)
+
+    play(tmp_path, test)
+
+
+# Guards against a process that ends by an error, after its last answer, as the loop can't be closed.
+def test_an_end_at_which_nothing_can_be_opened_is_a_good_one(tmp_path: Path) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await site.serving()
+        await load(sidecar.clients, 0.2)
+        sidecar.shim.set(always(Fault.SOCKET, Fault.THREAD, Fault.FILE_OPEN, Fault.DISK_WRITE))
+        sidecar.signal(signal.SIGTERM)
+        assert await sidecar.ended(site.deadline_s + 1.5) == 0, sidecar.log()[-2000:]
+        check(site)
+
+    play(tmp_path, test)
+
+
+# Guards against a process that is ended by its event loop as no thread can be begun for a look-up of an address.
+def test_connections_come_up_though_no_thread_can_be_begun(tmp_path: Path) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await site.serving()
+        sidecar.shim.set(always(Fault.THREAD))
+        await load(sidecar.clients, 1.0)
+        assert sidecar.code() is None, sidecar.log()[-2000:]
+        check(site, 20)
+        await ends_well(sidecar)
+
+    play(tmp_path, test)
