Periodic jobs and subsystems outlast their own errors

They run as net/periodic.py's jobs now. A subsystem beside the sidecar that failed went unsaid until its await at the end, which then ended the process with status 1 after its last answer; now it is logged at once.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -20,6 +20,7 @@
 from ironscale import logs
 from ironscale.net.errors import Severity, severity
 from ironscale.net.lifecycle import Event, Ledger, Lifecycle
+from ironscale.net.periodic import Periodic
 from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_BODY = 64 << 10
@@ -383,10 +384,10 @@
         self.listener: socket.socket | None = None
         self.reuse_port = False
         self.probe: tuple[str, int] | None = None  # a connection of our own, until it has come out of the queue
-        self.sweeper: asyncio.TimerHandle | None = None
+        self.sweeper: Periodic | None = None
         self.paused: dict[int, ClientConnection] = {}  # by descriptor: the loop reads nothing of them, nor their end
         self.ends = select.poll()  # of all these: one call for a thousand of them takes what thirty for one each do
-        self.looker: asyncio.TimerHandle | None = None  # while there are any
+        self.looker: Periodic | None = None  # while there are any
 
     async def listen(self, address: tuple[str, int], reuse_port: bool = False) -> int:
         self.listener = listener = socket.create_server(address, backlog=1024, reuse_port=reuse_port)
@@ -394,7 +395,7 @@
         listener.setblocking(False)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what it accepts inherits it
         self.loop.add_reader(listener, self.accept)
-        self.sweep()
+        self.sweeper = Periodic(SWEEP_S, self.sweep)
         port: int = listener.getsockname()[1]
         return port
 
@@ -499,7 +500,6 @@
                 connection.close(reason)
                 self.settle(connection)
         self.accept_again()
-        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
 
     def watch(self, connection: ClientConnection) -> None:
         """Its reading has been paused: from now on its end is looked for here."""
@@ -507,7 +507,7 @@
             self.paused[connection.descriptor] = connection
             self.ends.register(connection.descriptor, LEFT)
             if self.looker is None:
-                self.looker = self.loop.call_later(LOOK_S, self.look)
+                self.looker = Periodic(LOOK_S, self.look)
 
     def unwatch(self, connection: ClientConnection) -> None:
         if self.paused.get(connection.descriptor) is connection:
@@ -516,13 +516,13 @@
 
     def look(self) -> None:
         """Those whose end has come, behind whatever lies unread, have gone: their requests hold nothing any more."""
-        if self.looker is not None:
-            self.looker.cancel()
         for descriptor, _ in self.ends.poll(0):
             connection = self.paused[descriptor]
             self.unwatch(connection)
             connection.leave()
-        self.looker = self.loop.call_later(LOOK_S, self.look) if self.paused else None
+        if not self.paused and self.looker is not None:
+            self.looker.cancel()
+            self.looker = None
 
     def close_idle(self) -> None:
         latest_us = self.now_us() - int(LEAST_SILENCE_S * 1e6)
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -26,6 +26,7 @@
 from ironscale.net.errors import passes
 from ironscale.net.lane import Front, Lane
 from ironscale.net.lifecycle import Ledger
+from ironscale.net.periodic import Periodic
 from ironscale.net.server import HOP_BY_HOP, Exchange, Headers, Server
 from ironscale.net.starts import StartTimes
 from ironscale.net.upstream import Answer, Attempt, Upstreams
@@ -217,7 +218,7 @@
         self.clock = Clock()
         self.timers = Timers(self.clock)
         self.starts = StartTimes(wall_us, self.clock.now_us)
-        self.clock_watch = self.loop.call_later(CLOCK_LOOK_S, self.watch_clock)
+        self.clock_watch = Periodic(CLOCK_LOOK_S, self.watch_clock)
         settings = config.settings
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.tenants = {t.name: i for i, t in enumerate(settings.tenants)}
@@ -317,7 +318,6 @@
         """Hazard: of two steps between two lists none would be seen."""
         if self.starts.look():
             self.log(f"the wall clock is {self.starts.ahead_us[-1] / 1e6:+.1f} s off its course since the start")
-        self.clock_watch = self.loop.call_later(CLOCK_LOOK_S, self.watch_clock)
 
     def answer_all(self) -> None:
         """The process ends: each open request has its one answer now, and so has what comes yet."""
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -14,6 +14,7 @@
 from ironscale.interface import Outcome, UpstreamState
 from ironscale.net import dialing
 from ironscale.net.errors import passes
+from ironscale.net.periodic import Periodic
 from ironscale.net.server import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
 from ironscale.net.stream import Stream, Unread, peek
 
@@ -399,7 +400,7 @@
         self.idle: dict[Connection, None] = {}  # of all pools, the longest idle first
         self.ages = Ages()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        self.sweeper = Periodic(SWEEP_S, self.sweep)
 
     def set_times(self, idle_us: int, connect_us: int) -> None:
         self.idle_us = int(idle_us * IDLE_SHARE)
@@ -458,7 +459,6 @@
         for pool in self.pools.values():
             pool.sweep()
         self.ages.fade()
-        self.sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def close(self) -> None:
         self.sweeper.cancel()
--- a/ironscale/record/beside.py
+++ b/ironscale/record/beside.py
@@ -59,7 +59,11 @@
         async def take_over() -> None:
             while True:
                 await asyncio.sleep(TAKE_OVER_S)
-                found = await journal.take_over()
+                try:
+                    found = await journal.take_over()
+                except Exception as error:  # hazard: what a former process left open would never be found out
+                    sidecar.log(f"{stores.journal}: {type(error).__name__}: {error}; looked at again later")
+                    continue
                 for recorder in recorders:
                     recorder.resume(found)
 
