A store's log is never removed with what it holds, and a read-only file is no connection

Records that clients had been answered for were gone after a restart, or the file was malformed, after writes and opens had failed for a moment; or the store refused every write until the process ended. Now a connection keeps the log (SQLITE_FCNTL_PERSIST_WAL) unless it ends well and may write; one that could only be opened for reading is none; the copier's connection lasts for one copy.

--- a/ironscale/agent/postgres.py
+++ b/ironscale/agent/postgres.py
@@ -29,6 +29,7 @@
 from ironscale.record.postgres import Access, is_stale, settings_of
 from ironscale.record.sql import NOW_MS, bring_up
 from ironscale.record.worker import Done, Job, Worker, fated
+from ironscale.threads import begin
 
 NOW = NOW_MS["postgresql"]
 LEASE_MS = 10_000  # a holder that was not heard for so long may be followed by another
@@ -61,7 +62,7 @@
         self.ending = False
         self.cuts = 0
         self.thread = threading.Thread(target=self._run, name="record-watch", daemon=True)
-        self.thread.start()
+        begin(self.thread)
 
     @contextlib.contextmanager
     def over(self, connection: psycopg.Connection[Any], limit_s: float) -> Iterator[None]:
--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import contextlib
+import ctypes
 import os
 import threading
 import time
@@ -17,6 +18,7 @@
 from ironscale.record.errors import Step, sqlite_cause, sqlite_knowledge
 from ironscale.record.model import Cause, Knowledge, Trouble
 from ironscale.record.worker import MOST_QUEUED, Done, Job, Worker, fated
+from ironscale.threads import begin
 
 T = TypeVar("T")
 BUSY_MS = 250  # another process writes: so long at a time, then it is told; who asked may ask again
@@ -124,7 +126,11 @@
     def _opened(self, flags: int) -> apsw.Connection:
         connection = apsw.Connection(str(self.path), flags=flags, vfs=self.vfs)
         try:
+            keep_log(connection)
             connection.set_busy_timeout(self.busy_ms)
+            if connection.readonly("main"):
+                raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{self.path}: expected a file that can be written, "
+                              "got one that could be opened for reading only", "SQLITE_READONLY")
             if self.exclusive:
                 connection.execute("PRAGMA locking_mode = EXCLUSIVE").fetchall()
             connection.execute("PRAGMA journal_mode = WAL").fetchall()
@@ -139,6 +145,22 @@
         return connection
 
 
+def keep_log(connection: apsw.Connection, keeps: bool = True) -> None:
+    """Hazard: where the index beside the log could be opened for reading only, SQLite takes the log for empty and
+    removes it as the last connection closes, with all that has not been copied into the file."""
+    value = ctypes.c_int(keeps)
+    connection.file_control("main", apsw.SQLITE_FCNTL_PERSIST_WAL, ctypes.addressof(value))
+
+
+def close_tidily(connection: apsw.Connection) -> None:
+    """Closes it; its log goes if it may be written, as that needs the index to be whole."""
+    with contextlib.suppress(apsw.Error):
+        connection.execute("BEGIN IMMEDIATE")
+        connection.execute("ROLLBACK")
+        keep_log(connection, False)
+    connection.close(True)
+
+
 class Writer(Worker[Transaction]):
     """One connection on one thread."""
 
@@ -158,7 +180,7 @@
         self.to_copy = threading.Event()
         self.copying = threading.Lock()  # held by whoever of the two copies the log
         self.copier = threading.Thread(target=self._copy, name="record-checkpoints", daemon=True)
-        self.copier.start()
+        begin(self.copier)
         self.start()
 
     def commit(self, group: list[Job[Transaction, Any]]) -> list[Done[Transaction]]:
@@ -248,27 +270,23 @@
                     return  # the next commit meets it, and tells it
 
     def _copy(self) -> None:
-        """Copies the log into the file on a connection of its own: a passive checkpoint keeps no writer waiting."""
-        connection: apsw.Connection | None = None
+        """Copies the log into the file on a connection of its own: a passive checkpoint keeps no writer waiting.
+
+        Hazard: connections of one process share what they have opened; one that is kept would keep a log's index that
+        could be opened for reading only, and no write would succeed any more."""
         while True:
             self.to_copy.wait()
             self.to_copy.clear()
             if self.ending:
-                break
-            try:
-                if connection is None:
-                    connection = Opener(self.opener.path, None, self.opener.vfs).open(create=False)
-                with self.copying:
-                    connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
-            except (apsw.Error, Trouble):
-                # the log stays as it is; the writer's own turn comes once it is long
-                if connection is not None:
-                    with contextlib.suppress(apsw.Error):
-                        connection.close(True)
-                connection = None
-        if connection is not None:
-            with contextlib.suppress(apsw.Error):
-                connection.close(True)
+                return
+            # what fails leaves the log as it is; the writer's own turn comes once it is long
+            with contextlib.suppress(apsw.Error, Trouble):
+                connection = Opener(self.opener.path, None, self.opener.vfs).open(create=False)
+                try:
+                    with self.copying:
+                        connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_PASSIVE)
+                finally:
+                    connection.close(True)
 
     def stop(self, wait_s: float) -> None:
         """After all that was asked for. Blocks; hazard: a disk that hangs must not keep the process for ever."""
@@ -279,7 +297,7 @@
         if not self.thread.is_alive() and self.connection is not None:
             connection, self.connection = self.connection, None
             with contextlib.suppress(apsw.Error):
-                connection.close(True)
+                close_tidily(connection)
 
 
 class Reader:
@@ -312,5 +330,5 @@
     def close(self) -> None:
         with self.lock:
             if self.connection is not None:
-                self.connection.close(True)
+                close_tidily(self.connection)
                 self.connection = None
--- a/ironscale/record/sqlite.py
+++ b/ironscale/record/sqlite.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -32,6 +31,7 @@
 )
 from ironscale.record.sql import SCHEMA, Dialect, row
 from ironscale.record.worker import MOST_QUEUED, NO_TIME
+from ironscale.threads import in_thread
 
 SQL = Dialect("sqlite")
 APPLICATION_ID = 0x69726F6E  # marks the file as ours, for `file` and for who opens another by mistake
@@ -100,7 +100,10 @@
         return await self.writer.run(ask(attempt), until)
 
     async def close(self) -> None:
-        await asyncio.get_running_loop().run_in_executor(None, self.writer.stop, STOP_S)
+        try:
+            await in_thread(lambda: self.writer.stop(STOP_S))
+        except OSError:  # no thread to wait in
+            self.writer.stop(STOP_S)
 
 
 # For operators: a file that a sidecar may be writing at the same time
@@ -180,6 +183,7 @@
                         continue  # a commit lay between: it goes on, or begins anew by itself
                     progress(copying.remaining, copying.page_count)
                 pages = copying.page_count
+            database.keep_log(target, False)
             target.execute("PRAGMA journal_mode = DELETE").fetchall()  # one file, without a log beside it
         finally:
             target.close(True)
@@ -190,5 +194,5 @@
     except apsw.Error as error:
         raise Trouble(Knowledge.NEVER_RAN, Cause.BROKEN, f"{to}: the copy was not made: {error}") from error
     finally:
-        source.close(True)
+        database.close_tidily(source)
         half.unlink(missing_ok=True)
--- a/ironscale/record/worker.py
+++ b/ironscale/record/worker.py
@@ -14,6 +14,7 @@
 from typing import Any, Generic, TypeVar
 
 from ironscale.record.model import Cause, Knowledge, Trouble
+from ironscale.threads import begin
 
 T = TypeVar("T")
 X = TypeVar("X")  # what a piece of work is handed: the transaction that it shares
@@ -81,7 +82,7 @@
         """On the thread, once the results of a group are told."""
 
     def start(self) -> None:
-        self.thread.start()
+        begin(self.thread)
 
     def end(self) -> None:
         """Nothing more is taken; what waits is still carried out."""
--- a/ironscale/threads.py
+++ b/ironscale/threads.py
@@ -6,12 +6,29 @@
 import contextlib
 import errno
 import threading
+import time
 from collections.abc import Callable
 from typing import TypeVar
 
 T = TypeVar("T")
 
 
+BEGIN_PATIENCE_S, BEGIN_AGAIN_S = 3.0, 0.01
+
+
+def begin(thread: threading.Thread) -> None:
+    """Starts it, if need be once the system has a thread to give; waits for that. Raises OSError."""
+    give_up_s = time.monotonic() + BEGIN_PATIENCE_S
+    while True:
+        try:
+            thread.start()
+            return
+        except RuntimeError as error:
+            if time.monotonic() >= give_up_s:
+                raise OSError(errno.EAGAIN, str(error)) from error
+            time.sleep(BEGIN_AGAIN_S)
+
+
 def in_thread(act: Callable[[], T]) -> asyncio.Future[T]:
     """Runs `act` in a thread that does not hold up the end of the process, as an executor's would.
     Where no thread can be begun the result is an OSError."""
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -224,6 +224,8 @@
 
     async def ask(self, data: bytes, limit_s: float) -> bool:
         self.body, self.waiting = b"", asyncio.get_running_loop().create_future()
+        if self.closed or self.transport.is_closing():
+            return False
         self.transport.write(data)
         try:
             async with asyncio.timeout(limit_s):
--- /dev/null
+++ b/tests/faults/test_store.py
@@ -0,0 +1,115 @@
+"""A store of record on a disk that fails for a while, under a process that is killed: what was answered stands once."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sqlite3
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from ironscale.record.journal import read_all
+from tests.faults.shim import Fault
+from tests.faults.site import Call, SidecarProcess, Site, load
+from tests.faults.test_calls import ends_well, play
+
+OPERATOR = """[store]
+classes = ["mark", "pay"]
+journal = "open"
+[[store.to]]
+name = "main"
+sqlite = "records.db"
+"""
+FAULTS = {
+    "writes": {Fault.DISK_WRITE: 400},
+    "all writes": {Fault.DISK_WRITE: 1000},
+    "short writes": {Fault.DISK_SHORT: 500},
+    "syncs": {Fault.DISK_SYNC: 400},
+    "opens": {Fault.FILE_OPEN: 1000, Fault.THREAD: 500},
+    "all of them": {Fault.DISK_WRITE: 200, Fault.DISK_SHORT: 200, Fault.DISK_SYNC: 200, Fault.RENAME: 300,
+                    Fault.FILE_OPEN: 300, Fault.THREAD: 300},
+}
+
+
+def rows(sidecar: SidecarProcess) -> Counter[str]:
+    with sqlite3.connect(sidecar.folder / "records.db") as database:
+        found = database.execute("SELECT request FROM records WHERE state = 'written'").fetchall()
+    database.close()
+    return Counter(request for request, in found)
+
+
+def broken(calls: dict[str, Call], written: Counter[str]) -> list[str]:
+    """What was answered stands once; what was refused does not stand; nothing stands twice."""
+    found = [f"{txn}: written {count} times" for txn, count in written.items() if count > 1]
+    for call in calls.values():
+        if call.lane != "view" and call.status == 200 and not written[call.txn]:
+            found.append(f"{call.txn} ({call.lane}): answered, and not in the store")
+        if call.status in (429, 503) and written[call.txn]:
+            found.append(f"{call.txn} ({call.lane}): refused, and in the store")
+        if call.trouble.startswith("lost"):
+            found.append(f"{call.txn} ({call.lane}): {call.trouble}")
+    return found
+
+
+async def stored(site: Site) -> SidecarProcess:
+    await site.start()
+    sidecar = site.sidecars[0]
+    sidecar.operator = OPERATOR
+    sidecar.configure()
+    sidecar.launch()
+    assert await sidecar.ready(), sidecar.log()
+    return sidecar
+
+
+# Guards against an answer for what is not in the store, a refusal for what is, and a request that nobody answers.
+@pytest.mark.parametrize("rates", FAULTS.values(), ids=[name.replace(" ", "-") for name in FAULTS])
+@pytest.mark.parametrize("killed", [False, True], ids=["goes on", "is killed"])
+def test_a_store_keeps_its_word_while_its_disk_fails(tmp_path: Path, rates: dict[Fault, int], killed: bool) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await stored(site)
+        job = asyncio.create_task(load(sidecar.clients, 2.5, 60.0))
+        await asyncio.sleep(0.4)
+        sidecar.shim.set(rates)
+        await asyncio.sleep(1.2)
+        if killed:
+            sidecar.signal(signal.SIGKILL)
+            await job
+            sidecar.clients.close()
+            sidecar.shim.set({})
+            sidecar.launch()
+            assert await sidecar.ready(), sidecar.log()
+            for call in site.ledger.calls.values():
+                call.trouble = call.trouble.replace("lost", "killed")  # whoever had no answer as it was killed
+            await load(sidecar.clients, 0.3)
+        sidecar.shim.set({})
+        await job
+        async with asyncio.timeout(20):  # what was left open is found out
+            while read_all(sidecar.folder / "open")[0]:
+                await asyncio.sleep(0.05)
+        await ends_well(sidecar)
+        assert not broken(site.ledger.calls, rows(sidecar)), (broken(site.ledger.calls, rows(sidecar))[:5],
+                                                              site.ledger.results(), sidecar.log()[-3000:])
+        assert site.ledger.results()["200"] > 30, site.ledger.results()
+
+    play(tmp_path, test)
+
+
+# Guards against a start that gives up as the store's disk or threads fail just then.
+def test_a_store_starts_on_a_disk_that_fails_for_a_moment(tmp_path: Path) -> None:
+    async def test(site: Site) -> None:
+        await site.start()
+        sidecar = site.sidecars[0]
+        sidecar.operator = OPERATOR
+        sidecar.configure()
+        sidecar.shim.set({Fault.DISK_WRITE: 1000, Fault.THREAD: 1000, Fault.DISK_SYNC: 1000})
+        sidecar.launch()
+        await asyncio.sleep(1.5)
+        sidecar.shim.set({})
+        assert await sidecar.ready(), sidecar.log()
+        await load(sidecar.clients, 0.5)
+        await ends_well(sidecar)
+        assert not broken(site.ledger.calls, rows(sidecar)) and site.ledger.results()["200"] > 10, sidecar.log()
+
+    play(tmp_path, test)
--- /dev/null
+++ b/tests/record/test_sqlite_open.py
@@ -0,0 +1,60 @@
+"""Files of the store of record that cannot be opened for a moment: what was committed stays, and writing goes on."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import apsw
+import pytest
+
+from ironscale.record.database import Opener, close_tidily, keep_log
+from ironscale.record.model import Trouble
+
+
+def opened(path: Path) -> apsw.Connection:
+    return Opener(path).open()
+
+
+def logged(path: Path) -> Path:
+    return path.with_name(f"{path.name}-wal")
+
+
+def committed(path: Path) -> None:
+    connection = opened(path)
+    connection.execute("CREATE TABLE a (b); INSERT INTO a VALUES (1)")
+    keep_log(connection)
+    connection.close(True)
+
+
+# Guards against a log that is removed with what has not been copied, as the index beside it was read only.
+def test_a_connection_that_ends_by_an_error_leaves_the_log(tmp_path: Path) -> None:
+    path = tmp_path / "r.db"
+    committed(path)
+    assert logged(path).exists()
+    assert opened(path).execute("SELECT b FROM a").fetchall() == [(1,)]
+
+
+def test_a_connection_that_ends_well_leaves_one_file(tmp_path: Path) -> None:
+    path = tmp_path / "r.db"
+    committed(path)
+    close_tidily(opened(path))
+    assert [one.name for one in tmp_path.iterdir()] == ["r.db"]
+    assert opened(path).execute("SELECT b FROM a").fetchall() == [(1,)]
+
+
+# Guards against a store that reads its file and refuses every write until the process ends.
+def test_a_file_that_could_be_opened_for_reading_only_is_no_connection(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "r.db"
+    committed(path)
+
+    class ReadOnly(apsw.Connection):
+        def __init__(self, name: str, flags: int = 0, vfs: str | None = None) -> None:
+            super().__init__(name, flags=apsw.SQLITE_OPEN_READONLY, vfs=vfs)
+
+    monkeypatch.setattr(apsw, "Connection", ReadOnly)
+    with pytest.raises(Trouble) as found:
+        opened(path)
+    assert found.value.code == "SQLITE_READONLY"
+    monkeypatch.undo()
+    opened(path).execute("INSERT INTO a VALUES (2)")
