--- /dev/null
+++ b/tests/faults/test_take_over.py
@@ -0,0 +1,47 @@
+"""A successor on the same port while the calls of the process that ends fail: clients notice nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.faults.shim import Fault
+from tests.faults.site import Site, load
+from tests.faults.test_calls import check, ends_well, play
+
+FAULTS = {
+    "none": {}, "no socket": {Fault.SOCKET: 1000}, "no connect": {Fault.CONNECT: 1000}, "no bind": {Fault.BIND: 1000},
+    "accepts": {Fault.ACCEPT: 700}, "some of all": {Fault.SOCKET: 300, Fault.CONNECT: 300, Fault.BIND: 300,
+                                                    Fault.ACCEPT: 300, Fault.SOCKET_OPTION: 300},
+}
+
+
+# Guards against connections that are reset in the queue of a listener which closes beside its successor's.
+@pytest.mark.parametrize("rates", FAULTS.values(), ids=[name.replace(" ", "-") for name in FAULTS])
+def test_a_successor_takes_over_while_calls_of_the_former_fail(tmp_path: Path, rates: dict[Fault, int]) -> None:
+    async def test(site: Site) -> None:
+        await site.start(sidecars=2)
+        former, successor = site.sidecars
+        successor.port = successor.clients.port = former.port
+        for sidecar in (former, successor):
+            sidecar.operator = "[sidecar]\nreuse_port = true\n"
+            sidecar.configure()
+        former.launch()
+        assert await former.ready(), former.log()
+        job = asyncio.create_task(load(former.clients, 4.0, 100.0))
+        successor.launch()
+        assert await successor.ready(), successor.log()
+        await asyncio.sleep(0.7)  # an interpreter's start: both listen
+        former.signal(signal.SIGTERM)
+        former.shim.set(rates)
+        await asyncio.sleep(1.2)
+        former.shim.set({})
+        await job
+        assert await former.ended(site.deadline_s + 1.0) == 0, former.log()[-2000:]
+        check(site, 200)
+        await ends_well(successor)
+
+    play(tmp_path, test)
