A step of the wall clock no longer ends the memory of keyed requests in an SQLite store

A keyed request that was repeated within its memory was written a second time after the wall clock had stepped forward by 5 s or an hour. Cause: the memory's end was compared with unixepoch() of the moment. The statements ask now_ms(), a function of each connection: Unix time as of the process's start, and on by CLOCK_BOOTTIME. Open: steps between the starts of two processes on one file.

--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -95,6 +95,9 @@
 Work = Callable[[Transaction], T]
 
 
+_AHEAD_NS = time.time_ns() - time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
 class Opener:
     """Opens connections to one file, all alike. `vfs` names one that is registered with apsw; tests break it."""
 
@@ -127,6 +130,7 @@
         connection = apsw.Connection(str(self.path), flags=flags, vfs=self.vfs)
         try:
             keep_log(connection)
+            connection.create_scalar_function("now_ms", lambda *_: course_ms(), 0)
             connection.set_busy_timeout(self.busy_ms)
             if connection.readonly("main"):
                 raise Trouble(Knowledge.NEVER_RAN, Cause.UNUSABLE, f"{self.path}: expected a file that can be written, "
@@ -145,6 +149,12 @@
         return connection
 
 
+def course_ms() -> int:
+    """Unix time in milliseconds as of this process's start, and on by time that passed: memories of keyed requests go
+    by it, and the wall clock may step."""
+    return (time.clock_gettime_ns(time.CLOCK_BOOTTIME) + _AHEAD_NS) // 1_000_000
+
+
 def keep_log(connection: apsw.Connection, keeps: bool = True) -> None:
     """Hazard: where the index beside the log could be opened for reading only, SQLite takes the log for empty and
     removes it as the last connection closes, with all that has not been copied into the file."""
--- a/ironscale/record/sql.py
+++ b/ironscale/record/sql.py
@@ -13,7 +13,7 @@
 # Milliseconds of Unix time on the store's own clock: sidecars' clocks may differ, the store's is one.
 NOW_MS = {
     "postgresql": "(extract(epoch FROM clock_timestamp()) * 1000)::bigint",
-    "sqlite": "CAST(unixepoch('subsec') * 1000 AS INTEGER)",
+    "sqlite": "now_ms()",  # a function of each connection (record/database.py): the wall clock may step
 }
 TYPES = {
     "postgresql": {"TEXT": "text COLLATE \"C\"", "INTEGER": "bigint", "BLOB": "bytea"},
--- a/tests/faults/test_store.py
+++ b/tests/faults/test_store.py
@@ -113,3 +113,24 @@
         assert not broken(site.ledger.calls, rows(sidecar)) and site.ledger.results()["200"] > 10, sidecar.log()
 
     play(tmp_path, test)
+
+
+# Guards against a keyed request that is written again within its memory, as the wall clock has stepped.
+@pytest.mark.parametrize("seconds", [3600.0, 5.0, -3600.0])
+def test_the_memory_of_a_keyed_request_outlasts_a_step_of_the_wall_clock(tmp_path: Path, seconds: float) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await stored(site)
+        plain = sidecar.clients.request
+
+        def of_one_key(call: Call, left_s: float) -> bytes:
+            return plain(call, left_s).replace(b"key-" + call.txn.encode(), b"one-key")
+
+        sidecar.clients.request = of_one_key  # type: ignore[method-assign]
+        first = await sidecar.clients.call("mark")
+        sidecar.shim.step_wall_clock(seconds)
+        again = await sidecar.clients.call("mark")  # well within the 1.2 s of its class
+        assert (first.status, again.status) == (200, 200) and first.body == again.body
+        await ends_well(sidecar)
+        assert rows(sidecar).total() == 1
+
+    play(tmp_path, test)
