--- a/ironscale/net/dialing.py
+++ b/ironscale/net/dialing.py
@@ -1,4 +1,4 @@
-"""Opens connections. Hazard: the event loop's own `sock_connect` looks even numeric addresses up in threads of its
+"""Opens connections. The event loop's own `sock_connect` looks even numeric addresses up in threads of its
 pool, and ends the process where none can be begun."""
 
 from __future__ import annotations
--- a/ironscale/net/periodic.py
+++ b/ironscale/net/periodic.py
@@ -10,7 +10,7 @@
 
 
 class Periodic:
-    """Calls `act` every so many seconds. Hazard: a job that arms its own timer last is over with its first error, and
+    """Calls `act` every so many seconds. A job that arms its own timer last is over with its first error, and
     what it looks after (silent clients, a paused listener) waits for ever."""
 
     def __init__(self, every_s: float, act: Callable[[], None]) -> None:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -315,7 +315,7 @@
         self.upstreams.close()
 
     def watch_clock(self) -> None:
-        """Hazard: of two steps between two lists none would be seen."""
+        """Notes steps of the wall clock, also two between two lists."""
         if self.starts.look():
             self.log(f"the wall clock is {self.starts.ahead_us[-1] / 1e6:+.1f} s off its course since the start")
 
@@ -565,7 +565,7 @@
 
 
 def on_signal(number: int, act: Callable[[], None]) -> None:
-    """`act` runs on the loop. Hazard: the loop's own handlers learn of a signal by a byte that is written to a socket,
+    """`act` runs on the loop. The loop's own handlers learn of a signal by a byte that is written to a socket,
     and one that cannot be written is lost; an interpreter's handler runs at the next step of the program all the same,
     and the sweep takes one every 0.2 s."""
     loop = asyncio.get_running_loop()
--- a/ironscale/net/starts.py
+++ b/ironscale/net/starts.py
@@ -38,7 +38,7 @@
 
     def begun_us(self, started_us: int) -> int | None:
         """On the own clock; None where the wall clock can be taken for it. Nobody knows on which side of a step a start
-        was told: the latest that is not yet to come is taken. Hazard: a cold upstream taken for a warm one falls."""
+        was told: the latest that is not yet to come is taken. A cold upstream taken for a warm one falls."""
         now_us = self.own_us()
         possible = [started_us - ahead_us for ahead_us in self.ahead_us]
         latest_us = max((at_us for at_us in possible if at_us <= now_us + STEP_US), default=now_us)
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -1,6 +1,6 @@
 """A connected socket on the event loop. Failed calls that may pass are made again; only the connection's end is told.
 
-Hazard: the event loop's own transports close a connection at the first error of any kind, and with it goes an answer
+The event loop's own transports close a connection at the first error of any kind, and with it goes an answer
 that is owed.
 """
 
@@ -41,7 +41,7 @@
 
 
 def peek(sock: socket.socket) -> Unread:
-    """Hazard: a poll that a signal interrupts says that nothing is there; a read is made again."""
+    """A poll that a signal interrupts says that nothing is there; a read is made again."""
     try:
         return Unread.BYTES if sock.recv(1, UNREAD_FLAGS) else Unread.END
     except BlockingIOError:
