--- a/ironscale/tasks.py
+++ b/ironscale/tasks.py
@@ -22,6 +22,7 @@
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
+        work.close()  # it may not have begun
 
 
 async def logged(work: Coroutine[Any, Any, None]) -> None:
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -436,10 +436,10 @@
 
 
 async def load(clients: Clients, seconds: float, rate: float = 60.0, limit_s: float = 2.0) -> list[Call]:
-    """Open-loop arrivals of all classes at an even pace."""
+    """Open-loop arrivals of all classes at an even pace; every other one gives its connection up."""
     tasks, end_s, count = [], time.monotonic() + seconds, 0
     while time.monotonic() < end_s:
-        tasks.append(asyncio.create_task(clients.call(LANES[count % 3], limit_s)))
+        tasks.append(asyncio.create_task(clients.call(LANES[count % 3], limit_s, keep=count % 2 == 0)))
         count += 1
         await asyncio.sleep(1 / rate)
     return list(await asyncio.gather(*tasks))
