--- a/ironscale/standins/discovery.py
+++ b/ironscale/standins/discovery.py
@@ -76,7 +76,8 @@
     def tell(self, data: dict[str, Any] | None) -> None:
         line = self.chunk(data)
         for writer in list(self.watches):
-            writer.write(line)
+            if not writer.is_closing():  # its end has not been told to its reader yet
+                writer.write(line)
 
     @staticmethod
     def chunk(data: dict[str, Any] | None) -> bytes:
