A shutdown logs its steps, and a lost request what became of its connection

Nothing that the known failures left behind could tell their hypotheses apart: the sums at a process's end do not say when it began to end, what was open then, or whether a connection that it closed had ever carried a request; the rig did not say whether a lost request's connection was open, reset or closed, nor whether the kernel still retransmitted. Now the log has a line as a shutdown begins and as it answers what is open, closes are counted apart for silent (new) and idle connections, and the soak's rig reads TCP_INFO of a connection on which no answer came.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -530,7 +530,7 @@
         quiet = [c for c in self.silent if not c.asked and not c.reading and c.since_us <= latest_us]
         for connection in [*self.idle, *quiet]:
             if not connection.final:
-                connection.close("shutdown")
+                connection.close("shutdown, idle" if connection.asked else "shutdown, silent")
                 self.settle(connection)
 
     def close_listener(self) -> bool:
@@ -607,6 +607,13 @@
         """
         self.stopping = True
         start_us = self.now_us()
+
+        def log(text: str) -> None:
+            busy = sum(one.is_busy() for one in self.connections)
+            self.ledger.log(f"shutdown, {(self.now_us() - start_us) / 1e6:.3f} s: {text}; "
+                            f"{len(self.connections)} connections, {busy} with a request open")
+
+        log("begins")
         while True:
             await asyncio.sleep(0.02)
             self.close_idle()
@@ -618,7 +625,9 @@
         while (self.connections or not closed) and (left_s := end_s - (self.now_us() - start_us) / 1e6) > 0.0:
             await asyncio.sleep(min(CLOSE_AGAIN_S, left_s))
             self.close_idle()
-            closed = closed or self.close_listener()
+            if not closed:
+                closed = self.close_listener()
+        log("all that is open is answered" if self.connections else "nothing is open")
         at_end()
         self.drop_listener()
         while self.connections and self.now_us() - start_us < (end_s + LAST_S) * 1e6:
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -9,6 +9,8 @@
 import asyncio
 import json
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import time
@@ -31,6 +33,9 @@
 DEADLINE_SLACK_S = 0.15  # of what an attempt tells its upstream
 READS_BEHIND = 3  # turns of the loop in which it reads what lay there as a timer ran
 MEASURING_S = 0.1  # what this process itself may be late, beside the lag that it has seen
+# The first fields of the kernel's struct tcp_info, and the places of those that are told.
+TCP_INFO = struct.Struct("8B15I")
+RETRANSMITS, BACKOFF, UNACKED = 2, 4, 12
 
 
 @dataclass
@@ -54,6 +59,7 @@
     status: int = 0
     body: bytes = b""
     trouble: str = ""
+    seen: str = ""  # of its connection, where it is lost
     arrivals: list[Arrival] = field(default_factory=list)
 
 
@@ -83,7 +89,7 @@
         found = []
         slack_s = MEASURING_S + self.lag_s
         if call.trouble.startswith("lost"):
-            found.append(call.trouble)
+            found.append(f"{call.trouble}; {call.seen}, sent at {call.sent_s:.3f}, {len(call.arrivals)} attempts")
         if call.status == 200 and call.body != b"answer " + call.txn.encode():
             found.append(f"wrong body {call.body[:40]!r}")
         if call.lane == "pay" and len(call.arrivals) > 1:
@@ -197,10 +203,22 @@
         self.body = b""
         self.used = False
         self.closed = False
+        self.end = "open"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
+    def seen(self) -> str:
+        """How it ended; while it is open, what the kernel knows of it."""
+        if self.closed:
+            return f"its connection ended by {self.end}"
+        if self.transport.is_closing():
+            return "its connection had ended before it was written"
+        sock = self.transport.get_extra_info("socket")
+        info = TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size))
+        return (f"open connection with {info[RETRANSMITS]} retransmits, backoff {info[BACKOFF]}, "
+                f"{info[UNACKED]} segments unacked")
+
     def data_received(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -216,6 +234,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
+        self.end = repr(exc) if exc is not None else "a close"
         self.finish(False)
 
     def finish(self, whole: bool) -> None:
@@ -294,6 +313,7 @@
                                          wait_s if leave_after_s is None else min(wait_s, leave_after_s))
         except TimeoutError:
             call.left_s = time.monotonic()
+            call.seen = connection.seen()
             connection.transport.abort()
             if leave_after_s is None:
                 call.trouble = f"lost: no answer {call.left_s - due_s:.2f} s after its time"
@@ -305,6 +325,7 @@
         if used and not call.arrivals:
             call.ended_s = None
             return False
+        call.seen = connection.seen()
         call.trouble = f"lost: closed after {call.ended_s - call.sent_s:.3f} s with no whole answer"
         return True
 
