--- /dev/null
+++ b/tests/ends/test_listener.py
@@ -0,0 +1,85 @@
+"""A listener closes over nobody who has connected, as far as he knows, and keeps nobody waiting in his connect."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+import pytest
+
+from ironscale.net.server import Server
+from ironscale.standins.http import read_message
+from tests.sockets import run
+from tests.test_shutdown import REQUEST, Answers, now_us
+
+
+async def listening(port: int = 0, shares_port: bool = False) -> Server:
+    server = Server(Answers(), 64, now_us)
+    await server.listen(("127.0.0.1", port), shares_port)
+    return server
+
+
+def address(server: Server) -> tuple[str, int]:
+    assert server.listener is not None
+    found: tuple[str, int] = server.listener.getsockname()
+    return found
+
+
+async def is_answered(client: socket.socket) -> bool:
+    client.setblocking(False)
+    try:
+        client.send(REQUEST)
+        reader, writer = await asyncio.open_connection(sock=client)
+        answered = (await read_message(reader)).status == 200
+        writer.close()
+    except OSError:
+        return False
+    return answered
+
+
+# Guards against a client that is reset after its connect, as its handshake had not ended when the listener closed.
+@pytest.mark.parametrize("shares_port", [False, True])
+def test_a_handshake_that_ends_while_the_listener_closes_is_served(shares_port: bool) -> None:
+    async def test() -> None:
+        server = await listening(shares_port=shares_port)
+        others = [await listening(address(server)[1], True)] if shares_port else []
+        assert server.listener is not None
+        for one in [server, *others]:  # the kernel ends a handshake only when the first byte comes
+            assert one.listener is not None
+            one.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, 5)
+        clients = [socket.create_connection(address(server)) for _ in range(8)]
+        await asyncio.sleep(0.05)
+        server.close_listener()
+        assert all([await is_answered(client) for client in clients])
+        while not server.close_listener():
+            await asyncio.sleep(0.01)
+        for one in [server, *others]:
+            await one.stop(0.0, 0.0, 0.0, 5.0)
+
+    run(test)
+
+
+# Guards against clients that hang in their connect, as a close that failed for a moment had cut the listener's queue.
+def test_a_close_that_fails_for_a_moment_keeps_nobody_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        server = await listening()
+        clients = [socket.socket() for _ in range(6)]
+
+        def no_socket(*_: object) -> socket.socket:
+            raise OSError(errno.ENFILE, "no file")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", no_socket)
+            assert not server.close_listener()
+        for client in clients:
+            client.settimeout(0.5)
+        results = [client.connect_ex(address(server)) for client in clients]  # the loop accepts none meanwhile
+        assert set(results) <= {0, errno.ECONNREFUSED}, results
+        for client, result in zip(clients, results, strict=True):
+            assert result or await is_answered(client)
+            client.close()
+        await server.stop(0.0, 0.0, 0.0, 5.0)
+        assert server.listener is None
+
+    run(test)
