A closing listener leads new connections away first, and cuts no handshake

Callers saw: connects that succeeded, and then a reset, or a connect or request that took 0.2 s and more, as a sidecar ended. Cause: to close without resetting its queue the listener cut that queue to one place and took it. Two handshakes that end at once pass it together, and the kernel drops the last packet of one, whose client believes itself connected; and after a try that failed the queue stayed cut, so that later clients hung. Beside another listener of the port the kernel's choice is led to that one first (SO_ATTACH_REUSEPORT_CBPF), as probes show, in place of a search for a client port; if the port's listeners change meanwhile, the way is chosen anew.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
-import errno
 import select
 import socket
-import struct
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -18,6 +15,7 @@
 import httptools
 
 from ironscale import logs
+from ironscale.net.closing import BACKLOG, ListenerShutdown
 from ironscale.net.errors import Severity, severity
 from ironscale.net.lifecycle import Event, Ledger, Lifecycle
 from ironscale.net.periodic import Periodic
@@ -46,8 +44,6 @@
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LOOKED_AT = 8  # connections that are asked whether they can make room
 LAST_S = 0.04  # for the last answers to leave, at the end of the process
-SHUT_TRIES, SHUT_WAIT_MS = 4, 20  # to fill the listener's own queue before it is closed, each time
-PORT_TRIES = 64  # to find a port from which the kernel leads to this listener
 ACCEPT_PAUSE_S = 0.02  # after an accept that failed for want of something
 CLOSE_AGAIN_S = 0.02  # between two tries to close the listener
 READY_PATH = b"/health/ready"
@@ -339,22 +335,6 @@
             self.server.application.on_client_gone(exchange)
 
 
-def connects(own: socket.socket, address: tuple[str, int], port: int) -> bool:
-    """Connects `own` to a listener of this process, from `port` (0 = any); whether its queue had the place."""
-    try:
-        own.setblocking(False)
-        # bound, as a port that a connect chooses may be shared with old connections and could not be bound again
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        own.bind((address[0], port))
-        if own.connect_ex(address) not in (0, errno.EINPROGRESS):
-            return False
-    except OSError:  # another has taken the port
-        return False
-    waiting = select.poll()
-    waiting.register(own, select.POLLOUT)
-    return bool(waiting.poll(SHUT_WAIT_MS)) and own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
-
-
 class Accepted(enum.Enum):
     """What has become of the connections that waited."""
 
@@ -383,14 +363,14 @@
         self.last_opened_us = now_us()
         self.listener: socket.socket | None = None
         self.reuse_port = False
-        self.probe: tuple[str, int] | None = None  # a connection of our own, until it has come out of the queue
+        self.closing: ListenerShutdown | None = None
         self.sweeper: Periodic | None = None
         self.paused: dict[int, ClientConnection] = {}  # by descriptor: the loop reads nothing of them, nor their end
         self.ends = select.poll()  # of all these: one call for a thousand of them takes what thirty for one each do
         self.looker: Periodic | None = None  # while there are any
 
     async def listen(self, address: tuple[str, int], reuse_port: bool = False) -> int:
-        self.listener = listener = socket.create_server(address, backlog=1024, reuse_port=reuse_port)
+        self.listener = listener = socket.create_server(address, backlog=BACKLOG, reuse_port=reuse_port)
         self.reuse_port = reuse_port
         listener.setblocking(False)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what it accepts inherits it
@@ -399,29 +379,27 @@
         port: int = listener.getsockname()[1]
         return port
 
-    def accept(self) -> None:
-        if self.listener is not None:
-            self.accept_from(self.listener)
-
-    def accept_from(self, listener: socket.socket) -> Accepted:
+    def accept(self) -> Accepted:
         """Some of those that wait. Hazard: without a descriptor to spare the event loop's own
         server accepts and closes, and a request that is written already is lost. What is not accepted waits in the
         kernel."""
+        if self.listener is None:
+            return Accepted.ALL
         for _ in range(ACCEPTS):
             if len(self.connections) >= self.most and not self.make_room():
                 self.wait_for_room()
                 return Accepted.FAILED
             try:
-                sock, peer = listener.accept()
+                sock, peer = self.listener.accept()
             except OSError as error:
                 if severity(error) is Severity.AGAIN:
                     return Accepted.ALL
                 if severity(error) is Severity.EXHAUSTED:
                     break
                 continue  # that connection has gone, or its way; others may wait behind it (accept(2))
-            if peer == self.probe or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                # our own, or one that was reset before it was accepted: another's probe, as it closes its listener
-                self.probe = None if peer == self.probe else self.probe
+            is_probe = self.closing is not None and self.closing.is_probe(peer)
+            # one that was reset before it was accepted may be another's probe, as it closes its listener
+            if is_probe or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                 sock.close()
                 continue
             connection = ClientConnection(self, sock)
@@ -534,38 +512,18 @@
                 self.settle(connection)
 
     def close_listener(self) -> bool:
-        """Whether it is closed. Hazard: what waits in the listener's queue when it closes is reset, and one more can
-        come between the last accept and the close. So the queue is cut to one place, and a connection of our own takes
-        it: later ones then wait within their own connect, and find nobody, or another process, before they have sent
-        anything. Where a call fails, or somebody who waits can't be accepted, it stays open, to be tried again.
-        """
-        listener = self.listener
-        if listener is None:
+        """Whether it is closed; to be called again until it is. It stays open where a call fails, or somebody who waits
+        can't be accepted."""
+        if self.listener is None:
             return True
-        with contextlib.ExitStack() as stack:
-            try:
-                if not self.seal(listener, stack):
-                    return False
-            except OSError as error:
-                logs.line(f"closing the listener: {error}; tried again")
-                return False
-            self.drop_listener()
-        return True
-
-    def seal(self, listener: socket.socket, stack: contextlib.ExitStack) -> bool:
-        """Whether nobody waits in the listener's queue, and nobody can come until what `stack` holds is closed."""
-        listener.listen(0)
-        port = self.port_to(listener) if self.reuse_port else 0
-        for _ in range(SHUT_TRIES):
-            if not self.empty(listener):  # a client's may have the place
-                return False
-            if port is None:
-                return True
-            own = stack.enter_context(socket.socket())
-            if connects(own, listener.getsockname(), port):
-                return True
-            own.close()  # it holds the port that the next one needs
-        return False
+        if self.closing is None:
+            self.closing = ListenerShutdown(self.listener, self.reuse_port, self.accept_all, self.drop_listener,
+                                            self.now_us)
+        try:
+            return self.closing.step()
+        except OSError as error:
+            logs.line(f"closing the listener: {error}; tried again")
+            return False
 
     def drop_listener(self) -> None:
         listener, self.listener = self.listener, None
@@ -573,30 +531,14 @@
             self.loop.remove_reader(listener)
             listener.close()
 
-    def empty(self, listener: socket.socket) -> bool:
+    def accept_all(self) -> bool:
         """Whether all that waited have been accepted."""
         for _ in range(self.most // ACCEPTS + 1):
-            accepted = self.accept_from(listener)
+            accepted = self.accept()
             if accepted is not Accepted.SOME:
                 return accepted is Accepted.ALL
         return False
 
-    def port_to(self, listener: socket.socket) -> int | None:
-        """A port from which connections come to this listener, and not to another process's that shares its port: the
-        kernel chooses by the addresses and ports of both ends. None if none was found."""
-        for _ in range(PORT_TRIES):
-            self.empty(listener)
-            with socket.socket() as probe:
-                # ended by a reset, it leaves its port free, and whoever has it in his queue can tell
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                if connects(probe, listener.getsockname(), 0):
-                    self.probe = probe.getsockname()
-                    self.empty(listener)
-                    if self.probe is None:
-                        return int(probe.getsockname()[1])
-        self.probe = None
-        return None
-
     async def stop(self, quiet_s: float, least_s: float, most_s: float, end_s: float,
                    at_end: Callable[[], None] = lambda: None) -> None:
         """Stop taking requests, losing none: new connections still come for a while after the signal.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -103,6 +103,12 @@
     run(test)
 
 
+async def closed(server: Server) -> None:
+    """Its listener has taken all steps of its close."""
+    while not server.close_listener():
+        await asyncio.sleep(0.01)
+
+
 class Late(socket.socket):
     """A listener to which clients come at the last moment: after all have been accepted, just before it closes."""
 
@@ -124,7 +130,7 @@
         server.loop.remove_reader(server.listener)
         late = server.listener = Late(fileno=server.listener.detach())
         clients = [socket.create_connection(late.getsockname()) for _ in range(3)]  # these wait in its queue
-        server.close_listener()
+        await closed(server)
         assert late.came == 0, "it connected, and its request would have been reset"
         for client in clients:
             with client:
@@ -194,7 +200,7 @@
             first.loop.remove_reader(first.listener)
             late = first.listener = LateToBoth(fileno=first.listener.detach())
             waiting = [socket.create_connection(("127.0.0.1", port)) for _ in range(12)]  # in either one's queue
-            first.close_listener()
+            await closed(first)
             assert late.came, "none came to the other"
             for client in waiting + late.came:
                 client.setblocking(False)
@@ -216,7 +222,7 @@
         for _ in range(8):  # the kernel chooses between the two by the port that a client has
             first = Server(Answers(), 8, now_us)
             await first.listen(("127.0.0.1", port), reuse_port=True)
-            first.close_listener()
+            await closed(first)
             await first.stop(0.0, 0.0, 0.0, 5.0)
         assert second.last_opened_us == opened_us
         await second.stop(0.0, 0.0, 0.0, 5.0)
