--- a/tests/ends/test_listener.py
+++ b/tests/ends/test_listener.py
@@ -83,3 +83,31 @@
         assert server.listener is None
 
     run(test)
+
+
+# Guards against a new connection that a shutdown closes before its client, held up, has sent its first request.
+def test_a_first_request_that_comes_late_in_a_shutdown_is_served() -> None:
+    async def test() -> None:
+        server = await listening()
+        stopping = asyncio.create_task(server.stop(0.2, 0.45, 0.65, 3.0))
+        clients = []
+        for _ in range(8):
+            await asyncio.sleep(0.05)
+            clients.append(socket.create_connection(address(server)))
+        await asyncio.sleep(0.3)
+        assert all([await is_answered(client) for client in clients])
+        await stopping
+
+    run(test)
+
+
+# Guards against a process that a silent connection keeps from ending until its SIGKILL.
+def test_a_new_connection_that_stays_silent_is_closed_in_a_shutdown() -> None:
+    async def test() -> None:
+        server = await listening()
+        with socket.create_connection(address(server)) as client:
+            async with asyncio.timeout(2.0):
+                await server.stop(0.2, 0.45, 0.65, 5.0)
+            assert client.recv(10) == b""
+
+    run(test)
