A shutdown gives a new connection a second for its first byte

A shutdown took a connection on which nothing had come for 0.1 s for a resting one, though its client, held up by a busy machine, had not had its turn.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -34,6 +34,7 @@
 LONGEST_IDLE_S = 15.0
 UNREAD_ANSWER_S = 5.0  # for an answer to leave; longer than any client waits
 LEAST_IDLE_S, LEAST_SILENCE_S = 2.0, 0.1  # to make room, no sooner
+FIRST_BYTE_S = 1.0  # a shutdown waits so long for what a new connection was opened for
 SWEEP_S = 0.2
 LOOK_S = 0.03  # between two looks for the ends of clients that the loop does not read; 0.1 s are allowed
 # Shares of the room: past so many idle connections one ends with its answer, and past so many of all if
@@ -110,6 +111,7 @@
         self.current: Exchange | None = None
         self.waiting: deque[Exchange] = deque()  # sent ahead of the answer to the one before
         self.unparsed = b""
+        self.is_new = True  # nothing has been read from it
         self.reading = False  # a request has begun and is not whole
         self.asked = False  # there has been a request, not only for readiness
         self.final = False  # nothing more is read: it ends with the answers that are owed
@@ -124,6 +126,7 @@
         """The whole of the last answer has left."""
 
     def data_received(self, data: bytes) -> None:
+        self.is_new = False
         self.unparsed += data
         self.parse()
 
@@ -503,14 +506,18 @@
             self.looker = None
 
     def close_idle(self) -> None:
-        latest_us = self.now_us() - int(LEAST_SILENCE_S * 1e6)
-        # hazard: the first request on a new connection may be under way
-        quiet = [c for c in self.silent if not c.asked and not c.reading and c.since_us <= latest_us]
-        for connection in [*self.idle, *quiet]:
+        """Closes what rests, as the process ends; a request that crosses the close comes again on a new connection."""
+        for connection in [*self.idle, *filter(self.rests_unasked, self.silent)]:
             if not connection.final:
                 connection.close("shutdown, idle" if connection.asked else "shutdown, silent")
                 self.settle(connection)
 
+    def rests_unasked(self, connection: ClientConnection) -> bool:
+        """Whether nothing more is awaited on it. Hazard: the first request on a new connection may be under way."""
+        least_s = FIRST_BYTE_S if connection.is_new else LEAST_SILENCE_S
+        return (not connection.asked and not connection.reading
+                and self.now_us() - connection.since_us >= least_s * 1e6)
+
     def close_listener(self) -> bool:
         """Whether it is closed; to be called again until it is. It stays open where a call fails, or somebody who waits
         can't be accepted."""
