A test that fails: a request that SIGKILL finds unanswered in a process that was held up

The last answers leave 0.62 s and the deadline after the process has heard the signal, so it may be 0.04 s late and no more.

--- /dev/null
+++ b/tests/faults/test_last_moment.py
@@ -0,0 +1,58 @@
+"""What a sidecar has taken is answered before the earliest SIGKILL, also where it was held up as SIGTERM came."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.faults.shim import Fault
+from tests.faults.site import ClientConnection, SidecarProcess, Site, always
+from tests.faults.soak import KILL_S
+from tests.faults.test_calls import play
+
+DEADLINE_S = 0.8
+HELD_UP_S = 0.15  # that a process may lack the processor
+COMPLETE_S = 1.0  # after SIGTERM: a slow client's request is whole, and its time ends after the SIGKILL
+
+
+async def held_up(sidecar: SidecarProcess) -> None:
+    sidecar.signal(signal.SIGSTOP)
+    sidecar.signal(signal.SIGTERM)
+    await asyncio.sleep(HELD_UP_S)
+    sidecar.signal(signal.SIGCONT)
+
+
+async def hard_of_hearing(sidecar: SidecarProcess) -> None:
+    """The byte that tells the event loop of a signal is lost."""
+    sidecar.shim.set(always(Fault.WRITE_ERROR))
+    sidecar.signal(signal.SIGTERM)
+    await asyncio.sleep(0.25)
+    sidecar.shim.set({})
+
+
+# Guards against requests that SIGKILL finds unanswered, as the time of the last answers counts from a late moment.
+@pytest.mark.parametrize("tell", [held_up, hard_of_hearing])
+def test_a_request_that_comes_last_is_answered_before_sigkill(tell: Callable[[SidecarProcess], Awaitable[None]],
+                                                              tmp_path: Path) -> None:
+    async def test(site: Site) -> None:
+        sidecar = await site.serving()
+        for upstream in site.upstreams:
+            upstream.trouble = "hang"
+        connection: ClientConnection = await sidecar.clients.connect()
+        call = site.ledger.new("view", DEADLINE_S)
+        request = sidecar.clients.request(call, DEADLINE_S)
+        connection.transport.write(request[:40])
+        await asyncio.sleep(0.1)
+        begun_s = time.monotonic()
+        await tell(sidecar)
+        await asyncio.sleep(begun_s + COMPLETE_S - time.monotonic())
+        answered = await connection.ask(request[40:], begun_s + DEADLINE_S + KILL_S - time.monotonic())
+        sidecar.kill()
+        assert answered and connection.parser.get_status_code() in (502, 503), sidecar.log()[-2000:]
+
+    play(tmp_path, test, DEADLINE_S)
