The last answers of a shutdown leave 0.2 s earlier, so a process held up still gives them

Cause: the last answers left 0.62 s and the longest deadline after the process had heard SIGTERM, SIGKILL comes 0.7 s and the deadline after it was sent; a process that hears it late, without the processor or with the loop's signal byte lost, is killed first. Evidence: tests/faults/test_last_moment[held_up], three of three without an answer before, six of six with one now. Why this works: new connections come for 0.4 s, so what came in time is over 0.42 s and the deadline after the signal; what is open then, from slow clients, has its answer 0.28 s before SIGKILL, of which a process may lack 0.15. Short deadlines leave the listener the time to close. Not covered: a signal heard 0.2 s late and 0.15 s without the processor in one shutdown; a machine that gives less.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -37,9 +37,10 @@
 BACKSTOP_US = 4_000  # past due: the decisions' own timers have surely come by then
 SPARE_SOCKETS = 32  # standard streams, event loop, discovery, listener
 # New connections come for up to 0.4 s after SIGTERM. SIGKILL comes as early as 0.7 s and the longest deadline (3 s at
-# most) after it: what clients would wait for longer has its answer by then.
-STOP_LEAST_S, STOP_QUIET_S, STOP_MOST_S = 0.45, 0.2, 0.65
-STOP_END_S, STOP_DEADLINE_S = 0.62, 3.0
+# most) after it: what clients would wait for longer has its answer by then, also where SIGTERM is heard late.
+STOP_LEAST_S, STOP_QUIET_S, STOP_MOST_S = 0.45, 0.2, 0.55
+STOP_END_S, STOP_DEADLINE_S = 0.42, 3.0
+STOP_LEAST_END_S = 0.6  # with short deadlines: the listener has closed by then
 RELOAD_AGAIN_S = 0.1
 CLOCK_LOOK_S = 0.5
 ENDING = (signal.SIGTERM, signal.SIGINT)
@@ -307,7 +308,7 @@
 
     async def stop(self) -> None:
         longest_s = max(c.deadline_us for c in self.config.settings.classes) / 1e6
-        end_s = STOP_END_S + min(longest_s, STOP_DEADLINE_S)
+        end_s = max(STOP_END_S + min(longest_s, STOP_DEADLINE_S), STOP_LEAST_END_S)
         await self.server.stop(STOP_QUIET_S, STOP_LEAST_S, STOP_MOST_S, end_s, self.answer_all)
         self.log(f"ended: {self.ledger.summary()}")
         self.clock_watch.cancel()
