--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -241,6 +241,15 @@
         if self.waiting is not None and not self.waiting.done():
             self.waiting.set_result(whole)
 
+    async def begin(self, data: bytes, pause_s: float) -> bool:
+        """Writes the first part of a request; whether after a pause it still has no answer, and its rest may follow."""
+        self.body, self.waiting = b"", asyncio.get_running_loop().create_future()
+        if self.closed or self.transport.is_closing():
+            return False
+        self.transport.write(data)
+        await asyncio.wait([self.waiting], timeout=pause_s)
+        return not (self.waiting.done() or self.transport.is_closing())
+
     async def ask(self, data: bytes, limit_s: float) -> bool:
         self.body, self.waiting = b"", asyncio.get_running_loop().create_future()
         if self.closed or self.transport.is_closing():
@@ -276,6 +285,25 @@
         return (f"{method} /api?sid=7f HTTP/1.1\r\nHost: s\r\nX-Txn: {call.txn}\r\nX-Lane: {call.lane}\r\n"
                 f"X-Org: north\r\nX-Remaining: {int(left_s * 1000)}m\r\n{key}Content-Length: 0\r\n\r\n").encode()
 
+    async def call_slowly(self, lane: str, limit_s: float, connected_s: float, half_s: float) -> Call:
+        """Sends one request on a new connection: its first bytes so long after the connect, and the rest so long after
+        these. Its time counts from its last byte; what has an end before that is not lost."""
+        call = self.ledger.new(lane, limit_s)
+        try:
+            connection = await self.connect()
+        except OSError:
+            call.trouble = "not connected"
+            return call
+        await asyncio.sleep(connected_s)
+        data = self.request(call, limit_s)
+        if await connection.begin(data[:len(data) // 2], half_s):
+            call.sent_s = time.monotonic()
+            await self.on(connection, call, None, False, data[len(data) // 2:])
+        else:
+            call.trouble = "ended before it was whole"
+        connection.transport.abort()
+        return call
+
     async def call(self, lane: str = "view", limit_s: float = 2.0, leave_after_s: float | None = None,
                    keep: bool = True) -> Call:
         """Sends one request; `leave_after_s` closes its connection before the answer, if that has not come."""
@@ -303,13 +331,14 @@
             connection.transport.abort()
         return call
 
-    async def on(self, connection: ClientConnection, call: Call, leave_after_s: float | None, used: bool) -> bool:
-        """Whether the call has ended on this connection."""
+    async def on(self, connection: ClientConnection, call: Call, leave_after_s: float | None, used: bool,
+                 data: bytes = b"") -> bool:
+        """Whether the call has ended on this connection; `data`: what is left of it to be written."""
         due_s = call.sent_s + call.limit_s
         wait_s = due_s + LATE_S + self.ledger.lag_s + MEASURING_S - time.monotonic()
         connection.used = True
         try:
-            whole = await connection.ask(self.request(call, max(0.001, due_s - time.monotonic())),
+            whole = await connection.ask(data or self.request(call, max(0.001, due_s - time.monotonic())),
                                          wait_s if leave_after_s is None else min(wait_s, leave_after_s))
         except TimeoutError:
             call.left_s = time.monotonic()
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -27,6 +27,7 @@
 READY_S = 30.0
 STARTS_S = 3.0  # over which the first starts are spread
 DEADLINES_S = (0.8, 2.0, 3.0)
+SLOW_SHARE, MOST_SILENT_S, MOST_HALF_S = 0.15, 0.8, 1.5  # of slow clients' calls; before the first byte, and the last
 STEPS_S = (-3600.0, -3.0, 3.0, 3600.0)
 TROUBLES = ("", "", "", "fail", "hang", "reset", "stray", "halt")
 MOST_RATES = {
@@ -41,12 +42,13 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """One run; `crowd` clients send several times as much."""
+    """One run; `crowd` clients send several times as much, and of `slow` ones some are late with a request's bytes."""
 
     seed: int
     sidecars: int = 12
     seconds: float = 12.0
     crowd: bool = False
+    slow: bool = False
 
 
 @dataclass
@@ -61,7 +63,8 @@
     def line(self) -> str:
         results = ", ".join(f"{name[:40]} {count}" for name, count in self.results.most_common(8))
         ends = ", ".join(f"{name} {count}" for name, count in self.ends.items())
-        return (f"seed {self.plan.seed}{' crowd' if self.plan.crowd else ''}: {len(self.broken)} broken; "
+        clients = f"{' crowd' if self.plan.crowd else ''}{' slow' if self.plan.slow else ''}"
+        return (f"seed {self.plan.seed}{clients}: {len(self.broken)} broken; "
                 f"{self.results.total()} requests ({results}); {self.faults.total()} failed calls; ends: {ends}; "
                 f"rig late by {self.lag_s:.3f} s" + "".join(f"\n  {text}" for text in self.broken[:5]))
 
@@ -215,6 +218,10 @@
             clients = self.sidecar.clients
             if not self.serves or not (clients.may_connect or clients.kept):
                 continue
+            if self.soak.plan.slow and rng.random() < SLOW_SHARE and clients.may_connect:
+                self.begin(clients.call_slowly(rng.choice(LANES), limit_s, rng.uniform(0.0, MOST_SILENT_S),
+                                               rng.uniform(0.0, MOST_HALF_S)))
+                continue
             leave_s = rng.uniform(0.0, 0.3) if rng.random() < 0.1 else None
             self.begin(clients.call(rng.choice(LANES), limit_s, leave_s, keep=rng.random() < 0.8))
 
