--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -34,7 +34,8 @@
 LONGEST_IDLE_S = 15.0
 UNREAD_ANSWER_S = 5.0  # for an answer to leave; longer than any client waits
 LEAST_IDLE_S, LEAST_SILENCE_S = 2.0, 0.1  # to make room, no sooner
-FIRST_BYTE_S = 1.0  # a shutdown waits so long for what a new connection was opened for
+# A shutdown waits so long for what a new connection was opened for: one from before it can come again, a later one not.
+FIRST_BYTE_S, LATE_FIRST_BYTE_S = 0.25, 1.0
 SWEEP_S = 0.2
 LOOK_S = 0.03  # between two looks for the ends of clients that the loop does not read; 0.1 s are allowed
 # Shares of the room: past so many idle connections one ends with its answer, and past so many of all if
@@ -362,6 +363,7 @@
         self.silent: dict[ClientConnection, None] = {}
         self.idle: dict[ClientConnection, None] = {}
         self.stopping = False
+        self.stopping_since_us = 0
         self.is_full = False  # no connection is accepted until there is room
         self.last_opened_us = now_us()
         self.listener: socket.socket | None = None
@@ -514,7 +516,9 @@
 
     def rests_unasked(self, connection: ClientConnection) -> bool:
         """Whether nothing more is awaited on it. Hazard: the first request on a new connection may be under way."""
-        least_s = FIRST_BYTE_S if connection.is_new else LEAST_SILENCE_S
+        least_s = LEAST_SILENCE_S
+        if connection.is_new:
+            least_s = FIRST_BYTE_S if connection.since_us < self.stopping_since_us else LATE_FIRST_BYTE_S
         return (not connection.asked and not connection.reading
                 and self.now_us() - connection.since_us >= least_s * 1e6)
 
@@ -555,7 +559,7 @@
         At `end_s` what is still open is answered by `at_end`, and what comes from then on at once.
         """
         self.stopping = True
-        start_us = self.now_us()
+        self.stopping_since_us = start_us = self.now_us()
 
         def log(text: str) -> None:
             busy = sum(one.is_busy() for one in self.connections)
