--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -35,7 +35,12 @@
 MEASURING_S = 0.1  # what this process itself may be late, beside the lag that it has seen
 # The first fields of the kernel's struct tcp_info, and the places of those that are told.
 TCP_INFO = struct.Struct("8B15I")
-RETRANSMITS, BACKOFF, UNACKED = 2, 4, 12
+RETRANSMITS, BACKOFF, UNACKED, SINCE_LAST_DATA_MS = 2, 4, 12, 19
+
+
+def tcp_info(transport: asyncio.Transport) -> tuple[int, ...]:
+    sock = transport.get_extra_info("socket")
+    return TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size))
 
 
 @dataclass
@@ -75,9 +80,9 @@
         self.calls[call.txn] = call
         return call
 
-    def arrived(self, txn: str, told_s: float) -> None:
+    def arrived(self, txn: str, told_s: float, at_s: float) -> None:
         if txn in self.calls:
-            self.calls[txn].arrivals.append(Arrival(time.monotonic(), told_s))
+            self.calls[txn].arrivals.append(Arrival(at_s, told_s))
 
     def results(self) -> Counter[str]:
         return Counter(str(call.status) if call.status else call.trouble or "left" for call in self.calls.values())
@@ -134,7 +139,10 @@
         headers, self.headers = self.headers, {}
         txn = headers.get(b"x-txn", b"").decode()
         told = headers.get(b"x-remaining", b"0u")
-        self.upstream.ledger.arrived(txn, int(told[:-1]) / (1e6 if told.endswith(b"u") else 1e3))
+        # this process may read it some turns of its loop later, which is not the sidecar's doing
+        lay_s = tcp_info(self.transport)[SINCE_LAST_DATA_MS] / 1e3
+        told_s = int(told[:-1]) / (1e6 if told.endswith(b"u") else 1e3)
+        self.upstream.ledger.arrived(txn, told_s, time.monotonic() - lay_s)
         self.upstream.serve(self, txn)
 
     def answer(self, status: bytes, body: bytes, extra: bytes = b"") -> None:
@@ -214,8 +222,7 @@
             return f"its connection ended by {self.end}"
         if self.transport.is_closing():
             return "its connection had ended before it was written"
-        sock = self.transport.get_extra_info("socket")
-        info = TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size))
+        info = tcp_info(self.transport)
         return (f"open connection with {info[RETRANSMITS]} retransmits, backoff {info[BACKOFF]}, "
                 f"{info[UNACKED]} segments unacked")
 
