Two tests that fail: a listener left by a failed start, and a look that takes an error for an end

A start whose listener can't have its option set leaves that listener open, with clients in its queue whom nobody accepts; a look at a connection that fails with ETIMEDOUT, EHOSTUNREACH or ENETUNREACH is taken for its client's end, where a read that fails so is made again while the kernel knows the peer.

--- a/tests/ends/test_listener.py
+++ b/tests/ends/test_listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+from typing import Any
 
 import pytest
 
@@ -111,3 +112,24 @@
             assert client.recv(10) == b""
 
     run(test)
+
+
+# Guards against a listener that nobody accepts from, after a start that failed: it takes some of the next one's.
+def test_a_start_that_fails_leaves_no_listener(monkeypatch: pytest.MonkeyPatch) -> None:
+    class NoOptions(socket.socket):
+        def setsockopt(self, *_: object) -> None:
+            raise OSError(errno.ENOBUFS, "no buffer")
+
+    real, made = socket.create_server, []
+
+    def create_server(*args: Any, **options: Any) -> socket.socket:
+        made.append(NoOptions(fileno=real(*args, **options).detach()))
+        return made[-1]
+
+    async def test() -> None:
+        monkeypatch.setattr(socket, "create_server", create_server)
+        with pytest.raises(OSError, match="no buffer"):
+            await listening()
+        assert made[0].fileno() == -1
+
+    run(test)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from collections import deque
 
 import pytest
@@ -172,3 +173,18 @@
         assert peek(ours) is Unread.END
         ours.script.append(errno.ECONNRESET)
         assert peek(ours) is Unread.END
+
+
+# Guards against a client that is taken for gone, and gets no answer, as one look at its connection failed.
+@pytest.mark.parametrize("number", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH])
+def test_a_look_that_fails_by_an_error_of_the_way_is_no_end(number: int) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.create_connection(listener.getsockname()) as made:
+        accepted, _ = listener.accept()
+        looked_at = Failing(fileno=made.detach())
+        looked_at.script = deque([number])
+        with accepted, looked_at:
+            assert peek(looked_at) is Unread.NOTHING
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            accepted.close()  # by a reset: the kernel knows the peer no more
+            looked_at.script = deque([number])
+            assert peek(looked_at) is Unread.END
