A look at a connection that fails by an error of the way is no end of it

Callers would see: a request cancelled, or its connection closed, though they wait; a kept upstream connection thrown away. Cause: reads asked the kernel whether it still knows the peer after ETIMEDOUT, EHOSTUNREACH or ENETUNREACH, the look before a send or a close did not. Both ask now, by the same function.

--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -47,7 +47,19 @@
     except BlockingIOError:
         return Unread.NOTHING
     except OSError as error:
-        return Unread.NOTHING if severity(error) is Severity.EXHAUSTED else Unread.END
+        return Unread.NOTHING if is_outlasted(sock, error) else Unread.END
+
+
+def is_outlasted(sock: socket.socket, error: OSError) -> bool:
+    """Whether the connection outlasts the error. The kernel forgets the peer of one that has ended."""
+    if severity(error) is Severity.EXHAUSTED:
+        return True
+    if severity(error) is not Severity.UNREACHABLE:
+        return False
+    with contextlib.suppress(OSError):
+        sock.getpeername()
+        return True
+    return False
 
 
 class StreamUser(Protocol):
@@ -117,23 +129,12 @@
     def read_failed(self, error: OSError) -> None:
         if severity(error) is Severity.AGAIN:
             return
-        if self.may_pass(error):
+        if is_outlasted(self.sock, error):
             self.pause_reading()
             self.again("read", self.resume_reading)
         else:
             self.end(error)
 
-    def may_pass(self, error: OSError) -> bool:
-        """Whether the connection outlasts the error. The kernel forgets the peer of one that has ended."""
-        if severity(error) is Severity.EXHAUSTED:
-            return True
-        if severity(error) is not Severity.UNREACHABLE:
-            return False
-        with contextlib.suppress(OSError):
-            self.sock.getpeername()
-            return True
-        return False
-
     def again(self, what: str, act: Callable[[], None]) -> None:
         if what not in self.pauses:
             self.pauses[what] = self.loop.call_later(PAUSE_S, self.after_pause, what, act)
@@ -159,7 +160,7 @@
         except OSError as error:
             if severity(error) is Severity.AGAIN:
                 self.await_room(True)
-            elif self.may_pass(error):
+            elif is_outlasted(self.sock, error):
                 self.await_room(False)
                 self.again("write", self.send_again)
             else:
