A start that fails closes its listener

Callers would see, where a successor shares the port: connections that come up and are never answered, until the process's collector finds the listener. Cause: the listener was open before its option and its place on the loop were set, and an error of these left it. Starts under failing calls pass.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -375,11 +375,15 @@
         self.looker: Periodic | None = None  # while there are any
 
     async def listen(self, address: tuple[str, int], reuse_port: bool = False) -> int:
-        self.listener = listener = socket.create_server(address, backlog=BACKLOG, reuse_port=reuse_port)
-        self.reuse_port = reuse_port
-        listener.setblocking(False)
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what it accepts inherits it
-        self.loop.add_reader(listener, self.accept)
+        listener = socket.create_server(address, backlog=BACKLOG, reuse_port=reuse_port)
+        try:
+            listener.setblocking(False)
+            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what it accepts inherits it
+            self.loop.add_reader(listener, self.accept)
+        except OSError:
+            listener.close()  # hazard: a start that is tried again would have it beside it, and nobody accepts
+            raise
+        self.listener, self.reuse_port = listener, reuse_port
         self.sweeper = Periodic(SWEEP_S, self.sweep)
         port: int = listener.getsockname()[1]
         return port
