--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -64,6 +64,7 @@
     status: int = 0
     body: bytes = b""
     trouble: str = ""
+    connect_s: float = 0.0  # that its connection took to come up
     seen: str = ""  # of its connection, where it is lost
     arrivals: list[Arrival] = field(default_factory=list)
 
@@ -94,7 +95,8 @@
         found = []
         slack_s = MEASURING_S + self.lag_s
         if call.trouble.startswith("lost"):
-            found.append(f"{call.trouble}; {call.seen}, sent at {call.sent_s:.3f}, {len(call.arrivals)} attempts")
+            found.append(f"{call.trouble}; {call.seen}, connected in {call.connect_s:.3f} s, "
+                         f"sent at {call.sent_s:.3f}, {len(call.arrivals)} attempts")
         if call.status == 200 and call.body != b"answer " + call.txn.encode():
             found.append(f"wrong body {call.body[:40]!r}")
         if call.lane == "pay" and len(call.arrivals) > 1:
@@ -321,10 +323,12 @@
         call.sent_s = time.monotonic()
         for _ in range(2):  # a request that crosses the end of a resting connection is sent once more
             if connection is None or connection.closed:
+                begun_s = time.monotonic()
                 try:
                     connection = await self.connect() if self.may_connect else None
                 except OSError:
                     connection = None
+                call.connect_s = time.monotonic() - begun_s
                 if connection is None:
                     call.trouble = "not connected"
                     return call
