The client's connection has a module of its own, net/client.py

Tests import from where the names are now; tests/control/test_off.py, which lists every module that a plain sidecar loads, has the three new ones: client, closing, signals.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -21,13 +21,14 @@
 from ironscale import interface as api
 from ironscale import logs
 from ironscale.balance import Balancer
+from ironscale.net.client import HOP_BY_HOP, Exchange, Headers
 from ironscale.net.config import Config, ConfigError, load, merged, parse
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.errors import passes
 from ironscale.net.lane import Front, Lane
 from ironscale.net.lifecycle import Ledger
 from ironscale.net.periodic import Periodic
-from ironscale.net.server import HOP_BY_HOP, Exchange, Headers, Server
+from ironscale.net.server import Server
 from ironscale.net.signals import Signals
 from ironscale.net.starts import StartTimes
 from ironscale.net.upstream import Answer, Attempt, Upstreams
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -13,9 +13,9 @@
 
 from ironscale.interface import Outcome, UpstreamState
 from ironscale.net import dialing
+from ironscale.net.client import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
 from ironscale.net.errors import passes
 from ironscale.net.periodic import Periodic
-from ironscale.net.server import MAX_BODY, MAX_HEAD, MAX_HEADERS, Headers
 from ironscale.net.stream import Stream, Unread, peek
 
 if TYPE_CHECKING:
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -24,10 +24,11 @@
     assert done.stdout.split() == [
         "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.crowd", "ironscale.interface",
         "ironscale.logs", "ironscale.net",
-        "ironscale.net.config", "ironscale.net.dialing", "ironscale.net.discovery", "ironscale.net.errors",
+        "ironscale.net.client", "ironscale.net.closing", "ironscale.net.config", "ironscale.net.dialing",
+        "ironscale.net.discovery", "ironscale.net.errors",
         "ironscale.net.jsonstream", "ironscale.net.lane", "ironscale.net.lifecycle",
         "ironscale.net.periodic",
-        "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.starts",
+        "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.signals", "ironscale.net.starts",
         "ironscale.net.stream", "ironscale.net.turns",
         "ironscale.net.upstream", "ironscale.places", "ironscale.settings", "ironscale.trust"]
 
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -15,7 +15,8 @@
 from ironscale.interface import Outcome
 from ironscale.net import server as module
 from ironscale.net import upstream
-from ironscale.net.server import ClientConnection, Server
+from ironscale.net.client import ClientConnection
+from ironscale.net.server import Server
 from ironscale.net.upstream import Attempt, Pool
 from ironscale.standins.http import TURNED_AWAY, ok
 from ironscale.standins.upstream import Peer, hang
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from ironscale.net.server import Exchange, Server
+from ironscale.net.client import Exchange
+from ironscale.net.server import Server
 from ironscale.standins.http import read_message
 from tests.learned.test_restart import Site
 from tests.sockets import run, until
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,7 +18,7 @@
 import pytest
 
 from ironscale import interface as api
-from ironscale.net import server, upstream
+from ironscale.net import client, server, upstream
 from ironscale.net.sidecar import MARGIN_US, Clock, parse_remaining_us, read_report
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
@@ -357,7 +357,7 @@
             writer.write(scene.request(remaining="300m"))
         await until(lambda: connection.unparsed)
         await asyncio.sleep(0.35)
-        assert len(connection.waiting) <= server.PIECE // 100
+        assert len(connection.waiting) <= client.PIECE // 100
         assert len(connection.unparsed) <= 512 << 10
         peer.behave = reply(ok())
         peer.answer_held(ok())
@@ -504,7 +504,7 @@
 
         def counts() -> tuple[int, int, int]:
             gc.collect()
-            objects = sum(isinstance(o, server.ClientConnection | server.Exchange | upstream.Connection
+            objects = sum(isinstance(o, client.ClientConnection | client.Exchange | upstream.Connection
                                      | upstream.Attempt | upstream.Pool) for o in gc.get_objects())
             return objects, len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
 
