A shared port's listener that cannot lead away closes with its queue full again

Seen: a new test of the ways that remain where the kernel refuses both options (tests/ends/test_listener.py, alone and shared): the shared one reset a client each time, as the connection that fills the queue went to the other listener.

--- a/ironscale/net/closing.py
+++ b/ironscale/net/closing.py
@@ -29,6 +29,8 @@
 PROBES = 4  # connections that show where all go
 MOST_SHARING = 8  # listeners of a port among which another's is looked for
 FILL_TRIES = 4  # to take the last place of the queue
+PORT_TRIES = 64  # to find a port from which the kernel leads to this listener
+ANY_PORT = 0
 
 
 class Reached(enum.Enum):
@@ -48,6 +50,7 @@
         self.listener, self.shares_port = listener, shares_port
         self.drain, self.close, self.now_us = drain, close, now_us
         self.probe: tuple[str, int] | None = None  # the address of a connection of our own that is on its way here
+        self.probed_port = ANY_PORT  # of the last such connection that came up
         self.quiet_since_us: int | None = None  # new connections have been led away, and none has come since
         self.can_lead_away = True
 
@@ -120,9 +123,10 @@
         """Where a connection of our own comes. It ends by a reset: whoever has it in his queue can tell."""
         with socket.socket() as own:
             own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            error = connect(own, self.listener.getsockname())
+            error = connect(own, self.listener.getsockname(), ANY_PORT)
             if error == 0:
                 self.probe = own.getsockname()
+                self.probed_port = own.getsockname()[1]
                 if not self.drain():
                     return Reached.UNKNOWN
                 is_here, self.probe = self.probe is None, None
@@ -133,16 +137,25 @@
         """Where new connections can't be led away: the queue is cut to one place, which a connection of our own takes,
         and who comes then waits within his connect. Two handshakes that end at once may pass that place: one is cut."""
         with self.short_queue(), ExitStack() as stack:
+            port = self.port_leading_here() if self.shares_port else ANY_PORT
             for _ in range(FILL_TRIES):
                 if not self.drain():  # a client's may have the place
                     return False
                 own = stack.enter_context(socket.socket())
-                if connect(own, self.listener.getsockname()) == 0:
+                if connect(own, self.listener.getsockname(), port) == 0:
                     self.close()
                     return True
                 own.close()  # it may wait for the place
         return False
 
+    def port_leading_here(self) -> int:
+        """A port from which connections come here, and not to another listener of this port: the kernel chooses by the
+        addresses and ports of both ends."""
+        for _ in range(PORT_TRIES):
+            if self.reached() is Reached.HERE:
+                return self.probed_port
+        return ANY_PORT
+
     @contextmanager
     def short_queue(self) -> Iterator[None]:
         """Handshakes that find no place are cut: it stays short no longer than one step."""
@@ -154,9 +167,12 @@
                 self.listener.listen(BACKLOG)
 
 
-def connect(own: socket.socket, address: tuple[str, int]) -> int:
-    """Connects within this machine; 0 or an error's number, EINPROGRESS if it takes longer."""
+def connect(own: socket.socket, address: tuple[str, int], port: int) -> int:
+    """Connects within this machine from a port; 0 or an error's number, EINPROGRESS if it takes longer."""
     own.setblocking(False)
+    # bound, as a port that a connect chooses may be shared with old connections and could not be bound again
+    own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    own.bind((address[0], port))
     error = own.connect_ex(address)
     if error != errno.EINPROGRESS:
         return error
--- a/tests/ends/test_listener.py
+++ b/tests/ends/test_listener.py
@@ -5,12 +5,15 @@
 import asyncio
 import errno
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
+from ironscale.net.closing import ListenerShutdown
 from ironscale.net.server import Server
 from ironscale.standins.http import read_message
+from tests import test_shutdown
 from tests.sockets import run
 from tests.test_shutdown import REQUEST, Answers, now_us
 
@@ -133,3 +136,19 @@
         assert made[0].fileno() == -1
 
     run(test)
+
+
+def refuse(*_: object) -> None:
+    raise OSError(errno.ENOPROTOOPT, "no such option")
+
+
+# Guards against resets where the kernel leads no new connections away: who comes last waits in his connect, as he did.
+@pytest.mark.parametrize("test", [
+    test_shutdown.test_who_comes_as_the_listener_closes_finds_nobody_before_sending_anything,
+    test_shutdown.test_who_comes_as_a_listener_that_shares_its_port_closes_is_served_by_the_other,
+], ids=["alone", "shared"])
+def test_a_listener_that_cannot_be_hidden_closes_with_a_full_queue(test: Callable[[], None],
+                                                                   monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ListenerShutdown, "bind_to", refuse)
+    monkeypatch.setattr(ListenerShutdown, "choose", refuse)
+    test()
