An agent hears SIGTERM through a pipe as well

People saw an agent that goes on running after it was told to end, until SIGKILL: its event loop acted on a signal's byte alone, and that byte goes through a socket whose write may fail. It uses net/signals.py now, as sidecars do. tests/agent/test_signals failed one of one before and passes three of three; tests/agent/test_killed, test_supervisor and tests/cli: 120 passed.

--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -31,7 +31,8 @@
 from ironscale.agent.terms import Owner, clock_ms
 from ironscale.control.beside import version
 from ironscale.control.messages import Hello
-from ironscale.net.sidecar import Clock
+from ironscale.net.sidecar import ENDING, Clock
+from ironscale.net.signals import Signals
 from ironscale.operator_file import Agent as AgentSection
 from ironscale.operator_file import read_secret
 from ironscale.versions.serving import Serving
@@ -430,10 +431,15 @@
 async def serve(section: AgentSection, stop_instances: bool) -> None:
     # hazard: answers of many objects make the collector walk the whole fleet again and again
     gc.set_threshold(100_000, 50, 100)
-    loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await Agent(section).run(stop, stop_instances)
+    stop, signals = asyncio.Event(), Signals()
+    for number in ENDING:
+        signals.on(number, stop.set)
+    try:
+        await Agent(section).run(stop, stop_instances)
+    finally:
+        for number in ENDING:
+            signal.signal(number, signal.SIG_DFL)
+        signals.close()
 
 
 @contextlib.asynccontextmanager
