A test that fails: an unprivileged process that can't close its hidden listener

Without CAP_NET_RAW the kernel binds a socket to a device once: a second SO_BINDTOIFINDEX gives EPERM, shown under setpriv.

--- a/tests/ends/test_listener.py
+++ b/tests/ends/test_listener.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from ironscale.net.closing import ListenerShutdown
+from ironscale.net.closing import ListenerShutdown, Reached
 from ironscale.net.server import Server
 from ironscale.standins.http import read_message
 from tests import test_shutdown
@@ -152,3 +152,52 @@
     monkeypatch.setattr(ListenerShutdown, "bind_to", refuse)
     monkeypatch.setattr(ListenerShutdown, "choose", refuse)
     test()
+
+
+def bind_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As for a process without privileges: a listener that is bound to a device can't be bound again."""
+    bind_to, bound = ListenerShutdown.bind_to, set[ListenerShutdown]()
+
+    def bind(self: ListenerShutdown, device: int) -> None:
+        if self in bound:
+            raise OSError(errno.EPERM, "not permitted")
+        bound.add(self)
+        bind_to(self, device)
+
+    monkeypatch.setattr(ListenerShutdown, "bind_to", bind)
+
+
+# Guards against a listener that an unprivileged process has hidden, and can't close as it tries to bind it once more.
+def test_a_listener_whose_probes_fail_for_a_moment_is_bound_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    def unknown(self: ListenerShutdown) -> Reached:
+        return Reached.UNKNOWN
+
+    async def test() -> None:
+        server = await listening()
+        with monkeypatch.context() as patch:
+            patch.setattr(ListenerShutdown, "reached", unknown)
+            assert not any(server.close_listener() for _ in range(3))
+        async with asyncio.timeout(5.0):
+            await test_shutdown.closed(server)
+        await server.stop(0.0, 0.0, 0.0, 5.0)
+
+    bind_once(monkeypatch)
+    run(test)
+
+
+# Guards against the same where a successor comes to a shared port as its only listener is closing.
+def test_a_successor_that_comes_late_gets_what_is_new(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        for _ in range(6):  # the kernel chooses between the two by the port that a probe has
+            server = await listening(shares_port=True)
+            assert not server.close_listener()
+            successor = await listening(address(server)[1], True)
+            async with asyncio.timeout(5.0):
+                await test_shutdown.closed(server)
+            for _ in range(4):
+                assert await is_answered(socket.create_connection(address(successor), 2.0))
+            for one in (server, successor):
+                await one.stop(0.0, 0.0, 0.0, 5.0)
+
+    bind_once(monkeypatch)
+    run(test)
