A listener is bound to no device once, and closes without a privilege

Callers would see, from an unprivileged sidecar whose probes fail for a moment: nothing lost, but a shutdown up to its end, as the listener that nobody finds any more does not close. It stays bound now, and what leads to it in a shared port is told from what leads to another.

--- a/ironscale/net/closing.py
+++ b/ironscale/net/closing.py
@@ -25,7 +25,6 @@
 SO_ATTACH_REUSEPORT_CBPF, SO_BINDTOIFINDEX = 51, 62
 BPF_RETURN_CONSTANT = 0x06
 NO_DEVICE = 1 << 30  # an index that no network device has
-ANY_DEVICE = 0
 PROBES = 4  # connections that show where all go
 MOST_SHARING = 8  # listeners of a port among which another's is looked for
 FILL_TRIES = 4  # to take the last place of the queue
@@ -52,6 +51,7 @@
         self.probe: tuple[str, int] | None = None  # the address of a connection of our own that is on its way here
         self.probed_port = ANY_PORT  # of the last such connection that came up
         self.quiet_since_us: int | None = None  # new connections have been led away, and none has come since
+        self.is_hidden = False  # new connections do not find it, but by the choice of a shared port
         self.can_lead_away = True
 
     def is_probe(self, peer: tuple[str, int]) -> bool:
@@ -73,7 +73,6 @@
             return False
         if self.shares_port and self.reached() not in (Reached.ANOTHER, Reached.NOBODY):
             self.quiet_since_us = None  # another of the port has come or gone
-            self.bind_to(ANY_DEVICE)
             return False
         self.close()
         return True
@@ -95,13 +94,16 @@
         """Makes the kernel choose another listener of the port for all that is new; HERE if there is none."""
         for index in range(MOST_SHARING):
             self.choose(index)
-            found = {self.reached() for _ in range(PROBES)}
-            if found == {Reached.ANOTHER}:
-                return Reached.ANOTHER
-            if not found <= {Reached.HERE, Reached.ANOTHER}:
+            reached = next((one for one in self.reached_often() if one is not Reached.ANOTHER), Reached.ANOTHER)
+            if reached is Reached.ANOTHER:
+                return reached
+            if reached is not Reached.HERE and not self.is_hidden:  # what leads to a hidden one comes nowhere
                 return Reached.UNKNOWN
         return Reached.HERE
 
+    def reached_often(self) -> Iterator[Reached]:
+        return (self.reached() for _ in range(PROBES))
+
     def choose(self, index: int) -> None:
         """New connections to the port go to the listener of this index, or by a hash where there is none."""
         program = array("B", struct.pack("HBBI", BPF_RETURN_CONSTANT, 0, 0, index))
@@ -109,11 +111,12 @@
         self.listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, struct.pack("HP", 1, address))
 
     def hide(self) -> Reached:
-        """Keeps new connections from finding the listener; HERE if they still do, NOBODY if they are refused."""
-        self.bind_to(NO_DEVICE)
+        """Keeps new connections from finding the listener; HERE if they still do, NOBODY if they are refused. It stays
+        bound: without a privilege a socket is bound to a device once, and never to another or none."""
+        if not self.is_hidden:
+            self.bind_to(NO_DEVICE)
+            self.is_hidden = True
         reached = self.reached()
-        if reached in (Reached.HERE, Reached.ANOTHER):
-            self.bind_to(ANY_DEVICE)
         return Reached.UNKNOWN if reached is Reached.ANOTHER else reached
 
     def bind_to(self, device: int) -> None:
