Request log: attempts, connections and reasons of what was retried, refused or closed

The sidecar logged no attempt, so nobody could see which answer had come on which connection, nor why a request was taken for one that never ran. Change: a line for each request that its first attempt did not serve, with every attempt's connection, ordinal, rest and outcome; a line for bytes that no request asked for; counts of connections by why they were closed, in the last line of the process. Through logging, at a bounded rate; a record that can't be formatted no longer raises in the code that logs.

--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -34,6 +34,7 @@
     START_TIMEOUT_S."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(level=logging.WARNING, handlers=[logs.LogHandler()])
+    logging.getLogger("ironscale").setLevel(logging.INFO)
     deadline_s = time.monotonic() + START_TIMEOUT_S
     while True:
         try:
--- a/ironscale/logs.py
+++ b/ironscale/logs.py
@@ -7,6 +7,7 @@
 import os
 import select
 import sys
+from collections.abc import Callable
 
 MAX_BUFFER_BYTES = 64 << 10
 WRITE_CHUNK_BYTES = select.PIPE_BUF  # a pipe that is ready for writing accepts this much without blocking
@@ -69,11 +70,44 @@
         return len(data)
 
 
+class LineBudget:
+    """Limits the lines of one kind to `lines_per_s` after a burst, and counts those left out."""
+
+    def __init__(self, now_us: Callable[[], int], lines_per_s: float, burst: int) -> None:
+        self.now_us, self.lines_per_s, self.burst = now_us, lines_per_s, burst
+        self.available = float(burst)
+        self.refilled_us = now_us()
+        self.left_out = 0  # since the last line that was allowed
+        self.left_out_total = 0
+
+    def allows(self) -> bool:
+        """Whether one more line may be logged now."""
+        now_us = self.now_us()
+        self.available = min(self.burst, self.available + (now_us - self.refilled_us) / 1e6 * self.lines_per_s)
+        self.refilled_us = now_us
+        if self.available < 1.0:
+            self.left_out += 1
+            self.left_out_total += 1
+            return False
+        self.available -= 1.0
+        return True
+
+    def note(self) -> str:
+        """A remark on the lines left out before this one; empty if there were none."""
+        left_out, self.left_out = self.left_out, 0
+        return f" ({left_out} lines before it left out)" if left_out else ""
+
+
 class LogHandler(logging.Handler):
     """Writes the log records of libraries, including those of the event loop, to the log of the process."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        write_line(self.format(record))
+        # a record that can't be formatted must not raise in the code that logs
+        try:
+            text = self.format(record)
+        except Exception as error:
+            text = f"log record of {record.name} could not be formatted: {type(error).__name__}: {error}"
+        write_line(text)
 
 
 _process_log = Log()
--- a/ironscale/net/lifecycle.py
+++ b/ironscale/net/lifecycle.py
@@ -9,6 +9,9 @@
 import enum
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
+
+from ironscale.net.connection_metrics import ConnectionUse
 
 TOLERANCE_US = 150_000  # tolerance of the checks: a send past the deadline, or an upstream told more time than is left
 MAX_NOTES = 2_000  # only the latest notes are kept
@@ -72,26 +75,42 @@
                  for at_us, about, event, reason in self.notes if about == request]
         return found[-MAX_NOTES_LOGGED:]
 
-    def summary(self) -> str:
-        """All counts in one line."""
+    def summary(self, *others: str) -> str:
+        """All counts in one line, with other summaries before the number of violations."""
         counts_by_name = {f"{event.value} ({reason})" if reason else event.value: count
                  for (event, reason), count in self.counts.items()}
         counts = [f"{name} {counts_by_name[name]}" for name in sorted(counts_by_name)]
-        return f"{'; '.join(counts) or 'no request'}; violations {self.violations.total()}"
+        return "; ".join(["; ".join(counts) or "no request", *others, f"violations {self.violations.total()}"])
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """One attempt that has ended. `use` tells the connection that carried it; None if nothing was written."""
+
+    upstream: str
+    begun_us: int
+    ended_us: int
+    outcome: str
+    use: ConnectionUse | None
 
 
 class Lifecycle:
     """One request, from the moment it is fully read until it is answered or its client leaves."""
 
-    __slots__ = ("attempts", "due_us", "last_outcome", "ledger", "request", "state")
+    __slots__ = ("accepted_us", "attempts", "due_us", "end_reason", "ended_us", "last_outcome", "ledger", "request",
+                 "sends", "state", "status")
 
     def __init__(self, ledger: Ledger) -> None:
         self.ledger = ledger
         self.state = State.ACCEPTED
         self.request = ""
         self.due_us: int | None = None  # the client's deadline
-        self.attempts = 0
+        self.accepted_us = self.ended_us = 0
+        self.sends = 0  # attempts begun
+        self.attempts: list[AttemptRecord] = []  # attempts ended
         self.last_outcome = ""  # outcome of the latest attempt
+        self.status = 0  # of its answer; 0 if it has none
+        self.end_reason = ""  # why it was refused, failed or cancelled
 
     @property
     def is_over(self) -> bool:
@@ -99,6 +118,7 @@
 
     def begin(self, request: str, due_us: int) -> None:
         self.request, self.due_us = request, due_us
+        self.accepted_us = self.ledger.now_us()
         self.ledger.note(Event.ACCEPTED, "", request)
 
     def may_send(self, now_us: int, until_us: int, client_has_left: Callable[[], bool]) -> bool:
@@ -115,13 +135,15 @@
         if self.due_us is not None and remaining_us > max(0, self.due_us - now_us) + TOLERANCE_US:
             self.ledger.record_violation(Invariant.REMAINING_TIME_OVERSTATED, self.request,
                                          f"{remaining_us} of {self.due_us - now_us} us")
-        self.ledger.note(Event.RETRIED if self.attempts else Event.SENT, self.last_outcome, self.request)
-        self.attempts += 1
+        self.ledger.note(Event.RETRIED if self.sends else Event.SENT, self.last_outcome, self.request)
+        self.sends += 1
         if not self.is_over:
             self.state = State.IN_FLIGHT
 
-    def attempt_ended(self, outcome: str) -> None:
+    def attempt_ended(self, outcome: str, upstream: str = "", begun_us: int = 0,
+                      use: ConnectionUse | None = None) -> None:
         self.last_outcome = outcome
+        self.attempts.append(AttemptRecord(upstream, begun_us, self.ledger.now_us(), outcome, use))
         self.ledger.note(Event.ATTEMPT_ENDED, outcome, self.request)
 
     def answer(self, status: int) -> bool:
@@ -129,6 +151,7 @@
         if self.is_over:
             return False
         self.state = State.ANSWERED
+        self.status, self.ended_us = status, self.ledger.now_us()
         self.ledger.note(Event.ANSWERED, str(status), self.request)
         return True
 
@@ -137,6 +160,7 @@
         if self.is_over:
             return False
         self.state = State.CANCELLED
+        self.end_reason, self.ended_us = reason, self.ledger.now_us()
         self.ledger.note(Event.CANCELLED, reason, self.request)
         return True
 
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -28,6 +28,7 @@
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
 from ironscale.net.lifecycle import Ledger
 from ironscale.net.periodic import Periodic
+from ironscale.net.request_log import RequestLog
 from ironscale.net.server import Server
 from ironscale.net.signals import Signals
 from ironscale.net.start_times import StartTimes
@@ -237,6 +238,7 @@
         self.upstreams = Upstreams(self.clock.now_us, config.upstream_idle_timeout_us, settings.connect_timeout_us,
                                    max_connections)
         self.ledger = Ledger(self.clock.now_us, self.log)
+        self.request_log = RequestLog(config.name, self.clock.now_us)
         self.server = Server(self, max_connections, self.clock.now_us, self.ledger)
         self.discovery = Discovery(config.discovery, config.directory, config.last_known_list.generation, self.on_list,
                                    config.discovery_timeout_us / 1e6, self.log, self.balancer.list_call_spread_us() > 0,
@@ -328,7 +330,7 @@
         end_s = max(STOP_GRACE_S + min(longest_s, STOP_MAX_DEADLINE_S), STOP_MIN_END_S)
         await self.server.stop(STOP_QUIET_PERIOD_S, STOP_MIN_ACCEPT_S, STOP_MAX_ACCEPT_S, end_s,
                                self.fail_open_requests)
-        self.log(f"ended: {self.ledger.summary()}")
+        self.log(f"ended: {self.ledger.summary(self.upstreams.metrics.summary())}")
         self.clock_checker.cancel()
         self.discovery.close()
         self.upstreams.close()
@@ -428,7 +430,8 @@
         if timer is not None:
             timer.cancel()
         request.attempts_in_flight -= 1
-        request.exchange.lifecycle.attempt_ended(outcome.value)
+        request.exchange.lifecycle.attempt_ended(outcome.value, self.name_of(upstream), sent_us,
+                                                 request.attempts[number].use)
         self.forget(request)
         forward_to = None
         if outcome is api.Outcome.OK and answer is not None and request.is_open() and request.dispatcher is self:
@@ -457,10 +460,12 @@
                 self.send(action)
             case api.Refuse():
                 self.refusals[action.reason] += 1
+                self.set_end_reason(action.request, f"refused: {action.reason}")
                 after_us = action.retry_after_us
                 headers = [(b"Retry-After", b"%.3f" % (after_us / 1e6))] if after_us > 0 else []
                 self.answer(action.request, 503, headers)
             case api.Fail():
+                self.set_end_reason(action.request, "failed by the balancer")
                 self.answer(action.request, 502, [])
             case api.Cancel():
                 request = self.requests.get(action.request)
@@ -536,11 +541,18 @@
             self.answers[request.class_index, "refused" if status == 503 else "failed"] += 1
             self.close(request)
 
+    def set_end_reason(self, ident: int, reason: str) -> None:
+        """Notes for the log why the request is about to be refused or failed."""
+        request = self.requests.get(ident)
+        if request is not None and request.is_open():
+            request.exchange.lifecycle.end_reason = reason
+
     def fail(self, ident: int) -> None:
         """Answers 502 to a request that the balancer has left without an answer, even if an upstream has run it."""
         request = self.requests.get(ident)
         if request is not None and request.is_open():
             self.log(f"request {ident}: the balancer gave no answer; it fails with status 502")
+            self.set_end_reason(ident, "the balancer gave no answer")
             self.answer(ident, 502, [])
             self.notify_abandoned(request)
 
@@ -571,11 +583,22 @@
     def forget(self, request: Request) -> None:
         """Drops the request if it is over and no attempt is in flight."""
         if request.attempts_in_flight == 0 and not request.is_open():
-            self.requests.pop(request.ident, None)
+            known = self.requests.pop(request.ident, None)
+            if known is not None:
+                self.request_log.request_over(request.exchange.lifecycle, self.class_name(request.class_index))
 
     def schedule(self, at_us: int, callback: Callable[[], None]) -> Timer:
         return self.timers.schedule(at_us, callback)
 
+    def class_name(self, index: int) -> str:
+        classes = self.config.settings.classes
+        return classes[index].name if index < len(classes) else str(index)
+
+    def name_of(self, upstream_id: int) -> str:
+        """The name of the upstream in discovery; its number if it has left the list."""
+        pool = self.upstreams.pools.get(upstream_id)
+        return pool.member.name if pool is not None else str(upstream_id)
+
     def upstream_name(self, found: re.Match[str]) -> str:
         """Replaces the number by which the balancer knows an upstream with its name in discovery."""
         pool = self.upstreams.pools.get(int(found[1]))
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -12,8 +13,10 @@
 import httptools
 
 from ironscale.interface import Outcome, UpstreamState
+from ironscale.logs import LineBudget
 from ironscale.net import socket_connect
 from ironscale.net.client import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Headers
+from ironscale.net.connection_metrics import CloseReason, ConnectionMetrics, ConnectionUse
 from ironscale.net.errors import is_transient
 from ironscale.net.periodic import Periodic
 from ironscale.net.stream import Stream, Unread, peek
@@ -21,6 +24,9 @@
 if TYPE_CHECKING:
     from ironscale.net.discovery import Member
 
+logger = logging.getLogger("ironscale.upstreams")
+MAX_LOGGED_BYTES = 60
+SURPLUS_LINES_PER_S, MAX_SURPLUS_BURST = 1.0, 50
 IDLE_TIMEOUT_SHARE = 0.9  # share of the upstream's idle timeout; the rest allows for data in flight
 SWEEP_INTERVAL_S = 1.0
 STATUSES_WITHOUT_BODY = frozenset((*range(100, 200), 204, 304))
@@ -67,6 +73,7 @@
         self.is_wanted = is_wanted  # called just before the first byte is written
         self.on_end: Callable[[Outcome, Answer | None], None] | None = on_end
         self.connection: Connection | None = None
+        self.use: ConnectionUse | None = None  # None until it is written to a connection
         self.ended = False
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
@@ -85,7 +92,7 @@
             return
         written = connection.is_written
         # close it: a late answer would be taken for the answer to the next request
-        connection.close()
+        connection.close(CloseReason.ATTEMPT_ABANDONED)
         self.end(outcome if written else Outcome.CONNECT_FAILED)
 
 
@@ -94,7 +101,7 @@
         connection = self.connection
         if not self.ended and connection is not None and not connection.is_written:
             self.connection = None
-            connection.close()
+            connection.close(CloseReason.ATTEMPT_ABANDONED)
             self.end(Outcome.NOT_SENT)
 
 
@@ -104,6 +111,9 @@
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool = pool
         self.sock = sock
+        pool.upstreams.metrics.opened += 1
+        self.number = pool.upstreams.metrics.opened
+        self.requests = 0  # requests begun on it
         self.opened_us = self.idle_since_us = pool.upstreams.now_us()
         self.transport: Stream | None = None
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -117,7 +127,6 @@
         self.is_written = False  # the last byte of the request has been passed to the kernel
         self.idle_age_us = 0  # how long it was idle before the attempt; 0 for a new connection
         self.is_retired = False  # must not be reused
-        self.is_reused = False
         self.is_closed = False
 
     def open(self) -> None:
@@ -131,8 +140,10 @@
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
-        self.idle_age_us = self.pool.upstreams.now_us() - self.idle_since_us if self.is_reused else 0
-        self.is_reused = True
+        self.idle_age_us = self.pool.upstreams.now_us() - self.idle_since_us if self.requests else 0
+        self.requests += 1
+        self.pool.upstreams.metrics.requests += 1
+        attempt.use = ConnectionUse(self.number, self.requests, self.idle_age_us)
         self.answer, self.is_complete, self.is_written = Answer(), False, False
         self.in_head, self.head_size, self.header_count, self.answer_begun = True, 0, 0, False
         self.transport.write(attempt.build_payload())
@@ -144,7 +155,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
-            self.close()  # unexpected data: the next answer would be matched to the wrong request
+            self.report_surplus(data)
+            self.close(CloseReason.SURPLUS)  # the next answer would be matched to the wrong request
             return
         is_malformed, self.answer_begun = False, True
         try:
@@ -159,7 +171,16 @@
         # the parser buffers an endless line without calling on_header, so the bytes are counted here
         self.head_size += len(data) if self.in_head else 0
         if is_malformed or self.head_size > MAX_HEAD_BYTES:
-            self.fail()
+            self.fail(CloseReason.MALFORMED)
+
+    def report_surplus(self, data: bytes) -> None:
+        """Logs bytes that arrived while no request was in flight."""
+        upstreams = self.pool.upstreams
+        if upstreams.surplus_lines.allows():
+            logger.warning("upstream=%s connection=%d ordinal=%d: %d bytes that no request asked for, %.1f ms after "
+                           "the last answer: %r%s", self.pool.member.name, self.number, self.requests, len(data),
+                           (upstreams.now_us() - self.idle_since_us) / 1000, data[:MAX_LOGGED_BYTES],
+                           upstreams.surplus_lines.note())
 
     def on_message_begin(self) -> None:
         self.in_head = True
@@ -223,22 +244,23 @@
         self.pool.release(self)
         attempt.end(self.answer.outcome(), self.answer)
 
-    def fail(self) -> None:
+    def fail(self, reason: CloseReason) -> None:
         """Closes the failed connection and ends its attempt."""
         attempt, self.attempt = self.attempt, None
         written = self.is_written
-        self.close()
+        self.close(reason)
         if attempt is not None:
             attempt.connection = None
             if not self.answer_begun:
                 self.pool.upstreams.idle_failures.record(self.idle_age_us, True)
             attempt.end(Outcome.RESET if written else Outcome.CONNECT_FAILED)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Closes the connection at once, without ending its attempt."""
         self.attempt = None
         if not self.is_closed:
             self.is_closed = self.is_retired = True
+            self.pool.upstreams.metrics.closed[reason] += 1
             self.pool.remove(self)
             if self.transport is not None:
                 # The event loop closes the socket only in its next iteration. A retry that is written in this one would
@@ -248,10 +270,10 @@
                 self.transport.abort()
 
     def eof_received(self) -> None:
-        self.fail()
+        self.fail(CloseReason.PEER_ENDED)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.fail()
+        self.fail(CloseReason.PEER_ENDED)
         self.parser = None  # breaks a reference cycle that only the garbage collector would free
 
 
@@ -308,7 +330,7 @@
         """Closes the connection, but only after its current attempt if it has one."""
         connection.is_retired = True
         if connection.attempt is None:
-            connection.close()
+            connection.close(CloseReason.LEFT_SERVICE)
 
     def handle_removal(self) -> None:
         """Handles the removal from the list: pending requests may still be answered, no new ones are sent."""
@@ -318,17 +340,18 @@
 
     def close_idle(self) -> None:
         while self.idle:
-            self.idle[-1].close()
+            self.idle[-1].close(CloseReason.LEFT_SERVICE)
 
     def start(self, attempt: Attempt) -> None:
         """Sends the attempt on an idle connection, or on a new one."""
-        now_us, ages = self.upstreams.now_us(), self.upstreams.idle_failures
+        now_us = self.upstreams.now_us()
         for connection in reversed(self.idle):
             age_us = now_us - connection.idle_since_us
             if age_us < MIN_IDLE_US:
                 continue
-            if self.has_expired(connection) or not ages.is_reliable(age_us) or connection.is_stale():
-                connection.close()
+            unusable = self.why_not_reusable(connection, age_us)
+            if unusable is not None:
+                connection.close(unusable)
                 continue
             self.idle.remove(connection)
             del self.upstreams.idle[connection]
@@ -343,6 +366,14 @@
         self.upstreams.tasks.add(task)
         task.add_done_callback(self.upstreams.tasks.discard)
 
+    def why_not_reusable(self, connection: Connection, idle_us: int) -> CloseReason | None:
+        """Why an idle connection must be closed instead of being used; None if it may be used."""
+        if self.has_expired(connection):
+            return CloseReason.IDLE_TIMEOUT
+        if not self.upstreams.idle_failures.is_reliable(idle_us):
+            return CloseReason.UNRELIABLE_AGE
+        return CloseReason.UNREAD_AT_REUSE if connection.is_stale() else None
+
     def has_expired(self, connection: Connection) -> bool:
         return self.upstreams.now_us() - connection.idle_since_us >= self.upstreams.idle_timeout_us
 
@@ -376,7 +407,7 @@
     def release(self, connection: Connection) -> None:
         """Returns the connection to the idle ones, or closes it if it must not be reused."""
         if connection.is_retired or not self.is_ready():
-            connection.close()
+            connection.close(CloseReason.NOT_REUSABLE if self.is_ready() else CloseReason.LEFT_SERVICE)
         else:
             self.busy.discard(connection)
             connection.idle_since_us = self.upstreams.now_us()
@@ -391,7 +422,7 @@
 
     def close_expired(self) -> None:
         while self.idle and self.has_expired(self.idle[0]):
-            self.idle[0].close()
+            self.idle[0].close(CloseReason.IDLE_TIMEOUT)
 
 
 class Upstreams:
@@ -405,6 +436,8 @@
         self.pools: dict[int, Pool] = {}
         self.idle: dict[Connection, None] = {}  # of all pools, the one that has been idle longest first
         self.idle_failures = IdleFailures()
+        self.metrics = ConnectionMetrics()
+        self.surplus_lines = LineBudget(now_us, SURPLUS_LINES_PER_S, MAX_SURPLUS_BURST)
         self.tasks: set[asyncio.Task[None]] = set()
         self.sweeper = Periodic(SWEEP_INTERVAL_S, self.sweep)
 
@@ -461,7 +494,7 @@
         if self.open_count >= self.max_open:
             oldest = next(iter(self.idle), None)
             if oldest is not None:
-                oldest.close()
+                oldest.close(CloseReason.MAKE_ROOM)
         return self.open_count < self.max_open
 
     def sweep(self) -> None:
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -16,6 +16,7 @@
 from ironscale.net import server as module
 from ironscale.net import upstream
 from ironscale.net.client import ClientConnection
+from ironscale.net.connection_metrics import CloseReason
 from ironscale.net.server import Server
 from ironscale.net.upstream import Attempt, Pool
 from ironscale.standins.http import TURNED_AWAY, ok
@@ -140,7 +141,7 @@
 
 
 def reset(site: Site) -> None:
-    site.busy_connection().fail()
+    site.busy_connection().fail(CloseReason.PEER_ENDED)
 
 
 def timed_out(site: Site) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,6 +14,7 @@
 
 from ironscale.interface import Outcome
 from ironscale.net import upstream as module
+from ironscale.net.connection_metrics import CloseReason
 from ironscale.net.discovery import ListParser, Member
 from ironscale.net.upstream import Answer, Attempt, Upstreams
 from ironscale.standins.discovery import listing
@@ -366,7 +367,7 @@
         async def next_after(idle_us: int) -> Outcome:
             assert await harness.outcome() is Outcome.OK  # leaves an idle connection
             for other in harness.pool.idle[:-1]:
-                other.close()  # on a slow machine it may be reusable by now
+                other.close(CloseReason.NOT_REUSABLE)  # on a slow machine it may be reusable by now
             harness.pool.idle[-1].idle_since_us -= idle_us
             peer.behave = reset if idle_us > 200_000 else reply(ok())
             first = peer.opened
