A failed look at a socket no longer says that nothing lies unread

Cause: peek() took an error that the connection survives (ENOMEM, ENOBUFS, ETIMEDOUT, EHOSTUNREACH) for 'nothing'. Reuse and closing then went by a look that had not taken place. Change: such a look is Unread.UNKNOWN: a connection to an upstream is not reused, a client's is not closed, and a client is not taken for gone, as before. tests/test_stream asserted the old value; it asserts the new one, as strictly.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -271,9 +271,9 @@
             self.current.answer(status)
 
     def has_unread(self) -> bool:
-        """Whether bytes have arrived that the event loop has not read yet. After a moment without CPU they may hold a
-        request, and closing the socket would reset it."""
-        return peek(self.sock) is Unread.BYTES
+        """Whether bytes may have arrived that the event loop has not read yet. After a moment without CPU they may hold
+        a request, and closing the socket would reset it."""
+        return peek(self.sock) in (Unread.BYTES, Unread.UNKNOWN)
 
     def client_has_left(self) -> bool:
         """Whether the client has closed its side; if so, its requests are cancelled. Asks the socket, because the event
@@ -282,7 +282,9 @@
             return True
         if not self.transport.is_closing():  # once it closes no answer can be written: the client counts as gone
             unread = peek(self.sock)
-            if unread is Unread.NOTHING or (unread is Unread.BYTES and not self.client_has_left_behind_bytes()):
+            if unread in (Unread.NOTHING, Unread.UNKNOWN):
+                return False
+            if unread is Unread.BYTES and not self.client_has_left_behind_bytes():
                 return False
         self.on_client_left()
         return True
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -38,6 +38,7 @@
     NOTHING = "nothing"
     BYTES = "bytes"
     END = "end"  # the peer has ended its sending, or an error has ended the connection
+    UNKNOWN = "unknown"  # the look failed, and the connection survives
 
 
 def peek(sock: socket.socket) -> Unread:
@@ -48,7 +49,7 @@
     except BlockingIOError:
         return Unread.NOTHING
     except OSError as error:
-        return Unread.NOTHING if survives(sock, error) else Unread.END
+        return Unread.UNKNOWN if survives(sock, error) else Unread.END
 
 
 def survives(sock: socket.socket, error: OSError) -> bool:
--- /dev/null
+++ b/tests/ends/test_surplus.py
@@ -0,0 +1,80 @@
+"""Bytes that are not the answer to the request in flight: they must never be taken for it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import Any
+
+import pytest
+
+from ironscale.interface import Outcome
+from ironscale.net.stream import Unread, peek
+from ironscale.standins.http import ok
+from ironscale.standins.upstream import Peer
+from tests.sockets import Scene, run, until
+from tests.test_upstream import GET, UpstreamHarness
+
+
+def fail_looks(monkeypatch: pytest.MonkeyPatch, number: int) -> None:
+    """Lets each read that only looks at what has arrived fail."""
+    real: Any = socket.socket.recv
+
+    def recv(sock: socket.socket, size: int, flags: int = 0) -> bytes:
+        if flags & socket.MSG_PEEK:
+            raise OSError(number, "failed on purpose")
+        return bytes(real(sock, size, flags))
+
+    monkeypatch.setattr(socket.socket, "recv", recv)
+
+
+# Guards against reusing a connection whose unread second answer was not seen because the look at its socket failed.
+@pytest.mark.parametrize("number", [errno.ENOMEM, errno.ENOBUFS, errno.ETIMEDOUT, errno.EHOSTUNREACH])
+def test_a_connection_that_cannot_be_looked_at_is_not_reused(number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            peer = Peer()
+            peer.port = listener.getsockname()[1]
+            harness = UpstreamHarness(peer)
+            _, ended = harness.start()
+            first, _ = await loop.sock_accept(listener)
+            assert await loop.sock_recv(first, 1000) == GET
+            await loop.sock_sendall(first, ok())
+            assert (await ended)[0] is Outcome.OK
+            harness.pool.idle[0].idle_since_us -= 10_000_000
+            fail_looks(monkeypatch, number)
+            first.send(ok(b"copy"))  # no await from here to `start`, so the event loop can't have read it
+            _, ended = harness.start()
+            second, _ = await asyncio.wait_for(loop.sock_accept(listener), 5.0)
+            assert await loop.sock_recv(second, 1000) == GET
+            await loop.sock_sendall(second, ok(b"own"))
+            assert (await ended)[1].body == b"own"
+            first.close()
+            second.close()
+
+    run(test)
+
+
+# Guards against closing a client's connection over a request that lies unread, because the look at it failed.
+def test_a_client_connection_that_cannot_be_looked_at_is_not_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await Scene().start(peer.entry("s-1"))
+        reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+        writer.write(scene.request())
+        await reader.readuntil(b"done")
+        await until(lambda: scene.sidecar.server.idle)
+        connection = next(iter(scene.sidecar.server.idle))
+        fail_looks(monkeypatch, errno.ENOMEM)
+        assert peek(connection.sock) is Unread.UNKNOWN
+        connection.close("test")
+        assert not connection.finishing and not connection.can_close_now() and not connection.client_has_left()
+        monkeypatch.undo()
+        connection.close("test")
+        assert connection.finishing
+        writer.close()
+
+    run(test)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -169,7 +169,7 @@
         other.send(b"x")
         assert peek(ours) is Unread.BYTES and ours.recv(10) == b"x"
         ours.script.append(errno.ENOMEM)
-        assert peek(ours) is Unread.NOTHING, "unknown: left to the event loop"
+        assert peek(ours) is Unread.UNKNOWN
         other.close()
         assert peek(ours) is Unread.END
         ours.script.append(errno.ECONNRESET)
@@ -184,7 +184,7 @@
         looked_at = FailingSocket(fileno=made.detach())
         looked_at.script = deque([number])
         with accepted, looked_at:
-            assert peek(looked_at) is Unread.NOTHING
+            assert peek(looked_at) is Unread.UNKNOWN
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             accepted.close()  # by a reset, after which the kernel no longer knows the peer
             looked_at.script = deque([number])
