An answer that began before its request was written whole is not its answer

No request was run twice by it, as the rest was never written. Cause: bytes on a connection were matched to the request that held it, though its last byte had not been handed to the kernel yet; an upstream begins a request with its last byte, so whatever comes before belongs to something else. Change: a final answer whose first byte comes before that ends the attempt as one that never ran, and the connection is closed. Measured: the nine plays of test_an_answer_to_a_half_written_request_is_not_its_answer fail without the change and pass with it; tests/test_upstream and tests/ends/test_upstreams pass.

--- a/ironscale/net/connection_metrics.py
+++ b/ironscale/net/connection_metrics.py
@@ -20,6 +20,7 @@
     ATTEMPT_ABANDONED = "attempt abandoned"
     PEER_ENDED = "ended by the upstream"
     MALFORMED = "malformed answer"
+    ANSWERED_EARLY = "answered before the request was written"
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -125,6 +125,7 @@
         self.answer_begun = False  # part of the answer has arrived
         self.is_complete = False
         self.is_written = False  # the last byte of the request has been passed to the kernel
+        self.is_early = False  # its answer began before that, and so belongs to something else
         self.idle_age_us = 0  # how long it was idle before the attempt; 0 for a new connection
         self.is_retired = False  # must not be reused
         self.is_closed = False
@@ -145,7 +146,8 @@
         self.pool.upstreams.metrics.requests += 1
         attempt.use = ConnectionUse(self.number, self.requests, self.idle_age_us)
         self.answer, self.is_complete, self.is_written = Answer(), False, False
-        self.in_head, self.head_size, self.header_count, self.answer_begun = True, 0, 0, False
+        self.in_head, self.head_size, self.header_count = True, 0, 0
+        self.answer_begun = self.is_early = False
         self.transport.write(attempt.build_payload())
         self.is_written = self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing()
 
@@ -171,7 +173,7 @@
         # the parser buffers an endless line without calling on_header, so the bytes are counted here
         self.head_size += len(data) if self.in_head else 0
         if is_malformed or self.head_size > MAX_HEAD_BYTES:
-            self.fail(CloseReason.MALFORMED)
+            self.fail(CloseReason.ANSWERED_EARLY if self.is_early else CloseReason.MALFORMED)
 
     def report_surplus(self, data: bytes) -> None:
         """Logs bytes that arrived while no request was in flight."""
@@ -186,6 +188,8 @@
         self.in_head = True
         if self.is_complete:
             self.is_retired = True  # data after the end of the answer
+        else:
+            self.is_early = not self.is_written
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.is_complete:
@@ -202,6 +206,8 @@
         self.in_head = False
         assert self.parser is not None
         self.answer.status = self.parser.get_status_code()
+        if self.is_early and self.answer.status >= 200:
+            raise ValueError("answered before the request was written")
         length, chunked = None, False
         for name, value in self.answer.headers:
             if name == b"content-length":
@@ -239,8 +245,6 @@
         assert attempt is not None
         attempt.connection = None
         self.pool.upstreams.idle_failures.record(self.idle_age_us, False)
-        if not self.is_written:
-            self.is_retired = True  # answered before the request was fully written: the rest would corrupt the next one
         self.pool.release(self)
         attempt.end(self.answer.outcome(), self.answer)
 
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -11,8 +11,10 @@
 
 from ironscale.interface import Outcome
 from ironscale.net.stream import Unread, peek
+from ironscale.net.upstream import Connection
 from ironscale.standins.http import ok
-from ironscale.standins.upstream import Peer
+from ironscale.standins.upstream import Peer, hang
+from tests.ends.test_upstreams import limit_first_write
 from tests.sockets import Scene, run, until
 from tests.test_upstream import GET, UpstreamHarness
 
@@ -78,3 +80,27 @@
         writer.close()
 
     run(test)
+
+
+# Guards against serving an answer that was there before its request had been written whole.
+@pytest.mark.parametrize("status", [b"200 OK", b"500 Error", b"503 Busy\r\nX-Turned-Away: 1"])
+@pytest.mark.parametrize("lane", ["view", "pay", "mark"])
+def test_an_answer_to_a_half_written_request_is_not_its_answer(
+        lane: str, status: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        held = limit_first_write(monkeypatch)
+        peers = [await Peer(hang).start() for _ in range(2)]
+        scene = await Scene().start(*(peer.entry(f"s-{i}") for i, peer in enumerate(peers)))
+        calling = asyncio.create_task(scene.call(lane))
+        await until(lambda: held)
+        connection = held[0].owner
+        assert isinstance(connection, Connection)
+        monkeypatch.undo()  # the retry is written whole
+        connection.data_received(b"HTTP/1.1 %s\r\nContent-Length: 7\r\n\r\nforeign" % status)
+        await until(lambda: any(peer.got for peer in peers))
+        for peer in peers:
+            peer.answer_held(ok(b"own"))
+        answer = await calling
+        assert (answer.status, answer.body) == (200, b"own") and sum(len(peer.got) for peer in peers) == 1
+
+    run(test)
