Bytes that came before a connection's first request are not its answer

Cause: a new connection was written to without a look at what lay on it; kept ones were looked at. Change: bytes or an end on a new connection close it, and the attempt never ran.

--- a/ironscale/net/connection_metrics.py
+++ b/ironscale/net/connection_metrics.py
@@ -12,6 +12,7 @@
 
     IDLE_TIMEOUT = "idle timeout"
     UNREAD_AT_REUSE = "ended or unread bytes at reuse"
+    UNREAD_AT_FIRST_USE = "ended or unread bytes before the first request"
     UNRELIABLE_AGE = "others of its idle time failed"
     SURPLUS = "bytes that no request asked for"
     NOT_REUSABLE = "not reusable"
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -133,10 +133,10 @@
     def open(self) -> None:
         self.transport = Stream(self.sock, self)
 
-    def is_stale(self) -> bool:
-        """Whether the upstream has closed the connection or sent unexpected data that the event loop has not
-        read yet. A request written to it would end as a reset, and might not be allowed to be retried."""
-        return peek(self.sock) is not Unread.NOTHING
+    def look(self) -> Unread:
+        """What has arrived that the event loop has not read yet. A request written after an end would end as a reset,
+        and might not be allowed to be retried; bytes would be taken for its answer."""
+        return peek(self.sock)
 
     def start(self, attempt: Attempt) -> None:
         assert self.transport is not None
@@ -376,7 +376,7 @@
             return CloseReason.IDLE_TIMEOUT
         if not self.upstreams.idle_failures.is_reliable(idle_us):
             return CloseReason.UNRELIABLE_AGE
-        return CloseReason.UNREAD_AT_REUSE if connection.is_stale() else None
+        return None if connection.look() is Unread.NOTHING else CloseReason.UNREAD_AT_REUSE
 
     def has_expired(self, connection: Connection) -> bool:
         return self.upstreams.now_us() - connection.idle_since_us >= self.upstreams.idle_timeout_us
@@ -405,6 +405,9 @@
             # the upstream may have been removed, or the client may have cancelled, during the connect
             self.release(connection)
             attempt.end(Outcome.NOT_SENT)
+        elif connection.look() in (Unread.BYTES, Unread.END):
+            connection.close(CloseReason.UNREAD_AT_FIRST_USE)
+            attempt.end(Outcome.CONNECT_FAILED)
         else:
             connection.start(attempt)
 
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ironscale.interface import Outcome
+from ironscale.net import socket_connect
 from ironscale.net.stream import Unread, peek
 from ironscale.net.upstream import Connection
 from ironscale.standins.http import ok
@@ -104,3 +105,28 @@
         assert (answer.status, answer.body) == (200, b"own") and sum(len(peer.got) for peer in peers) == 1
 
     run(test)
+
+
+# Guards against taking bytes that an upstream sent before any request for the answer to the first one.
+@pytest.mark.parametrize("greeting", [ok(b"foreign"), b"x"])
+def test_what_came_before_the_first_request_is_not_its_answer(greeting: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            real = socket_connect.connect
+
+            async def connect(sock: socket.socket, address: socket_connect.Address) -> None:
+                await real(sock, address)
+                accepted, _ = await loop.sock_accept(listener)
+                await loop.sock_sendall(accepted, greeting)
+                assert sock.recv(1, socket.MSG_PEEK)
+
+            monkeypatch.setattr(socket_connect, "connect", connect)
+            peer = Peer()
+            peer.port = listener.getsockname()[1]
+            harness = UpstreamHarness(peer)
+            outcome, answer = await harness.start()[1]
+            assert outcome is Outcome.CONNECT_FAILED and answer is None and harness.upstreams.open_count == 0
+
+    run(test)
