An interim answer of discovery is not its final one

The call ended at any status but 200. Change: 1xx but 101 are passed over, 16 at most; 101 ends the call without an unhandled error of the parser. Measured: both plays of test_an_interim_answer_does_not_end_a_call fail without the change; a second answer to a call was never applied (two plays, which pass on as well: each call has its own connection).

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_S = 2.0
 SILENCE_TIMEOUT_S = discovery_schedule.SILENCE_TIMEOUT_S
 MOVE_RETRY_S = 0.25
+INTERIM_STATUSES = frozenset((100, *range(102, 200)))  # 101 would change the protocol
+MAX_INTERIM_ANSWERS = 16
 LATE_ANSWER_TIMEOUT_S = 60.0  # how long the oldest unanswered call stays open in parallel with later ones
 # A discovery service whose generation stays lower than ours for this long has restarted its numbering; one that merely
 # lags has caught up by then.
@@ -319,6 +321,8 @@
         self.max_first_data_s = max_first_data_s  # upper limit on the wait for its first data
         self.address = discovery.address
         self.has_answered = False
+        self.is_interim = False  # the answer being read is not the final one
+        self.interim_answers = 0
         self.lagging_since_s: float | None = None  # since when its lists have been older than ours, if they are
         self.drained_while_lagging: set[str] = set()  # names of upstreams whose drain such a list reported
         self.is_closed = False
@@ -358,13 +362,16 @@
         self.silence_timer = loop.call_later(limit_s, self.handle_silence)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # exceptions of callbacks are wrapped in HttpParserError
             self.discovery.log(f"discovery at {self.address[0]}:{self.address[1]}: {error.__context__ or error}")
             self.finish()
 
     def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() != 200:
+        status = self.parser.get_status_code()
+        self.is_interim = status in INTERIM_STATUSES  # the final answer follows
+        self.interim_answers += self.is_interim
+        if (status != 200 and not self.is_interim) or self.interim_answers > MAX_INTERIM_ANSWERS:
             self.finish()
 
     def on_body(self, data: bytes) -> None:
@@ -376,6 +383,8 @@
                 return
 
     def on_message_complete(self) -> None:
+        if self.is_interim:
+            return
         if not self.is_closed and not self.stream.is_between_values:
             raise ValueError("the response ended in the middle of a list")
         self.finish()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -142,7 +142,10 @@
     run(test)
 
 
-@pytest.mark.parametrize("head", [b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n"])
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 17], ids=["503", "nonsense", "101", "endless 100"])
 def test_a_call_that_is_not_answered_with_200_has_failed_once(head: bytes) -> None:
     async def test() -> None:
         fake = await FakeDiscovery().start()
@@ -328,3 +331,43 @@
         discovery.close()
 
     run(test)
+
+
+# Guards against taking an interim answer of discovery for its final one.
+@pytest.mark.parametrize("interim", [b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"])
+def test_an_interim_answer_does_not_end_a_call(interim: bytes) -> None:
+    async def test() -> None:
+        fake = await FakeDiscovery().start()
+        fake.head = interim + interim + fake.head
+        discovery, reported = await open_watch(fake)
+        await until(lambda: fake.writers)
+        fake.line(listing(ENTRY, generation=42))
+        await until(lambda: reported)
+        assert kinds(reported) == [ListKind.FULL] and discovery.generation == 42
+        discovery.close()
+
+    run(test)
+
+
+# Guards against applying a second answer of discovery, which nobody asked for.
+@pytest.mark.parametrize("gap_s", [0.0, 0.01])
+def test_a_second_answer_to_a_call_is_not_applied(gap_s: float) -> None:
+    async def test() -> None:
+        async def twice(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            for generation in (9, 10):
+                body = b'{"generation":%d,"reset":true,"instances":[]}' % generation
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                if gap_s:
+                    await asyncio.sleep(gap_s)
+
+        server = await asyncio.start_server(twice, "127.0.0.1", 0)
+        reported: Reports = []
+        discovery = Discovery(("127.0.0.1", server.sockets[0].getsockname()[1]), ListParser([], []), 0,
+                              lambda kind, what: reported.append((kind, what)), module.SILENCE_TIMEOUT_S, print)
+        discovery.fetch()
+        await until(lambda: reported)
+        await asyncio.sleep(2 * gap_s)
+        assert kinds(reported) == [ListKind.FULL] and discovery.generation == 9 and not discovery.fetches
+
+    run(test)
