Late second answers of an upstream no longer become answers to other requests

What callers saw: a 200 made for another request; requests that may run once run again, keyed ones outside their group, one refused that may have run. Cause: answers were matched to requests by their order on a connection, and a connection was used again 2 ms after its answer (MIN_IDLE_US): a second answer that came later met the next request. From then on each request on it got the answer before its own. It carries no further request after an answer but 200. An answer that equals an earlier one of its connection is a copy, while different requests hardly ever get equal ones. Tests: reuse_at_once() stands for the old patch of MIN_IDLE_US; three tests of reuse got it too, or they would pass without any. The rig counts second answers that were due, as the sidecar now closes most connections first, and asks for one that was sent at least.

--- a/ironscale/net/connection_metrics.py
+++ b/ironscale/net/connection_metrics.py
@@ -15,6 +15,8 @@
     UNREAD_AT_FIRST_USE = "ended or unread bytes before the first request"
     UNRELIABLE_AGE = "others of its idle time failed"
     SURPLUS = "bytes that no request asked for"
+    COPIED_ANSWER = "copy of an earlier answer"
+    QUARANTINE = "upstream sent too much before"
     NOT_REUSABLE = "not reusable"
     MAKE_ROOM = "to make room"
     LEFT_SERVICE = "upstream drains, moved or is gone"
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -6,7 +6,8 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Callable, Sequence
+from collections import deque
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,12 @@
 from ironscale.net import socket_connect
 from ironscale.net.client import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Headers
 from ironscale.net.connection_metrics import CloseReason, ConnectionMetrics, ConnectionUse
+from ironscale.net.connection_reuse import (
+    DECAY_INTERVAL_S,
+    MAX_EARLIER_ANSWERS,
+    IdleFailures,
+    ReusePolicy,
+)
 from ironscale.net.errors import is_transient
 from ironscale.net.periodic import Periodic
 from ironscale.net.stream import Stream, Unread, peek
@@ -28,16 +35,10 @@
 MAX_LOGGED_BYTES = 60
 SURPLUS_LINES_PER_S, MAX_SURPLUS_BURST = 1.0, 50
 IDLE_TIMEOUT_SHARE = 0.9  # share of the upstream's idle timeout; the rest allows for data in flight
-SWEEP_INTERVAL_S = 1.0
+SWEEP_INTERVAL_S = DECAY_INTERVAL_S
+CLOSING_NOTICES = (b"HTTP/1.1 408", b"HTTP/1.0 408")  # some servers announce so that they close an idle connection
 STATUSES_WITHOUT_BODY = frozenset((*range(100, 200), 204, 304))
-# A connection stays idle for this long between two requests: a duplicate of an answer may arrive just after the first
-# copy, and would be taken for the answer to the next request if that were already on the connection.
-MIN_IDLE_US = 2_000
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
-# The share of reused connections that fail at their next request, by idle time: an exponential moving average over
-# about 8 of them, which decays over some 20 s. Above MAX_FAILURE_SHARE a new connection costs less than the
-# requests that would fail.
-FAILURE_WEIGHT, FAILURE_DECAY, MAX_FAILURE_SHARE = 1 / 8, 0.95, 0.3
 
 
 class Answer:
@@ -55,6 +56,10 @@
     def body(self) -> bytes:
         return b"".join(self.parts)
 
+    def digest(self) -> int:
+        """Equal for equal answers, however they arrived in pieces; differs otherwise, but for chance."""
+        return hash((tuple(self.headers), self.body))
+
     def outcome(self) -> Outcome:
         if self.status == 200:
             return Outcome.OK
@@ -95,7 +100,6 @@
         connection.close(CloseReason.ATTEMPT_ABANDONED)
         self.end(outcome if written else Outcome.CONNECT_FAILED)
 
-
     def cancel_unless_written(self) -> None:
         """Cancels the attempt, since nobody waits for it any more, unless the whole request has been written."""
         connection = self.connection
@@ -126,8 +130,11 @@
         self.is_complete = False
         self.is_written = False  # the last byte of the request has been passed to the kernel
         self.is_early = False  # its answer began before that, and so belongs to something else
+        self.has_surplus = False  # more than the answer has arrived
         self.idle_age_us = 0  # how long it was idle before the attempt; 0 for a new connection
         self.is_retired = False  # must not be reused
+        self.is_counted_silent = False  # its present idle time has been recorded as silent
+        self.digests: deque[int] = deque(maxlen=MAX_EARLIER_ANSWERS)  # of its latest answers
         self.is_closed = False
 
     def open(self) -> None:
@@ -147,7 +154,7 @@
         attempt.use = ConnectionUse(self.number, self.requests, self.idle_age_us)
         self.answer, self.is_complete, self.is_written = Answer(), False, False
         self.in_head, self.head_size, self.header_count = True, 0, 0
-        self.answer_begun = self.is_early = False
+        self.answer_begun = self.is_early = self.has_surplus = False
         self.transport.write(attempt.build_payload())
         self.is_written = self.transport.get_write_buffer_size() == 0 and not self.transport.is_closing()
 
@@ -158,6 +165,8 @@
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
             self.report_surplus(data)
+            if not data.startswith(CLOSING_NOTICES):
+                self.pool.record_surplus()
             self.close(CloseReason.SURPLUS)  # the next answer would be matched to the wrong request
             return
         is_malformed, self.answer_begun = False, True
@@ -166,8 +175,8 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             is_malformed = True
-        if self.is_complete:  # invalid data after a complete answer doesn't invalidate the answer
-            self.is_retired = self.is_retired or is_malformed
+        if self.is_complete:  # data after a complete answer doesn't invalidate the answer
+            self.has_surplus = self.has_surplus or is_malformed
             self.finish()
             return
         # the parser buffers an endless line without calling on_header, so the bytes are counted here
@@ -187,7 +196,7 @@
     def on_message_begin(self) -> None:
         self.in_head = True
         if self.is_complete:
-            self.is_retired = True  # data after the end of the answer
+            self.has_surplus = True  # data after the end of the answer
         else:
             self.is_early = not self.is_written
 
@@ -240,7 +249,30 @@
         if not self.parser.should_keep_alive():
             self.is_retired = True
 
+    def why_not_its_answer(self) -> CloseReason | None:
+        """Why the complete answer may belong to an earlier request on the connection; None if it doesn't seem so."""
+        policy = self.pool.upstreams.reuse_policy
+        digest = self.answer.digest() if self.answer.status == 200 else None
+        is_copy = digest is not None and policy.is_copy(digest, self.digests)
+        if is_copy or self.has_surplus:
+            self.pool.record_surplus()
+        if self.requests > 1 and not self.pool.allows_reuse(self.pool.upstreams.now_us()):
+            if is_copy:
+                return CloseReason.COPIED_ANSWER
+            return CloseReason.SURPLUS if self.has_surplus else CloseReason.QUARANTINE
+        if digest is not None:
+            self.digests.append(digest)
+            policy.record_answer(digest, self.number)
+        return None
+
     def finish(self) -> None:
+        """Ends the attempt with its complete answer."""
+        doubt = self.why_not_its_answer()
+        if doubt is not None:
+            self.fail(doubt)
+            return
+        if self.has_surplus or self.answer.status != 200:
+            self.is_retired = True  # a copy of a turn-away would tell the next request that it never ran
         attempt, self.attempt = self.attempt, None
         assert attempt is not None
         attempt.connection = None
@@ -281,32 +313,6 @@
         self.parser = None  # breaks a reference cycle that only the garbage collector would free
 
 
-class IdleFailures:
-    """Learns how long connections may be idle before reuse: an upstream may close them long before the configured
-    idle timeout, and the request that reveals it is lost."""
-
-    def __init__(self) -> None:
-        self.shares = [0.0] * 65  # share that failed, by the bit length of the idle time in microseconds
-
-    def record(self, age_us: int, failed: bool) -> None:
-        if age_us > 0:
-            bits = min(age_us.bit_length(), 64)
-            self.shares[bits] += (failed - self.shares[bits]) * FAILURE_WEIGHT
-
-    def is_reliable(self, age_us: int) -> bool:
-        return self.shares[min(age_us.bit_length(), 64)] < MAX_FAILURE_SHARE
-
-    def restore(self, shares: Sequence[float], age_us: int) -> None:
-        """Restores shares that were observed `age_us` ago, where they exceed those observed since. At most one half is
-        restored: with a share of 1 no connection would be reused, so the share could never be corrected."""
-        decay_factor = FAILURE_DECAY ** min(1e4, age_us / 1e6 / SWEEP_INTERVAL_S)
-        for i, share in enumerate(shares[:len(self.shares)]):
-            self.shares[i] = max(self.shares[i], min(0.5, share) * decay_factor)
-
-    def decay(self) -> None:
-        self.shares = [share * FAILURE_DECAY for share in self.shares]
-
-
 class Pool:
     """The connections to one upstream, which `member` describes as in the latest list."""
 
@@ -348,15 +354,16 @@
 
     def start(self, attempt: Attempt) -> None:
         """Sends the attempt on an idle connection, or on a new one."""
-        now_us = self.upstreams.now_us()
+        now_us, min_idle_us = self.upstreams.now_us(), self.upstreams.reuse_policy.min_idle_us()
         for connection in reversed(self.idle):
             age_us = now_us - connection.idle_since_us
-            if age_us < MIN_IDLE_US:
+            if age_us < min_idle_us:
                 continue
             unusable = self.why_not_reusable(connection, age_us)
             if unusable is not None:
                 connection.close(unusable)
                 continue
+            self.record_silence(connection, age_us)
             self.idle.remove(connection)
             del self.upstreams.idle[connection]
             self.busy.add(connection)
@@ -370,10 +377,21 @@
         self.upstreams.tasks.add(task)
         task.add_done_callback(self.upstreams.tasks.discard)
 
+    def record_silence(self, connection: Connection, idle_us: int) -> None:
+        """Records once for each time that a connection is idle that it has received nothing for so long."""
+        if not connection.is_counted_silent:
+            connection.is_counted_silent = self.upstreams.reuse_policy.record_silence(idle_us)
+
+    def record_surplus(self) -> None:
+        """The upstream has sent more than it was asked for: what lies idle may be about to receive more of it."""
+        self.upstreams.reuse_policy.record_surplus(self.member.upstream.id, self.upstreams.now_us())
+
     def why_not_reusable(self, connection: Connection, idle_us: int) -> CloseReason | None:
         """Why an idle connection must be closed instead of being used; None if it may be used."""
         if self.has_expired(connection):
             return CloseReason.IDLE_TIMEOUT
+        if connection.requests and not self.allows_reuse(self.upstreams.now_us()):
+            return CloseReason.QUARANTINE
         if not self.upstreams.idle_failures.is_reliable(idle_us):
             return CloseReason.UNRELIABLE_AGE
         return None if connection.look() is Unread.NOTHING else CloseReason.UNREAD_AT_REUSE
@@ -413,11 +431,16 @@
 
     def release(self, connection: Connection) -> None:
         """Returns the connection to the idle ones, or closes it if it must not be reused."""
-        if connection.is_retired or not self.is_ready():
-            connection.close(CloseReason.NOT_REUSABLE if self.is_ready() else CloseReason.LEFT_SERVICE)
+        now_us = self.upstreams.now_us()
+        if not self.is_ready():
+            connection.close(CloseReason.LEFT_SERVICE)
+        elif connection.is_retired:
+            connection.close(CloseReason.NOT_REUSABLE)
+        elif connection.requests and not self.allows_reuse(now_us):
+            connection.close(CloseReason.QUARANTINE)
         else:
             self.busy.discard(connection)
-            connection.idle_since_us = self.upstreams.now_us()
+            connection.idle_since_us, connection.is_counted_silent = now_us, False
             self.idle.append(connection)
             self.upstreams.idle[connection] = None
 
@@ -427,7 +450,13 @@
             self.idle.remove(connection)
         self.upstreams.open_count -= 1
 
+    def allows_reuse(self, now_us: int) -> bool:
+        return self.upstreams.reuse_policy.allows_reuse(self.member.upstream.id, now_us)
+
     def close_expired(self) -> None:
+        now_us = self.upstreams.now_us()
+        for connection in self.idle:
+            self.record_silence(connection, now_us - connection.idle_since_us)
         while self.idle and self.has_expired(self.idle[0]):
             self.idle[0].close(CloseReason.IDLE_TIMEOUT)
 
@@ -443,6 +472,7 @@
         self.pools: dict[int, Pool] = {}
         self.idle: dict[Connection, None] = {}  # of all pools, the one that has been idle longest first
         self.idle_failures = IdleFailures()
+        self.reuse_policy = ReusePolicy()
         self.metrics = ConnectionMetrics()
         self.surplus_lines = LineBudget(now_us, SURPLUS_LINES_PER_S, MAX_SURPLUS_BURST)
         self.tasks: set[asyncio.Task[None]] = set()
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -15,11 +15,11 @@
 import pytest
 
 from ironscale.net import server as module
-from ironscale.net import upstream
 from ironscale.net.client import END_EVENTS, MAX_UNREAD_ANSWER_BYTES, ClientConnection
 from ironscale.net.upstream import Pool
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
+from tests.reuse import reuse_at_once
 from tests.sockets import Scene, run, until
 from tests.test_shutdown import REQUEST, serving, sweep
 
@@ -227,7 +227,7 @@
 def test_a_pipelined_request_is_not_forwarded_once_the_answer_before_could_not_be_written(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """The write fails and the transport closes itself, but the loop reports it after the next request has begun."""
-    monkeypatch.setattr(upstream, "MIN_IDLE_US", 0)  # the next request is written in the same step
+    reuse_at_once(monkeypatch)  # the next request is written in the same step
 
     async def test() -> None:
         peer = await Peer(hang).start()
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -29,6 +29,7 @@
     scene_without_free_slot,
     wait_for_end,
 )
+from tests.reuse import reuse_at_once
 from tests.sockets import Scene, run, until
 
 ALLOWED_S = 0.1
@@ -114,7 +115,7 @@
         self.dials: list[tuple[Pool, Attempt, asyncio.Event]] = []
 
     async def start(self, dialling: bool, monkeypatch: pytest.MonkeyPatch) -> Site:
-        monkeypatch.setattr(upstream, "MIN_IDLE_US", 0)
+        reuse_at_once(monkeypatch)
         real = Pool.connect
 
         async def connect_late(pool: Pool, attempt: Attempt) -> None:
--- a/tests/ends/test_interrupted.py
+++ b/tests/ends/test_interrupted.py
@@ -30,7 +30,7 @@
 def test_a_pooled_connection_that_has_gone_bad_is_not_used_with_interrupted_polls(
         how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(select, "poll", InterruptedPoll)
-    test_upstream.test_an_idle_connection_that_has_just_failed_is_not_reused(how)
+    test_upstream.test_an_idle_connection_that_has_just_failed_is_not_reused(how, monkeypatch)
 
 
 # Guards against a request that is forwarded after its client has gone.
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -10,13 +10,14 @@
 import pytest
 
 from ironscale.interface import Outcome
-from ironscale.net import lifecycle, socket_connect
+from ironscale.net import connection_reuse, lifecycle, socket_connect
 from ironscale.net.client import Exchange
 from ironscale.net.stream import Unread, peek
 from ironscale.net.upstream import Connection
-from ironscale.standins.http import ok, read_message
-from ironscale.standins.upstream import Peer, hang
+from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
+from ironscale.standins.upstream import Peer, hang, reply
 from tests.ends.test_upstreams import limit_first_write
+from tests.reuse import reuse_at_once
 from tests.sockets import Scene, run, until
 from tests.test_upstream import GET, UpstreamHarness
 
@@ -36,6 +37,8 @@
 # Guards against reusing a connection whose unread second answer was not seen because the look at its socket failed.
 @pytest.mark.parametrize("number", [errno.ENOMEM, errno.ENOBUFS, errno.ETIMEDOUT, errno.EHOSTUNREACH])
 def test_a_connection_that_cannot_be_looked_at_is_not_reused(number: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -152,3 +155,171 @@
         writer.close()
 
     run(test)
+
+
+# Guards against a late copy of a turn-away or an error that tells the next request that it never ran, or has failed.
+@pytest.mark.parametrize("answer", [TURNED_AWAY, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                                    b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"])
+def test_a_connection_is_not_reused_after_any_answer_but_200(answer: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer(reply(answer)).start()
+        harness = UpstreamHarness(peer)
+        await harness.outcome()
+        assert not harness.pool.idle and harness.upstreams.open_count == 0
+        peer.behave = reply(ok())
+        for _ in range(2):
+            assert await harness.outcome() is Outcome.OK
+        assert peer.opened == 2
+
+    run(test)
+
+
+def see_different_answers(harness: UpstreamHarness) -> None:
+    """As if the upstream had given enough different answers before."""
+    harness.upstreams.reuse_policy.equal_answers.share = 0.0
+
+
+async def answer_late(peer: Peer, message: Message, writer: asyncio.StreamWriter) -> None:
+    """Answers the third request with a copy of the first answer, and then with its own."""
+    copy = ok(b"answer 1") if len(peer.got) == 3 else b""
+    writer.write(copy or ok(b"answer %d" % len(peer.got)))
+    if copy:
+        await asyncio.sleep(0.01)
+        writer.write(ok(b"answer 3"))
+
+
+# Guards against a copy of an earlier answer that comes as a later request is written, when no rest would show it.
+def test_a_copy_of_an_earlier_answer_is_not_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer(answer_late).start()
+        harness = UpstreamHarness(peer)
+        see_different_answers(harness)
+        for number in (1, 2):
+            outcome, answer = await harness.start()[1]
+            assert (outcome, answer.body) == (Outcome.OK, b"answer %d" % number)
+        assert await harness.outcome() is Outcome.RESET  # it may have run
+        assert harness.upstreams.open_count == 0 and harness.upstreams.reuse_policy.quarantined
+
+    run(test)
+
+
+# Guards against missing a copy because it arrives in other pieces than the answer did.
+def test_a_copy_in_pieces_is_recognised(monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def in_pieces(peer: Peer, message: Message, writer: asyncio.StreamWriter) -> None:
+        data = ok(b"a longer answer")
+        if len(peer.got) == 1:
+            writer.write(data)
+        for byte in data if len(peer.got) > 1 else b"":
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.0005)
+
+    async def test() -> None:
+        harness = UpstreamHarness(await Peer(in_pieces).start())
+        see_different_answers(harness)
+        assert [await harness.outcome() for _ in range(2)] == [Outcome.OK, Outcome.RESET]
+
+    run(test)
+
+
+# Guards against serving the first of two answers on a connection that has carried requests before.
+@pytest.mark.parametrize("behind", [ok(b"second"), b"noise\r\n\r\n", b"HTT"])
+def test_of_two_answers_on_a_reused_connection_none_is_served(behind: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer(reply(ok(b"zero"))).start()
+        harness = UpstreamHarness(peer)
+        assert await harness.outcome() is Outcome.OK
+        peer.behave = reply(ok(b"first") + behind)
+        assert await harness.outcome() is Outcome.RESET and peer.opened == 1
+        assert await harness.outcome() is Outcome.OK and peer.opened == 2  # the first request on its connection
+
+    run(test)
+
+
+# Guards against serving what comes on a connection in use once its upstream has been seen to send too much.
+def test_an_answer_on_a_reused_connection_is_not_served_after_a_surplus(monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        harness = UpstreamHarness(peer)
+        both = [harness.start()[1] for _ in range(2)]
+        assert [(await ended)[0] for ended in both] == [Outcome.OK] * 2
+        peer.behave = hang
+        _, ended = harness.start()
+        await until(lambda: peer.held)
+        harness.pool.idle[0].data_received(ok(b"copy"))
+        peer.answer_held(ok())
+        assert (await ended)[0] is Outcome.RESET
+
+    run(test)
+
+
+# Guards against reuse going on at an upstream that has sent more than it was asked for.
+@pytest.mark.parametrize("surplus", [ok(b"foreign"), b"noise", TURNED_AWAY])
+@pytest.mark.parametrize("together", [True, False])
+def test_connections_of_an_upstream_that_sent_too_much_are_used_once(
+        surplus: bytes, together: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer(reply(ok() + surplus if together else ok())).start()
+        harness = UpstreamHarness(peer)
+        assert await harness.outcome() is Outcome.OK
+        if not together:
+            peer.writers.copy().pop().write(surplus)
+        await until(lambda: harness.upstreams.open_count == 0)
+        peer.behave = reply(ok())
+        for _ in range(3):
+            assert await harness.outcome() is Outcome.OK
+        assert peer.opened == 4 and harness.upstreams.open_count == 0
+        policy = harness.upstreams.reuse_policy
+        policy.quarantined = dict.fromkeys(policy.quarantined, 0)  # as if it were over
+        for _ in range(2):
+            assert await harness.outcome() is Outcome.OK
+        assert peer.opened == 5
+
+    run(test)
+
+
+# Guards against a server's notice that it closes an idle connection being counted as an answer too many.
+def test_a_notice_that_an_idle_connection_is_closed_is_no_surplus(monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        harness = UpstreamHarness(peer)
+        assert await harness.outcome() is Outcome.OK
+        peer.writers.copy().pop().write(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
+        await until(lambda: harness.upstreams.open_count == 0)
+        assert not harness.upstreams.reuse_policy.quarantined
+
+    run(test)
+
+
+# Guards against the short rest of a proven fleet being used while nothing is known of it, or after a surplus.
+def test_a_connection_rests_long_until_upstreams_have_proven_quiet(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        harness = UpstreamHarness(peer, idle_timeout_us=100_000_000)
+        policy = harness.upstreams.reuse_policy
+        for number in range(1, connection_reuse.MIN_ANSWERS + 1):
+            assert await harness.outcome() is Outcome.OK and peer.opened == number
+            harness.pool.idle[-1].idle_since_us -= connection_reuse.PROBATION_IDLE_US // 2
+        assert await harness.outcome() is Outcome.OK and peer.opened == connection_reuse.MIN_ANSWERS + 1
+        harness.pool.idle[0].idle_since_us -= connection_reuse.PROBATION_IDLE_US
+        harness.upstreams.sweep()
+        assert policy.silent_connections == 1
+        harness.upstreams.sweep()
+        assert policy.silent_connections == 1, "each idle time counts once"
+        assert await harness.outcome() is Outcome.OK and peer.opened == connection_reuse.MIN_ANSWERS + 1
+
+    monkeypatch.setattr(connection_reuse, "PROBATION_IDLE_US", 20_000_000)  # no machine is so slow
+    run(test)
--- a/tests/faults/surplus.py
+++ b/tests/faults/surplus.py
@@ -12,6 +12,7 @@
 SERVICE_S = (0.01, 0.03)  # range of the time that a request runs
 TURN_AWAY_SHARE, COPY_SHARE = 0.2, 0.3
 PAUSE_S = (0.0, 0.03)  # range of the pause of a client between two requests
+BURST_S, BURST_PAUSE_S = 0.8, 0.8
 HIGH_ALLOWANCE_PER_S = 10_000.0
 
 
@@ -29,15 +30,20 @@
 
 
 class SurplusUpstream(Upstream):
-    """Serves requests, turns some away at once, and repeats a share of its answers."""
+    """Serves requests, turns some away at once, and sends a second answer with a share of its answers: a copy, or with
+    `foreign` one that belongs to no request. While it has a `fault`, it misbehaves as that says instead."""
 
-    def __init__(self, ledger: Ledger, seed: int, cell: int, lateness: Lateness) -> None:
+    def __init__(self, ledger: Ledger, seed: int, cell: int, lateness: Lateness, foreign: bool) -> None:
         super().__init__(ledger)
         self.rng, self.cell, self.lateness = random.Random(f"{seed} {cell}"), cell, lateness
-        self.copies_sent = 0
+        self.foreign = foreign
+        self.copies_due = self.copies_sent = 0  # sent: on a connection that was still open
         self.held: dict[UpstreamConnection, tuple[bytes, bytes, bytes]] = {}  # copies that wait for the next request
 
     def serve(self, connection: UpstreamConnection, txn: str) -> None:
+        if self.fault:
+            super().serve(connection, txn)
+            return
         held = self.held.pop(connection, None)
         if held is not None:
             self.send_copy(connection, *held)
@@ -51,11 +57,14 @@
 
     def send(self, connection: UpstreamConnection, status: bytes, body: bytes) -> None:
         copied = self.lateness is not Lateness.NONE and self.rng.random() < COPY_SHARE
+        self.copies_due += copied
         if copied and self.lateness is Lateness.BEHIND:
             self.copies_sent += 1
             connection.answer(status, body, b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
             return
         connection.answer(status, body)
+        if self.foreign and status.startswith(b"200"):
+            body = b"answer of nobody %d" % self.copies_due
         if copied and self.lateness is Lateness.NEXT_REQUEST:
             self.held[connection] = (status, body, b"")
         elif copied:
@@ -81,13 +90,33 @@
             group.create_task(work(random.Random(f"{seed} worker {number}")))
 
 
-def surplus_site(site: Site, lateness: Lateness, seed: int) -> Site:
+async def send_in_bursts(clients: Clients, rounds: int, workers: int, seed: int) -> None:
+    """Load with pauses in which connections to upstreams stay idle for long."""
+    for number in range(rounds):
+        await send_closed_loop(clients, BURST_S, workers, seed + number)
+        await asyncio.sleep(BURST_PAUSE_S)
+
+
+def surplus_site(site: Site, lateness: Lateness, seed: int, foreign: bool = False) -> Site:
     """Gives the site upstreams of this kind, each in a cell of its own, and tenants that are never over their quota."""
     cells = iter(range(1, 1000))
-    site.new_upstream = lambda ledger: SurplusUpstream(ledger, seed, next(cells), lateness)
+    site.new_upstream = lambda ledger: SurplusUpstream(ledger, seed, next(cells), lateness, foreign)
     site.settings["accounts"] = [{"name": "north", "allowance-per-s": HIGH_ALLOWANCE_PER_S, "share": 1.0}]
     return site
 
 
+def set_lateness(site: Site, lateness: Lateness) -> None:
+    """Changes what the running upstreams do from now on."""
+    for upstream in site.upstreams:
+        if isinstance(upstream, SurplusUpstream):
+            upstream.lateness = lateness
+
+
+def copies_due(site: Site) -> int:
+    """Second answers that were due, also those whose connection had been closed by then."""
+    return sum(one.copies_due for one in site.upstreams if isinstance(one, SurplusUpstream))
+
+
 def copies_sent(site: Site) -> int:
+    """Second answers that were sent on a connection that was still open."""
     return sum(one.copies_sent for one in site.upstreams if isinstance(one, SurplusUpstream))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,6 +25,7 @@
 from ironscale.standins.settings import SETTINGS
 from ironscale.standins.upstream import Peer, hang, reply, reset
 from tests.deployed import DEPLOY, ROOT, build
+from tests.reuse import reuse_at_once
 from tests.sockets import Scene, free_port, run, until
 
 
@@ -201,7 +202,7 @@
 def test_the_balancer_hears_of_a_client_that_left_and_the_upstream_connection_is_reused(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream, "MIN_IDLE_US", 0)
+    reuse_at_once(monkeypatch)
 
     async def test() -> None:
         peer = await Peer(hang).start()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,6 +13,7 @@
 import pytest
 
 from ironscale.interface import Outcome
+from ironscale.net import connection_reuse
 from ironscale.net import upstream as module
 from ironscale.net.connection_metrics import CloseReason
 from ironscale.net.discovery import ListParser, Member
@@ -20,6 +21,7 @@
 from ironscale.standins.discovery import listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok
 from ironscale.standins.upstream import Behaviour, Peer, hang, reply, reset
+from tests.reuse import reuse_at_once
 from tests.sockets import run, until
 
 GET = b"GET /api HTTP/1.1\r\nX-Txn: 1\r\n\r\n"
@@ -157,7 +159,7 @@
 def test_connections_are_reused_newest_first(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(module, "MIN_IDLE_US", 0)
+    reuse_at_once(monkeypatch)
     async def test() -> None:
         peer = await Peer(hang).start()
         harness = UpstreamHarness(peer)
@@ -195,7 +197,7 @@
 def test_an_attempt_abandoned_before_the_connect_never_ran_and_writes_nothing(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(module, "MIN_IDLE_US", 0)
+    reuse_at_once(monkeypatch)
     async def test() -> None:
         peer = await Peer().start()
         harness = UpstreamHarness(peer)
@@ -210,8 +212,10 @@
 
 
 @pytest.mark.parametrize("stray", [b"", b"HTTP/1.1 408 Timeout\r\n\r\n"])
-def test_a_closed_connection_or_one_with_stray_data_is_not_reused_before_the_loop_reads_it(stray: bytes) -> None:
+def test_a_closed_connection_or_one_with_stray_data_is_not_reused_before_the_loop_reads_it(
+        stray: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against sending on it: the request would end as a reset, and an unsafe one may not be retried."""
+    reuse_at_once(monkeypatch)
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
@@ -273,8 +277,9 @@
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against taking it for the answer to the request that follows immediately on the same connection."""
-    assert module.MIN_IDLE_US > 0
-    monkeypatch.setattr(module, "MIN_IDLE_US", 20_000_000)
+    assert connection_reuse.MIN_IDLE_US > 0
+    reuse_at_once(monkeypatch)
+    monkeypatch.setattr(connection_reuse, "MIN_IDLE_US", 20_000_000)
 
     async def test() -> None:
         answered: list[asyncio.StreamWriter] = []
@@ -356,9 +361,10 @@
     run(test)
 
 
-def test_idle_connections_of_an_age_that_fails_are_not_reused_for_a_while() -> None:
+def test_idle_connections_of_an_age_that_fails_are_not_reused_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against reusing connections that an upstream closes long before the configured idle timeout: the
     request that reveals it has failed."""
+    reuse_at_once(monkeypatch)
 
     async def test() -> None:
         peer = await Peer().start()
@@ -401,7 +407,10 @@
     run(test)
 
 
-def test_an_idle_connection_is_closed_before_the_upstream_closes_it() -> None:
+def test_an_idle_connection_is_closed_before_the_upstream_closes_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
     async def test() -> None:
         peer = await Peer().start()
         harness = UpstreamHarness(peer)
@@ -551,7 +560,10 @@
     run(test)
 
 
-def test_the_connection_idle_longest_of_all_upstreams_is_closed_to_make_room() -> None:
+def test_the_connection_idle_longest_of_all_upstreams_is_closed_to_make_room(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
     async def test() -> None:
         peers = [await Peer().start() for _ in range(4)]
         upstreams = Upstreams(now_us, 15_000_000, 5_000_000, 3)
@@ -564,8 +576,6 @@
             return await ended
 
         for number in (1, 0, 2, 1):  # the first one is asked again, and is no longer the oldest
-            if number == 1 and pools[1].idle:
-                pools[1].idle[0].idle_since_us -= module.MIN_IDLE_US  # so that it can be reused at once
             assert await ask(pools[number]) is Outcome.OK
         assert [len(pool.idle) for pool in pools] == [1, 1, 1, 0] and peers[1].opened == 1
         assert list(upstreams.idle) == [pool.idle[0] for pool in (pools[0], pools[2], pools[1])]
@@ -579,8 +589,11 @@
 
 
 @pytest.mark.parametrize("how", ["closed", "reset", "stray bytes"])
-def test_an_idle_connection_that_has_just_failed_is_not_reused(how: str) -> None:
+def test_an_idle_connection_that_has_just_failed_is_not_reused(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """The kernel knows of the close or data, but the event loop has not read it yet."""
+    reuse_at_once(monkeypatch)
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         with socket.create_server(("127.0.0.1", 0)) as server:
@@ -597,7 +610,7 @@
                 return client
 
             first = await answered(harness.start()[1])
-            harness.pool.idle[0].idle_since_us -= 10 * module.MIN_IDLE_US
+            harness.pool.idle[0].idle_since_us -= 10 * connection_reuse.PROBATION_IDLE_US
             if how == "stray bytes":
                 first.send(b"x")
             else:
