--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -20,6 +20,7 @@
 
 from tests.faults.shim import Fault
 from tests.faults.site import LANES, SidecarProcess, Site
+from tests.faults.surplus import Lateness, SurplusUpstream, surplus_site
 
 KILL_AFTER_S = 0.7  # SIGKILL comes this long after SIGTERM, plus the longest deadline
 NEW_CONNECTIONS_S = (0.2, 0.4)  # range of how long new connections keep coming after SIGTERM
@@ -35,19 +36,23 @@
     Fault.DISK_SHORT: 1000, Fault.DISK_WRITE: 1000, Fault.DISK_SYNC: 1000, Fault.FILE_OPEN: 1000, Fault.RENAME: 1000,
     Fault.THREAD: 1000, Fault.SOCKET_OPTION: 1000,
 }
+SURPLUS_RATES = {**MAX_RATES, Fault.PEEK_ERROR: 700}
+SURPLUS_FAULTS = ("", "", "", "", "fail", "hang", "reset", "stray", "halt")
 # Makes the sidecar write to disk: its learned state and the record of arrivals.
 OPERATOR = '[learned]\nfolder = "learned"\nevery_s = 0.3\n[record]\nfile = "arrivals.jsonl"\n'
 
 
 @dataclass(frozen=True)
 class Plan:
-    """The parameters of one run. `crowd`: clients send several times as much. `slow`: some send their bytes late."""
+    """The parameters of one run. `crowd`: clients send several times as much. `slow`: some send their bytes late.
+    `surplus`: upstreams turn requests away and send second answers, and looks at sockets fail as well."""
 
     seed: int
     sidecars: int = 12
     seconds: float = 12.0
     crowd: bool = False
     slow: bool = False
+    surplus: bool = False
 
 
 @dataclass
@@ -62,7 +67,7 @@
     def line(self) -> str:
         results = ", ".join(f"{name[:40]} {count}" for name, count in self.results.most_common(8))
         ends = ", ".join(f"{name} {count}" for name, count in self.ends.items())
-        clients = f"{' crowd' if self.plan.crowd else ''}{' slow' if self.plan.slow else ''}"
+        clients = "".join(f" {name}" for name in ("crowd", "slow", "surplus") if getattr(self.plan, name))
         return (f"seed {self.plan.seed}{clients}: {len(self.violations)} violations; "
                 f"{self.results.total()} requests ({results}); {self.faults.total()} failed calls; ends: {ends}; "
                 f"test process late by {self.lag_s:.3f} s" + "".join(f"\n  {text}" for text in self.violations[:5]))
@@ -78,6 +83,8 @@
         self.plan = plan
         self.rng = random.Random(plan.seed)
         self.site = Site(folder, self.rng.choice(DEADLINES_S))
+        if plan.surplus:
+            surplus_site(self.site, Lateness.NONE, plan.seed)
         self.verdict = Verdict(plan)
         self.is_finished = asyncio.Event()
 
@@ -112,7 +119,10 @@
     async def disturb_upstreams(self, rng: random.Random) -> None:
         while await self.pause(rng.uniform(0.1, 0.6)):
             upstream = rng.choice(self.site.upstreams)
-            upstream.fault, upstream.delay_s = rng.choice(UPSTREAM_FAULTS), rng.choice((0.005, 0.02, 0.2))
+            faults = SURPLUS_FAULTS if self.plan.surplus else UPSTREAM_FAULTS
+            upstream.fault, upstream.delay_s = rng.choice(faults), rng.choice((0.005, 0.02, 0.2))
+            if isinstance(upstream, SurplusUpstream):
+                upstream.lateness = rng.choice(list(Lateness))
             if rng.random() < 0.2:
                 upstream.reset_all()
 
@@ -223,9 +233,10 @@
 
     async def fail_calls(self) -> None:
         rng, shim = self.rng, self.sidecar.shim
+        rates = SURPLUS_RATES if self.soak.plan.surplus else MAX_RATES
         while await self.soak.pause(rng.uniform(0.0, 1.0)):
-            kinds = rng.sample(list(MAX_RATES), rng.randint(1, 4))
-            shim.set({kind: rng.randint(1, MAX_RATES[kind]) for kind in kinds})
+            kinds = rng.sample(list(rates), rng.randint(1, 4))
+            shim.set({kind: rng.randint(1, rates[kind]) for kind in kinds})
             if rng.random() < 0.2:
                 shim.step_wall_clock(rng.choice(STEPS_S))
             await asyncio.sleep(rng.uniform(0.05, 0.7))
