Framings of answers whose rest comes late: a test for each; the table of ends

Change: eleven forms (204 and 304 with a body, two lengths, length and chunks, trailers, interim answers behind, HTTP/1.0 ...), each with its rest sent once the attempt has ended; none is served anything but the first body, and none leaves an open connection.

--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from typing import Any
@@ -323,3 +324,52 @@
 
     monkeypatch.setattr(connection_reuse, "PROBATION_IDLE_US", 20_000_000)  # no machine is so slow
     run(test)
+
+
+FRAMINGS = {
+    "no content with a body": (b"HTTP/1.1 204 No Content\r\nContent-Length: 38\r\n\r\n", ok(b"")),
+    "not modified with a body": (b"HTTP/1.1 304 Not Modified\r\nContent-Length: 38\r\n\r\n", ok(b"")),
+    "longer than announced": (ok(b"first"), b"and more"),
+    "an answer in what is too long": (ok(b"first"), ok(b"foreign")),
+    "two lengths": (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 50\r\n\r\nfirst", ok(b"foreign")),
+    "length and chunks": (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                          ok(b"foreign")),
+    "chunks named otherwise": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: x, chunked\r\nContent-Length: 5\r\n\r\nfirst",
+                               ok(b"foreign")),
+    "a trailer": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\nX: y\r\n\r\n",
+                  ok(b"foreign")),
+    "an interim answer behind": (ok(b"first"), b"HTTP/1.1 100 Continue\r\n\r\n" + ok(b"foreign")),
+    "an old version": (b"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nfirst", ok(b"foreign")),
+    "kept in an old version": (b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nfirst",
+                               ok(b"foreign")),
+}
+
+
+# Guards against an answer that this side ends sooner than its upstream: the rest meets the next request.
+@pytest.mark.parametrize(("first", "rest"), FRAMINGS.values(), ids=[name.replace(" ", "-") for name in FRAMINGS])
+def test_the_rest_of_an_answer_is_not_the_answer_to_the_next_request(
+        first: bytes, rest: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            peer = Peer()
+            peer.port = listener.getsockname()[1]
+            harness = UpstreamHarness(peer)
+            for number in range(connection_reuse.MIN_ANSWERS):
+                harness.upstreams.reuse_policy.record_answer(number, -1)
+            _, ended = harness.start()
+            client, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(client, 1000)
+            await loop.sock_sendall(client, first)
+            client.setblocking(False)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(asyncio.shield(ended), 0.1)
+            with contextlib.suppress(OSError):
+                client.send(rest)
+            await asyncio.sleep(0.02)  # less than any rest before reuse
+            assert harness.upstreams.open_count == 0 or not ended.done()
+            assert not ended.done() or ended.result()[0] is not Outcome.OK or ended.result()[1].body == b"first"
+            client.close()
+
+    run(test)
