--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -140,6 +140,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.upstream.connections.add(self)
+        self.upstream.opened += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.upstream.connections.discard(self)
@@ -176,6 +177,7 @@
         self.ledger, self.delay_s, self.fault = ledger, 0.02, ""
         self.cell = 1
         self.connections: set[UpstreamConnection] = set()
+        self.opened = 0  # connections accepted so far
         self.unreadable: list[str] = []
         self.server: asyncio.Server | None = None
         self.port = 0
