Move the connection to an upstream out of its pools' module

Change: Answer, Attempt and Connection stand in upstream_connection.py, Pool and Upstreams in upstream.py; no behaviour.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -32,7 +32,8 @@
 from ironscale.net.server import Server
 from ironscale.net.signals import Signals
 from ironscale.net.start_times import StartTimes
-from ironscale.net.upstream import Answer, Attempt, Upstreams
+from ironscale.net.upstream import Upstreams
+from ironscale.net.upstream_connection import Answer, Attempt
 
 # Answers are sent this long before the client stops waiting: timers fire up to 2 ms late, the event loop reads a
 # request up to 1 ms after it arrived (99 in 100), and an answer takes under 1 ms to reach the client.
--- a/ironscale/record/store_dispatcher.py
+++ b/ironscale/record/store_dispatcher.py
@@ -19,7 +19,7 @@
 from ironscale.balance import Balancer
 from ironscale.net.event_dispatcher import EventDispatcher
 from ironscale.net.sidecar import Request, Sidecar, Timer
-from ironscale.net.upstream import Answer
+from ironscale.net.upstream_connection import Answer
 from ironscale.record import model, routes
 from ironscale.record.model import Cause
 from ironscale.record.recorder import AttemptHandle, Recorder
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -30,7 +30,7 @@
         "ironscale.net.jsonstream", "ironscale.net.lifecycle", "ironscale.net.listener_shutdown",
         "ironscale.net.periodic", "ironscale.net.request_log", "ironscale.net.server", "ironscale.net.sidecar",
         "ironscale.net.signals", "ironscale.net.socket_connect", "ironscale.net.start_times", "ironscale.net.stream",
-        "ironscale.net.upstream", "ironscale.settings", "ironscale.sum_tree"]
+        "ironscale.net.upstream", "ironscale.net.upstream_connection", "ironscale.settings", "ironscale.sum_tree"]
 
 
 def test_the_control_extension_needs_no_extra_packages() -> None:
--- a/tests/ends/test_crossings.py
+++ b/tests/ends/test_crossings.py
@@ -18,7 +18,7 @@
 import pytest
 
 from ironscale.net import server, sidecar
-from ironscale.net.upstream import Connection
+from ironscale.net.upstream_connection import Connection
 from ironscale.standins.discovery import listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok
 from ironscale.standins.settings import SETTINGS
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -14,11 +14,11 @@
 
 from ironscale.interface import Outcome
 from ironscale.net import server as module
-from ironscale.net import upstream
 from ironscale.net.client import ClientConnection
 from ironscale.net.connection_metrics import CloseReason
 from ironscale.net.server import Server
-from ironscale.net.upstream import Attempt, Pool
+from ironscale.net.upstream import Pool
+from ironscale.net.upstream_connection import Attempt, Connection
 from ironscale.standins.http import TURNED_AWAY, ok
 from ironscale.standins.upstream import Peer, hang
 from tests.ends.test_clients import (
@@ -133,7 +133,7 @@
     def sent(self) -> int:
         return sum(len(peer.got) for peer in self.peers)
 
-    def busy_connection(self) -> upstream.Connection:
+    def busy_connection(self) -> Connection:
         return next(connection for pool in self.scene.sidecar.upstreams.pools.values() for connection in pool.busy)
 
 
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -14,7 +14,7 @@
 from ironscale.net import connection_reuse, lifecycle, socket_connect
 from ironscale.net.client import Exchange
 from ironscale.net.stream import Unread, peek
-from ironscale.net.upstream import Connection
+from ironscale.net.upstream_connection import Connection
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
 from tests.ends.test_upstreams import limit_first_write
--- a/tests/ends/test_upstreams.py
+++ b/tests/ends/test_upstreams.py
@@ -10,7 +10,8 @@
 
 from ironscale.interface import ListKind, Outcome
 from ironscale.net.stream import Stream
-from ironscale.net.upstream import Attempt, Connection, Pool, Upstreams
+from ironscale.net.upstream import Pool, Upstreams
+from ironscale.net.upstream_connection import Attempt, Connection
 from ironscale.standins.discovery import listing
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply, reset
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,7 +18,7 @@
 import pytest
 
 from ironscale import interface as api
-from ironscale.net import client, server, upstream
+from ironscale.net import client, server, upstream, upstream_connection
 from ironscale.net.sidecar import ANSWER_MARGIN_US, Clock, parse_load_report, parse_remaining_us
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
@@ -506,8 +506,8 @@
 
         def counts() -> tuple[int, int, int]:
             gc.collect()
-            objects = sum(isinstance(o, client.ClientConnection | client.Exchange | upstream.Connection
-                                     | upstream.Attempt | upstream.Pool) for o in gc.get_objects())
+            objects = sum(isinstance(o, client.ClientConnection | client.Exchange | upstream_connection.Connection
+                                     | upstream_connection.Attempt | upstream.Pool) for o in gc.get_objects())
             return objects, len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
 
         def settled() -> bool:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -17,7 +17,8 @@
 from ironscale.net import upstream as module
 from ironscale.net.connection_metrics import CloseReason
 from ironscale.net.discovery import ListParser, Member
-from ironscale.net.upstream import Answer, Attempt, Upstreams
+from ironscale.net.upstream import Upstreams
+from ironscale.net.upstream_connection import Answer, Attempt
 from ironscale.standins.discovery import listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok
 from ironscale.standins.upstream import Behaviour, Peer, hang, reply, reset
