An answer that equals an earlier one fails its attempt and quarantines no upstream

What callers saw: no foreign answer; connections and time. An equal answer is a suspicion about one answer, unlike bytes that nobody asked for. Change: it fails that attempt (it may have run) and closes the connection.

--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -238,13 +238,12 @@
         """Why the complete answer may belong to an earlier request on the connection; None if it doesn't seem so."""
         policy = self.pool.upstreams.reuse_policy
         digest = self.answer.digest() if self.answer.status == 200 else None
-        is_copy = digest is not None and policy.is_copy(digest, self.digests)
-        if is_copy or self.has_surplus:
+        if self.has_surplus:
             self.pool.record_surplus()
         if self.requests > 1 and not self.pool.allows_reuse(self.pool.upstreams.now_us()):
-            if is_copy:
-                return CloseReason.COPIED_ANSWER
             return CloseReason.SURPLUS if self.has_surplus else CloseReason.QUARANTINE
+        if digest is not None and policy.is_copy(digest, self.digests):
+            return CloseReason.COPIED_ANSWER  # no proof that the upstream sent too much: it may be an equal answer
         if digest is not None:
             self.digests.append(digest)
             policy.record_answer(digest, self.number)
@@ -295,4 +294,4 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.fail(CloseReason.PEER_ENDED)
-        self.parser = None  # breaks a reference cycle that only the garbage collector would free
+        self.parser = self.transport = None  # breaks reference cycles that only the garbage collector would free
