Shorter rests of connections to upstreams; equal answers compared with more of the past

Change: 20 ms, and 50 ms until five connections have stayed silent; 1024 answers compared, 16 remembered a connection.

--- a/ironscale/net/connection_reuse.py
+++ b/ironscale/net/connection_reuse.py
@@ -11,9 +11,9 @@
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
-MIN_IDLE_US = 50_000
+MIN_IDLE_US = 20_000
 # Until so many connections have stayed silent for that long, all of them have to: what upstreams do is not known yet.
-PROBATION_CONNECTIONS, PROBATION_IDLE_US = 10, 100_000
+PROBATION_CONNECTIONS, PROBATION_IDLE_US = 5, 50_000
 QUARANTINE_US = 60_000_000  # how long an upstream's connections are used once after it has sent too much
 MAX_QUARANTINED = 1  # with more upstreams at a time than that, all are treated so: the fault lies in their way
 # The share of reused connections that fail at their next request, by idle time: an exponential moving average over
@@ -21,9 +21,10 @@
 # requests that would fail.
 FAILURE_WEIGHT, FAILURE_DECAY, MAX_FAILURE_SHARE = 1 / 8, 0.95, 0.3
 DECAY_INTERVAL_S = 1.0
-# Equal answers on different connections: a moving average over about 32 answers, compared with the last 64.
-EQUAL_WEIGHT, INITIAL_EQUAL_SHARE, MAX_EQUAL_SHARE, REMEMBERED_ANSWERS = 1 / 32, 0.0, 0.05, 64
-MAX_EARLIER_ANSWERS = 32  # of a connection, of which a copy is recognised
+# Equal answers on different connections: a moving average over about 32 answers. It compares with as many as dozens of
+# connections remember together, or equal answers of long ago would look like copies.
+EQUAL_WEIGHT, INITIAL_EQUAL_SHARE, MAX_EQUAL_SHARE, REMEMBERED_ANSWERS = 1 / 32, 0.0, 0.05, 1024
+MAX_EARLIER_ANSWERS = 16  # of a connection, of which a copy is recognised
 MIN_ANSWERS = 8  # that must have been seen before equal ones can be called rare; until then nothing is reused
 NEVER_US = 1 << 62
 
