--- a/ironscale/net/connection_reuse.py
+++ b/ironscale/net/connection_reuse.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
-MIN_IDLE_US = 20_000
+MIN_IDLE_US = 45_000
 # Until so many connections have stayed silent for that long, all of them have to: what upstreams do is not known yet.
 PROBATION_CONNECTIONS, PROBATION_IDLE_US = 5, 50_000
 QUARANTINE_US = 60_000_000  # how long an upstream's connections are used once after it has sent too much
@@ -25,7 +25,7 @@
 # connections remember together, or equal answers of long ago would look like copies.
 EQUAL_WEIGHT, INITIAL_EQUAL_SHARE, MAX_EQUAL_SHARE, REMEMBERED_ANSWERS = 1 / 32, 0.0, 0.05, 1024
 MAX_EARLIER_ANSWERS = 16  # of a connection, of which a copy is recognised
-MIN_ANSWERS = 8  # that must have been seen before equal ones can be called rare; until then nothing is reused
+MIN_ANSWERS = 3  # that must have been seen before equal ones can be called rare; until then nothing is reused
 NEVER_US = 1 << 62
 
 
