Only a surplus that comes late after its answer quarantines an upstream

Change: quarantine from 10 ms after the answer on, under a quarter of a connection's rest. Of two answers in one read on a reused connection none is served, as before, without a quarantine.

--- a/ironscale/net/connection_reuse.py
+++ b/ironscale/net/connection_reuse.py
@@ -14,6 +14,7 @@
 MIN_IDLE_US = 45_000
 # Until so many connections have stayed silent for that long, all of them have to: what upstreams do is not known yet.
 PROBATION_CONNECTIONS, PROBATION_IDLE_US = 5, 50_000
+HARMLESS_LATENESS_US = 10_000  # a surplus that comes sooner after its answer is far from meeting a request
 QUARANTINE_US = 60_000_000  # how long an upstream's connections are used once after it has sent too much
 MAX_QUARANTINED = 1  # with more upstreams at a time than that, all are treated so: the fault lies in their way
 # The share of reused connections that fail at their next request, by idle time: an exponential moving average over
@@ -73,8 +74,10 @@
         self.silent_connections += is_long
         return is_long
 
-    def record_surplus(self, upstream_id: int, now_us: int) -> None:
-        """The upstream has sent something that no request had asked for."""
+    def record_surplus(self, upstream_id: int, lateness_us: int, now_us: int) -> None:
+        """The upstream has sent something that no request had asked for, so long after an answer."""
+        if lateness_us < HARMLESS_LATENESS_US:
+            return
         self.silent_connections = 0
         self.quarantined[upstream_id] = now_us + QUARANTINE_US
 
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -96,9 +96,10 @@
         if not connection.is_counted_silent:
             connection.is_counted_silent = self.upstreams.reuse_policy.record_silence(idle_us)
 
-    def record_surplus(self) -> None:
-        """The upstream has sent more than it was asked for: what lies idle may be about to receive more of it."""
-        self.upstreams.reuse_policy.record_surplus(self.member.upstream.id, self.upstreams.now_us())
+    def record_surplus(self, idle_since_us: int) -> None:
+        """The upstream has sent more than it was asked for, on a connection that had been idle since then."""
+        now_us = self.upstreams.now_us()
+        self.upstreams.reuse_policy.record_surplus(self.member.upstream.id, now_us - idle_since_us, now_us)
 
     def why_not_reusable(self, connection: Connection, idle_us: int) -> CloseReason | None:
         """Why an idle connection must be closed instead of being used; None if it may be used."""
--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -151,7 +151,7 @@
         if self.attempt is None:
             self.report_surplus(data)
             if not data.startswith(CLOSING_NOTICES):
-                self.pool.record_surplus()
+                self.pool.record_surplus(self.idle_since_us)
             self.close(CloseReason.SURPLUS)  # the next answer would be matched to the wrong request
             return
         is_malformed, self.answer_begun = False, True
@@ -238,10 +238,10 @@
         """Why the complete answer may belong to an earlier request on the connection; None if it doesn't seem so."""
         policy = self.pool.upstreams.reuse_policy
         digest = self.answer.digest() if self.answer.status == 200 else None
-        if self.has_surplus:
-            self.pool.record_surplus()
+        if self.requests > 1 and self.has_surplus:
+            return CloseReason.SURPLUS
         if self.requests > 1 and not self.pool.allows_reuse(self.pool.upstreams.now_us()):
-            return CloseReason.SURPLUS if self.has_surplus else CloseReason.QUARANTINE
+            return CloseReason.QUARANTINE
         if digest is not None and policy.is_copy(digest, self.digests):
             return CloseReason.COPIED_ANSWER  # no proof that the upstream sent too much: it may be an equal answer
         if digest is not None:
