A test that closed connections to upstreams are freed without the garbage collector

Cause: let a closed connection go of its stream, and no test held it. Change: the collector is off, and a closed connection has to vanish.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import errno
+import gc
 import socket
 import struct
 import time
+import weakref
 from collections.abc import Callable
 from typing import Any
 
@@ -623,3 +625,19 @@
                 client.close()
 
     run(test)
+
+
+# Guards against closed connections that fill the memory until the garbage collector runs.
+def test_a_closed_connection_is_freed_without_the_garbage_collector() -> None:
+    async def test() -> None:
+        harness = UpstreamHarness(await Peer().start())
+        assert await harness.outcome() is Outcome.OK
+        closed = weakref.ref(harness.pool.idle[0])
+        harness.pool.close_idle()
+        await until(lambda: closed() is None)
+
+    gc.disable()
+    try:
+        run(test)
+    finally:
+        gc.enable()
