--- a/review/standins.py
+++ b/review/standins.py
@@ -252,6 +252,9 @@
         try:
             yield record, Path(temporary), sidecars
         finally:
+            for sidecar in sidecars:
+                if sidecar.process.poll() is None:
+                    sidecar.process.terminate()
             for sidecar in sidecars:
                 sidecar.end()
             record.file.close()
