--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import logging
 import select
 import socket
 import traceback
@@ -36,6 +38,17 @@
 # and after `Upgrade` the parser takes the body for another protocol and drops it.
 REJECTED_HEADERS = frozenset((b"transfer_encoding", b"content_length", b"upgrade"))
 Headers = list[tuple[bytes, bytes]]
+logger = logging.getLogger("ironscale.clients")
+
+
+class Phase(enum.Enum):
+    """What a connection was doing when it was closed."""
+
+    NEW = "nothing read"
+    PARTIAL_REQUEST = "request read in part"
+    OPEN_REQUEST = "request not answered"
+    BETWEEN_REQUESTS = "between requests"
+    CLOSING = "closing after its last answer"
 
 
 class TooLarge(Exception):
@@ -94,6 +107,7 @@
     application: Application
     ledger: Ledger
     now_us: Callable[[], int]
+    unread_lines: logs.LineBudget
 
     def wants_close(self, connection: ClientConnection) -> bool:
         """Whether the connection should be closed after its next answer."""
@@ -130,6 +144,8 @@
         self.reading_paused = False  # if so, the event loop does not report the client's end
         self.end_poll: select.poll | None = None
         self.quiet_since_us = self.last_answer_us = server.now_us()  # when it fell silent or idle; last answer
+        self.close_reason = ""  # why this side closes it, with its phase; empty if it did not decide to
+        self.close_decided_us = 0
 
     def open(self) -> None:
         self.transport = Stream(self.sock, self)
@@ -251,6 +267,7 @@
         self.last_answer_us = self.server.now_us()
         self.current = None
         if self.transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:  # the client reads no answers
+            self.record_close("answers unread")
             self.cancel_requests("answers unread")
             self.transport.abort()
         elif self.pipelined:
@@ -267,6 +284,8 @@
 
     def reject(self, status: int) -> None:
         """Ends the connection over a malformed or incomplete request; complete ones before it are still answered."""
+        if not self.close_reason:
+            self.record_close(f"rejected with {status}")
         self.finishing = True
         self.unparsed = b""
         if self.current is None and not self.pipelined:
@@ -311,10 +330,11 @@
         the connection stays open: a close would reset it, and the bytes may complete the request."""
         if not self.finishing and (self.transport is None or self.has_unread()):
             return
-        self.finishing = True
         if self.transport is None:
+            self.finishing = True
             return
-        self.server.ledger.note(Event.CLOSED, reason)
+        self.record_close(reason)
+        self.finishing = True
         if self.transport.is_closing():
             # an answer may still be on its way out; but a client that never reads it must not hold the descriptor
             unsent = self.transport.get_write_buffer_size() > 0
@@ -337,7 +357,32 @@
     def eof_received(self) -> None:
         self.cancel_requests("client left")
 
+    def phase(self) -> Phase:
+        if self.is_busy():
+            return Phase.OPEN_REQUEST
+        if self.finishing:
+            return Phase.CLOSING
+        if self.has_partial_request:
+            return Phase.PARTIAL_REQUEST
+        return Phase.NEW if self.is_new else Phase.BETWEEN_REQUESTS
+
+    def record_close(self, reason: str) -> None:
+        """Records that this side closes the connection now."""
+        self.close_reason, self.close_decided_us = f"{reason}, {self.phase().value}", self.server.now_us()
+        self.server.ledger.note(Event.CLOSED, self.close_reason)
+
+    def report_unread(self) -> None:
+        """Counts and logs that the connection was closed over bytes that had not been read."""
+        reason, server = self.close_reason or self.phase().value, self.server
+        server.ledger.note(Event.CLOSED_OVER_UNREAD, reason)
+        if server.unread_lines.allows():
+            decided_us = self.close_decided_us or server.now_us()
+            logger.warning("connection closed over unread bytes: %s, decided %.1f ms before%s", reason,
+                           (server.now_us() - decided_us) / 1000, server.unread_lines.note())
+
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.transport is not None and self.transport.closed_over_unread:
+            self.report_unread()
         ended_by_peer = exc is None or (isinstance(exc, OSError) and severity(exc) is not Severity.FATAL)
         self.cancel_requests(f"connection ended: {exc}" if exc is not None else "client left",
                              own_failure=not ended_by_peer)
--- a/ironscale/net/lifecycle.py
+++ b/ironscale/net/lifecycle.py
@@ -36,6 +36,7 @@
     ANSWERED = "answered"
     CANCELLED = "cancelled"
     CLOSED = "connection closed"
+    CLOSED_OVER_UNREAD = "connection closed over unread bytes"
 
 
 class Invariant(enum.Enum):
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -12,7 +12,7 @@
 from ironscale import logs
 from ironscale.net.client import END_EVENTS, Application, ClientConnection
 from ironscale.net.errors import Severity, severity
-from ironscale.net.lifecycle import Event, Ledger
+from ironscale.net.lifecycle import Ledger
 from ironscale.net.listener_shutdown import BACKLOG, ListenerShutdown
 from ironscale.net.periodic import Periodic
 
@@ -35,6 +35,7 @@
 LAST_ANSWERS_S = 0.08  # for the last answers to be sent at the end of the process
 ACCEPT_PAUSE_S = 0.02  # after an accept that failed because a resource was exhausted
 CLOSE_RETRY_S = 0.02  # between two tries to close the listener
+UNREAD_LINES_PER_S, MAX_UNREAD_BURST = 1.0, 50  # log lines about connections closed over unread bytes
 
 
 class Accepted(enum.Enum):
@@ -54,6 +55,7 @@
         self.ledger = ledger or Ledger(now_us, logs.write_line)
         self.max_connections = max_connections
         self.now_us = now_us
+        self.unread_lines = logs.LineBudget(now_us, UNREAD_LINES_PER_S, MAX_UNREAD_BURST)
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
         # Connections without an open request, oldest first: `silent` ones have sent no complete request or only
@@ -140,7 +142,7 @@
                 if now_us - oldest.quiet_since_us < min_s * 1e6:
                     break
                 if oldest.transport is not None and oldest.can_close_now():
-                    self.ledger.note(Event.CLOSED, "room")
+                    oldest.record_close("room")
                     oldest.transport.abort()
                     self.forget(oldest)
                     return True
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -92,6 +92,7 @@
         self.retry_timers: dict[str, asyncio.TimerHandle] = {}  # timers of the retries, by "read" and "write"
         self.closing = False  # nothing is read any more; the stream ends once all is sent
         self.is_over = False
+        self.closed_over_unread = False  # bytes that had not been read were thrown away as the socket closed
         self.resume_reading()
 
     def is_closing(self) -> bool:
@@ -210,5 +211,6 @@
         self.loop.call_soon(self.ended, error)
 
     def ended(self, error: Exception | None) -> None:
+        self.closed_over_unread = peek(self.sock) is Unread.BYTES
         self.sock.close()
         self.owner.connection_lost(error)
