--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -321,6 +321,7 @@
 
     def on_client_left(self) -> None:
         """Cancels the open requests and closes: the client has closed its side."""
+        self.close_reason = self.close_reason or "client left"
         self.cancel_requests("client left")
         if self.transport is not None:
             self.transport.close()
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -20,6 +20,7 @@
 READ_BYTES = 64 << 10
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in Linux's struct tcp_info; the value is in milliseconds
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+MAX_DISCARDED_BYTES = 1 << 20  # a peer that goes on sending must not hold up the event loop
 RETRY_PAUSE_S = 0.005  # before a call that hit a transient error is retried
 
 
@@ -65,6 +66,15 @@
     return False
 
 
+def discard_unread(sock: socket.socket) -> int:
+    """Reads and drops what has arrived, up to MAX_DISCARDED_BYTES; returns how many bytes that were."""
+    discarded = 0
+    with contextlib.suppress(OSError):
+        while discarded < MAX_DISCARDED_BYTES and (data := sock.recv(READ_BYTES)):
+            discarded += len(data)
+    return discarded
+
+
 class StreamOwner(Protocol):
     """The owner of a stream, which calls these methods; they are named as in asyncio's protocols."""
 
@@ -92,7 +102,7 @@
         self.retry_timers: dict[str, asyncio.TimerHandle] = {}  # timers of the retries, by "read" and "write"
         self.closing = False  # nothing is read any more; the stream ends once all is sent
         self.is_over = False
-        self.closed_over_unread = False  # bytes that had not been read were thrown away as the socket closed
+        self.closed_over_unread = False  # bytes that had not been read were thrown away as the socket was closed
         self.resume_reading()
 
     def is_closing(self) -> bool:
@@ -172,7 +182,7 @@
             return
         self.await_writable(False)
         if self.closing:
-            self.end(None)
+            self.end_orderly()
 
     def resume_sending(self) -> None:
         self.send()
@@ -193,12 +203,30 @@
             self.pause_reading()
             self.closing = True
             if not self.write_buffer:
-                self.end(None)
+                self.end_orderly()
+
+    def close_unless_unread(self) -> bool:
+        """Ends the connection now, unless bytes have arrived that were not read; returns whether it has ended.
+
+        Nothing runs between the look at the socket and its close: bytes that arrived there would be thrown away.
+        """
+        if not self.is_over and peek(self.sock) in (Unread.NOTHING, Unread.END):
+            self.end_orderly()
+        return self.is_over
 
     def abort(self) -> None:
         """Ends the connection now and drops what is unsent."""
         self.end(None)
 
+    def end_orderly(self) -> None:
+        """Ends the connection so that the peer reads everything that was sent and then the end. The kernel resets a
+        connection that is closed over unread bytes, and drops what it has not delivered, so they are read first."""
+        if not self.is_over:
+            with contextlib.suppress(OSError):  # ENOTCONN: the peer has reset it
+                self.sock.shutdown(socket.SHUT_WR)
+            self.closed_over_unread = discard_unread(self.sock) > 0
+            self.end(None)
+
     def end(self, error: Exception | None) -> None:
         if self.is_over:
             return
@@ -208,9 +236,7 @@
         for timer in self.retry_timers.values():
             timer.cancel()
         self.write_buffer.clear()
-        self.loop.call_soon(self.ended, error)
-
-    def ended(self, error: Exception | None) -> None:
-        self.closed_over_unread = peek(self.sock) is Unread.BYTES
-        self.sock.close()
-        self.owner.connection_lost(error)
+        self.closed_over_unread = self.closed_over_unread or peek(self.sock) is Unread.BYTES
+        with contextlib.suppress(OSError):  # the descriptor is released even if close(2) fails
+            self.sock.close()
+        self.loop.call_soon(self.owner.connection_lost, error)
--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import socket
 from collections import deque
@@ -283,10 +282,7 @@
             self.pool.upstreams.metrics.closed[reason] += 1
             self.pool.remove(self)
             if self.transport is not None:
-                # The event loop closes the socket only in its next iteration. A retry that is written in this one would
-                # be a second copy of a request that is still being sent.
-                with contextlib.suppress(OSError):
-                    self.sock.shutdown(socket.SHUT_RDWR)
+                # the socket closes at once: otherwise a retry would be a second copy of a request that is still out
                 self.transport.abort()
 
     def eof_received(self) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import signal
 import socket
 import time
@@ -106,6 +107,45 @@
     run(test)
 
 
+# Guards against a socket that stays open for a turn of the event loop after it was found empty: what arrives in that
+# turn is thrown away, and the client gets a reset in place of the end.
+@pytest.mark.parametrize("closing", [close_idle, sweep, make_room])
+@pytest.mark.parametrize("asked", [False, True])
+def test_a_request_written_just_after_its_connection_was_closed_meets_the_end_and_no_reset(
+        closing: Callable[[Server], Awaitable[None]], asked: bool) -> None:
+    async def test() -> None:
+        async with serving(asked) as (server, client):
+            await closing(server)
+            client.send(REQUEST)  # in the same turn
+            await until(lambda: not server.connections)
+            assert client.recv(10) == b""
+
+    run(test)
+
+
+# Guards against the loss of an answer that is still on its way as its connection is closed over unread bytes.
+def test_an_answer_arrives_whole_although_its_client_has_sent_more_than_its_last_request() -> None:
+    async def test() -> None:
+        server = Server(AnsweringApplication(), 8, now_us)
+        await server.listen(("127.0.0.1", 0))
+        assert server.listener is not None
+        with socket.create_connection(server.listener.getsockname()) as client:
+            client.setblocking(False)
+            client.send(REQUEST[:-2])
+            await until(lambda: any(one.has_partial_request for one in server.connections))
+            connection, = server.connections
+            rest = b"Connection: close\r\n\r\n"
+            client.send(rest + b"\r\n")  # some clients end a request with one more line break
+            assert select.select([connection.sock], [], [], 10)[0]
+            connection.data_received(connection.sock.recv(len(rest)))
+            await until(lambda: not server.connections)
+            answer = client.recv(4096)
+            assert answer.endswith(b"done") and client.recv(10) == b""
+        await server.stop(0.0, 0.0, 0.0, 5.0)
+
+    run(test)
+
+
 async def close_listener_completely(server: Server) -> None:
     """Closes the server's listener to the end."""
     while not server.close_listener():
