--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -44,7 +44,7 @@
 class Phase(enum.Enum):
     """What a connection was doing when it was closed."""
 
-    NEW = "nothing read"
+    NO_REQUEST = "no request yet"  # but perhaps readiness probes
     PARTIAL_REQUEST = "request read in part"
     OPEN_REQUEST = "request not answered"
     BETWEEN_REQUESTS = "between requests"
@@ -115,6 +115,9 @@
     def reclassify(self, connection: ClientConnection) -> None:
         """Called whenever the connection may have become busy, idle or silent."""
 
+    def received(self, connection: ClientConnection) -> None:
+        """The connection has received bytes."""
+
     def watch_for_end(self, connection: ClientConnection) -> None:
         """Reading has been paused, so the event loop no longer reports the client's end."""
 
@@ -143,7 +146,9 @@
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
         self.reading_paused = False  # if so, the event loop does not report the client's end
         self.end_poll: select.poll | None = None
-        self.quiet_since_us = self.last_answer_us = server.now_us()  # when it fell silent or idle; last answer
+        # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
+        self.quiet_since_us = self.last_byte_us = self.last_answer_us = server.now_us()
+        self.listed_phase: Phase | None = None  # kept by the server's QuietConnections
         self.close_reason = ""  # why this side closes it, with its phase; empty if it did not decide to
         self.close_decided_us = 0
 
@@ -155,8 +160,10 @@
 
     def data_received(self, data: bytes) -> None:
         self.is_new = False
+        self.last_byte_us = self.server.now_us()
         self.unparsed += data
         self.parse()
+        self.server.received(self)
 
     def parse(self) -> None:
         while self.unparsed and not self.pipelined and not self.finishing:
@@ -267,7 +274,7 @@
         self.last_answer_us = self.server.now_us()
         self.current = None
         if self.transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:  # the client reads no answers
-            self.record_close("answers unread")
+            self.record_close("answers unread", self.phase())
             self.cancel_requests("answers unread")
             self.transport.abort()
         elif self.pipelined:
@@ -285,7 +292,7 @@
     def reject(self, status: int) -> None:
         """Ends the connection over a malformed or incomplete request; complete ones before it are still answered."""
         if not self.close_reason:
-            self.record_close(f"rejected with {status}")
+            self.record_close(f"rejected with {status}", self.phase())
         self.finishing = True
         self.unparsed = b""
         if self.current is None and not self.pipelined:
@@ -328,29 +335,34 @@
 
     def close(self, reason: str) -> None:
         """Closes a connection without an open request. A request received in part gets status 408. With unread bytes
-        the connection stays open: a close would reset it, and the bytes may complete the request."""
-        if not self.finishing and (self.transport is None or self.has_unread()):
+        the connection stays open: they would be thrown away, and may complete the request."""
+        if self.transport is None or self.transport.is_over:
             return
-        if self.transport is None:
-            self.finishing = True
-            return
-        self.record_close(reason)
-        self.finishing = True
+        phase = self.phase()
         if self.transport.is_closing():
-            # an answer may still be on its way out; but a client that never reads it must not hold the descriptor
-            unsent = self.transport.get_write_buffer_size() > 0
-            if not unsent or self.server.now_us() - self.last_answer_us >= UNREAD_ANSWER_TIMEOUT_S * 1e6:
-                self.transport.abort()
-        elif self.has_partial_request:
-            self.reject(408)
-        else:
-            self.transport.close()
+            self.abort_if_unsent_for_long(reason)
+        elif phase is Phase.PARTIAL_REQUEST:
+            if not self.has_unread():
+                self.record_close(reason, phase)
+                self.reject(408)
+        elif self.transport.close_unless_unread():
+            self.record_close(reason, phase)
+            self.finishing = True
+
+    def abort_if_unsent_for_long(self, reason: str) -> None:
+        """Aborts a closing connection whose client has not read its answer in time, and would hold the descriptor."""
+        assert self.transport is not None
+        if self.server.now_us() - self.last_answer_us >= UNREAD_ANSWER_TIMEOUT_S * 1e6:
+            self.record_close(reason, self.phase())
+            self.transport.abort()
 
-    def can_close_now(self) -> bool:
-        """Whether it may be closed at once to make room: no answer is still being sent, and no unread bytes wait."""
+    def close_to_make_room(self) -> bool:
+        """Closes a connection without an open request, unless bytes are unread or an answer is still being sent;
+        returns whether its descriptor is free."""
         if self.transport is None or self.transport.get_write_buffer_size():
             return False
-        return self.finishing or self.has_partial_request or not self.has_unread()
+        self.close("room")
+        return self.transport.is_over
 
     def is_busy(self) -> bool:
         return self.current is not None or bool(self.pipelined)
@@ -365,11 +377,11 @@
             return Phase.CLOSING
         if self.has_partial_request:
             return Phase.PARTIAL_REQUEST
-        return Phase.NEW if self.is_new else Phase.BETWEEN_REQUESTS
+        return Phase.BETWEEN_REQUESTS if self.has_had_request else Phase.NO_REQUEST
 
-    def record_close(self, reason: str) -> None:
+    def record_close(self, reason: str, phase: Phase) -> None:
         """Records that this side closes the connection now."""
-        self.close_reason, self.close_decided_us = f"{reason}, {self.phase().value}", self.server.now_us()
+        self.close_reason, self.close_decided_us = f"{reason}, {phase.value}", self.server.now_us()
         self.server.ledger.note(Event.CLOSED, self.close_reason)
 
     def report_unread(self) -> None:
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -7,21 +7,20 @@
 import select
 import socket
 from collections.abc import Callable
-from itertools import islice
 
 from ironscale import logs
-from ironscale.net.client import END_EVENTS, Application, ClientConnection
+from ironscale.net.client import END_EVENTS, Application, ClientConnection, Phase
 from ironscale.net.errors import Severity, severity
 from ironscale.net.lifecycle import Ledger
 from ironscale.net.listener_shutdown import BACKLOG, ListenerShutdown
 from ironscale.net.periodic import Periodic
+from ironscale.net.quiet_connections import MIN_IDLE_S, MIN_SILENCE_S, QuietConnections
 
 # A client that sends no complete request gets an error or a close within 3 s: this timeout and the sweep's interval
 # together stay below that. A connection without an open request may be closed after 2 s; it is closed after
 # IDLE_TIMEOUT_S, and sooner only to make room.
 SILENCE_TIMEOUT_S = 2.4
 IDLE_TIMEOUT_S = 15.0
-MIN_IDLE_S, MIN_SILENCE_S = 2.0, 0.1  # least age of a connection that is closed to make room
 # How long a shutdown waits for the first byte on a new connection. The client of a connection opened before the
 # shutdown can still connect again; the client of a later one can't.
 FIRST_BYTE_TIMEOUT_S, LATE_FIRST_BYTE_TIMEOUT_S = 0.25, 1.0
@@ -31,9 +30,8 @@
 # than the second are open this goes for those that have only carried readiness probes.
 CROWDED_IDLE_SHARE, CROWDED_SHARE = 1 / 3, 1 / 2
 ACCEPT_BATCH = 32  # connections accepted in one step of the event loop
-EVICTION_CANDIDATES = 8  # oldest connections that are checked for one that can be closed to make room
 LAST_ANSWERS_S = 0.08  # for the last answers to be sent at the end of the process
-ACCEPT_PAUSE_S = 0.02  # after an accept that failed because a resource was exhausted
+ACCEPT_PAUSE_S = 0.02  # after an accept that failed for want of room or of a resource
 CLOSE_RETRY_S = 0.02  # between two tries to close the listener
 UNREAD_LINES_PER_S, MAX_UNREAD_BURST = 1.0, 50  # log lines about connections closed over unread bytes
 
@@ -58,10 +56,7 @@
         self.unread_lines = logs.LineBudget(now_us, UNREAD_LINES_PER_S, MAX_UNREAD_BURST)
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
-        # Connections without an open request, oldest first: `silent` ones have sent no complete request or only
-        # readiness probes, or are closing; `idle` ones may send their next request.
-        self.silent: dict[ClientConnection, None] = {}
-        self.idle: dict[ClientConnection, None] = {}
+        self.quiet = QuietConnections(now_us)
         self.stopping = False
         self.stopping_since_us = 0
         self.accepting_paused = False  # until there is room
@@ -97,8 +92,7 @@
             return Accepted.ALL
         for _ in range(ACCEPT_BATCH):
             if len(self.connections) >= self.max_connections and not self.make_room():
-                self.pause_accepting()
-                return Accepted.FAILED
+                break
             try:
                 sock, peer = self.listener.accept()
             except OSError as error:
@@ -114,7 +108,7 @@
                 continue
             connection = ClientConnection(self, sock)
             self.connections.add(connection)
-            self.silent[connection] = None
+            self.quiet.classify(connection)
             self.last_opened_us = self.now_us()
             sock.setblocking(False)
             connection.open()
@@ -135,37 +129,23 @@
             self.loop.add_reader(self.listener, self.accept)
 
     def make_room(self) -> bool:
-        """Closes the connection that has been silent longest, else the one idle longest; False if none can be."""
-        now_us = self.now_us()
-        for connections, min_s in ((self.silent, MIN_SILENCE_S), (self.idle, MIN_IDLE_S)):
-            for oldest in islice(connections, EVICTION_CANDIDATES):
-                if now_us - oldest.quiet_since_us < min_s * 1e6:
-                    break
-                if oldest.transport is not None and oldest.can_close_now():
-                    oldest.record_close("room")
-                    oldest.transport.abort()
-                    self.forget(oldest)
-                    return True
-        return False
+        """Closes a connection without an open request; False if none may be closed."""
+        evicted = self.quiet.evict()
+        if evicted is not None:
+            self.forget(evicted)
+        return evicted is not None
 
     def reclassify(self, connection: ClientConnection) -> None:
-        """Moves a connection to `silent` or `idle`, or out of both while it is busy."""
-        if connection.is_busy():
-            self.silent.pop(connection, None)
-            self.idle.pop(connection, None)
-            return
-        silent = connection.has_partial_request or connection.finishing or not connection.has_had_request
-        target, other = (self.silent, self.idle) if silent else (self.idle, self.silent)
-        other.pop(connection, None)
-        if connection not in target and connection in self.connections:
-            connection.quiet_since_us = self.now_us()
-            target[connection] = None
+        if connection in self.connections:
+            self.quiet.classify(connection)
+
+    def received(self, connection: ClientConnection) -> None:
+        self.quiet.received(connection)
 
     def forget(self, connection: ClientConnection) -> None:
         self.unwatch(connection)  # its descriptor may soon belong to another connection
         self.connections.discard(connection)
-        self.silent.pop(connection, None)
-        self.idle.pop(connection, None)
+        self.quiet.remove(connection)
         self.resume_accepting()
 
     def wants_close(self, connection: ClientConnection) -> bool:
@@ -175,21 +155,15 @@
         return self.stopping or crowded
 
     def has_many_idle(self) -> bool:
-        return len(self.idle) > CROWDED_IDLE_SHARE * self.max_connections
+        return self.quiet.idle_count() > CROWDED_IDLE_SHARE * self.max_connections
 
     def sweep(self) -> None:
         """Closes connections that have been silent or idle for too long."""
         logs.flush()
-        now_us = self.now_us()
         idle_timeout_s = MIN_IDLE_S if self.has_many_idle() else IDLE_TIMEOUT_S
-        for connections, timeout_s, reason in ((self.silent, SILENCE_TIMEOUT_S, "silent"),
-                                               (self.idle, idle_timeout_s, "idle")):
-            for connection in list(connections):
-                if now_us - connection.quiet_since_us < timeout_s * 1e6:
-                    break
-                del connections[connection]
-                connection.close(reason)
-                self.reclassify(connection)
+        for connection in self.quiet.quiet_for(SILENCE_TIMEOUT_S, idle_timeout_s):
+            connection.close("idle" if connection.phase() is Phase.BETWEEN_REQUESTS else "silent")
+            self.reclassify(connection)
         self.resume_accepting()
 
     def watch_for_end(self, connection: ClientConnection) -> None:
@@ -218,20 +192,22 @@
     def close_idle(self) -> None:
         """Closes connections without an open request, as the process ends; a client whose request crosses the close
         sends it again on a new connection."""
-        for connection in [*self.idle, *filter(self.is_unused, self.silent)]:
-            if not connection.finishing:
-                connection.close("shutdown, idle" if connection.has_had_request else "shutdown, silent")
+        for connection in self.quiet.all_in(Phase.BETWEEN_REQUESTS):
+            connection.close("shutdown, idle")
+            self.reclassify(connection)
+        for connection in self.quiet.all_in(Phase.NO_REQUEST):
+            if self.may_close_unused(connection):
+                connection.close("shutdown, silent")
                 self.reclassify(connection)
 
-    def is_unused(self, connection: ClientConnection) -> bool:
+    def may_close_unused(self, connection: ClientConnection) -> bool:
         """Whether a connection that has carried no request may be closed in a shutdown. On a new one the first request
         may still be under way."""
         min_s = MIN_SILENCE_S
         if connection.is_new:
             min_s = (FIRST_BYTE_TIMEOUT_S if connection.quiet_since_us < self.stopping_since_us
                      else LATE_FIRST_BYTE_TIMEOUT_S)
-        return (not connection.has_had_request and not connection.has_partial_request
-                and self.now_us() - connection.quiet_since_us >= min_s * 1e6)
+        return self.now_us() - connection.quiet_since_us >= min_s * 1e6
 
     def close_listener(self) -> bool:
         """Takes a step to close the listener; to be called until it returns True. The listener stays open while a
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -206,13 +206,13 @@
                 self.end_orderly()
 
     def close_unless_unread(self) -> bool:
-        """Ends the connection now, unless bytes have arrived that were not read; returns whether it has ended.
+        """Closes, unless bytes have arrived that were not read; returns whether it is closing.
 
-        Nothing runs between the look at the socket and its close: bytes that arrived there would be thrown away.
+        Nothing runs between the look at the socket and its close: what arrived there would be thrown away.
         """
-        if not self.is_over and peek(self.sock) in (Unread.NOTHING, Unread.END):
-            self.end_orderly()
-        return self.is_over
+        if not self.is_closing() and peek(self.sock) in (Unread.NOTHING, Unread.END):
+            self.close()
+        return self.is_closing()
 
     def abort(self) -> None:
         """Ends the connection now and drops what is unsent."""
--- a/tests/ends/test_close_records.py
+++ b/tests/ends/test_close_records.py
@@ -15,7 +15,7 @@
     async def test() -> None:
         async with serving(False) as (server, _):
             await sweep(server)
-            assert server.ledger.counts[Event.CLOSED, "silent, nothing read"] == 1
+            assert server.ledger.counts[Event.CLOSED, "silent, no request yet"] == 1
         async with serving(True) as (server, _):
             await sweep(server)
             assert server.ledger.counts[Event.CLOSED, "idle, between requests"] == 1
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -74,12 +74,12 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
         writer.write(scene.request())
         await reader.readuntil(b"done")
-        await until(lambda: scene.sidecar.server.idle)
-        connection = next(iter(scene.sidecar.server.idle))
+        await until(lambda: scene.sidecar.server.quiet.idle_count())
+        connection = next(iter(scene.sidecar.server.connections))
         fail_looks(monkeypatch, errno.ENOMEM)
         assert peek(connection.sock) is Unread.UNKNOWN
         connection.close("test")
-        assert not connection.finishing and not connection.can_close_now() and not connection.client_has_left()
+        assert not connection.finishing and not connection.close_to_make_room() and not connection.client_has_left()
         monkeypatch.undo()
         connection.close("test")
         assert connection.finishing
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -48,7 +48,7 @@
     if asked:
         await loop.sock_sendall(client, REQUEST)
         assert (await loop.sock_recv(client, 4096)).startswith(b"HTTP/1.1 200")
-    await until(lambda: len(server.idle) + len(server.silent) == 1 and all(
+    await until(lambda: len(server.quiet) == 1 and all(
         one.transport is not None for one in server.connections))
     for one in server.connections:
         one.quiet_since_us -= 60_000_000
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -528,7 +528,7 @@
         assert objects <= before[0] + 5 and descriptors <= before[1] + 3 and tasks <= before[2] + 3
         assert len(sidecar.balancer.upstreams) == len(sidecar.upstreams.pools) == 1
         assert not sidecar.by_txn and not sidecar.balancer.requests
-        assert not sidecar.server.silent and not sidecar.server.idle and not sidecar.server.connections
+        assert not len(sidecar.server.quiet) and not sidecar.server.connections
 
     run(test)
 
