--- a/ironscale/net/quiet_connections.py
+++ b/ironscale/net/quiet_connections.py
@@ -11,10 +11,12 @@
 MIN_SILENCE_S = 0.1
 MIN_IDLE_S = 2.0  # a connection that has carried a request may be closed after it
 MIN_STALL_S = 0.5  # pauses of clients that write a request slowly are shorter
-# In this order connections are closed to make room, each after so long a time. One in the middle of a request comes
-# last, because its client is owed an answer.
-EVICTION_ORDER = ((Phase.CLOSING, MIN_SILENCE_S), (Phase.NO_REQUEST, MIN_SILENCE_S),
-                  (Phase.BETWEEN_REQUESTS, MIN_IDLE_S), (Phase.PARTIAL_REQUEST, MIN_STALL_S))
+# While more than this share of the most connections are in the middle of a request, most of their clients have stopped
+# there for good, and all others wait for them.
+CROWDED_PARTIAL_SHARE, MIN_CROWDED_STALL_S = 1 / 2, 0.2
+# The order in which connections are closed to make room. One in the middle of a request comes last, because its client
+# is owed an answer.
+EVICTION_ORDER = (Phase.CLOSING, Phase.NO_REQUEST, Phase.BETWEEN_REQUESTS, Phase.PARTIAL_REQUEST)
 SILENT_PHASES = frozenset((Phase.CLOSING, Phase.NO_REQUEST, Phase.PARTIAL_REQUEST))
 
 
@@ -24,7 +26,7 @@
 
     def __init__(self, now_us: Callable[[], int]) -> None:
         self.now_us = now_us
-        self.by_phase: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase, _ in EVICTION_ORDER}
+        self.by_phase: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in EVICTION_ORDER}
 
     def __len__(self) -> int:
         return sum(map(len, self.by_phase.values()))
@@ -69,14 +71,25 @@
             limit_us = (silence_s if phase in SILENT_PHASES else idle_s) * 1e6
             yield from [one for one in connections if now_us - one.quiet_since_us >= limit_us]
 
-    def evict(self) -> ClientConnection | None:
+    def evict(self, max_connections: int) -> ClientConnection | None:
         """Closes a connection to make room, and returns it; None if none may be closed."""
         now_us = self.now_us()
-        for phase, min_s in EVICTION_ORDER:
+        for phase in EVICTION_ORDER:
+            min_age_s = self.min_age_s(phase, max_connections)
             for oldest in list(islice(self.by_phase[phase], EVICTION_CANDIDATES)):
                 since_us = oldest.last_byte_us if phase is Phase.PARTIAL_REQUEST else oldest.quiet_since_us
-                if now_us - since_us < min_s * 1e6:
+                if now_us - since_us < min_age_s * 1e6:
                     break
                 if oldest.close_to_make_room():
                     return oldest
         return None
+
+    def min_age_s(self, phase: Phase, max_connections: int) -> float:
+        """How long a connection must have been in the phase, or in the middle of a request without a byte, before it
+        may be closed to make room."""
+        if phase is Phase.BETWEEN_REQUESTS:
+            return MIN_IDLE_S
+        if phase is not Phase.PARTIAL_REQUEST:
+            return MIN_SILENCE_S
+        crowded = len(self.by_phase[phase]) > CROWDED_PARTIAL_SHARE * max_connections
+        return MIN_CROWDED_STALL_S if crowded else MIN_STALL_S
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -130,7 +130,7 @@
 
     def make_room(self) -> bool:
         """Closes a connection without an open request; False if none may be closed."""
-        evicted = self.quiet.evict()
+        evicted = self.quiet.evict(self.max_connections)
         if evicted is not None:
             self.forget(evicted)
         return evicted is not None
--- a/tests/test_quiet_connections.py
+++ b/tests/test_quiet_connections.py
@@ -5,9 +5,16 @@
 import pytest
 
 from ironscale.net.client import Phase
-from ironscale.net.quiet_connections import MIN_IDLE_S, MIN_SILENCE_S, MIN_STALL_S, QuietConnections
+from ironscale.net.quiet_connections import (
+    MIN_CROWDED_STALL_S,
+    MIN_IDLE_S,
+    MIN_SILENCE_S,
+    MIN_STALL_S,
+    QuietConnections,
+)
 
 LONG_S = 10.0
+MAX_CONNECTIONS = 8
 
 
 class Clock:
@@ -53,13 +60,13 @@
 
     def evict_all(self) -> list[object]:
         found: list[object] = []
-        while (evicted := self.quiet.evict()) is not None:
+        while (evicted := self.quiet.evict(MAX_CONNECTIONS)) is not None:
             self.quiet.remove(evicted)
             found.append(evicted)
         return found
 
     def evicts(self, connection: StubConnection) -> bool:
-        evicted: object = self.quiet.evict()
+        evicted: object = self.quiet.evict(MAX_CONNECTIONS)
         return evicted is connection
 
     def is_quiet_for(self, connection: StubConnection, silence_s: float, idle_s: float) -> bool:
@@ -83,7 +90,7 @@
     case = Case()
     connection = case.add(phase)
     case.clock.advance(min_s - 0.001)
-    assert case.quiet.evict() is None
+    assert case.quiet.evict(MAX_CONNECTIONS) is None
     case.clock.advance(0.001)
     assert case.evicts(connection)
 
@@ -99,6 +106,16 @@
     assert case.evict_all() == [writing]
 
 
+# Guards against clients that stop in the middle of a request and take most of the connections for half a second each.
+def test_while_most_connections_are_in_the_middle_of_a_request_they_are_kept_for_less() -> None:
+    case = Case()
+    connections = [case.add(Phase.PARTIAL_REQUEST) for _ in range(MAX_CONNECTIONS)]
+    case.clock.advance(MIN_CROWDED_STALL_S)
+    assert case.evict_all() == connections[:MAX_CONNECTIONS // 2]
+    case.clock.advance(MIN_STALL_S - MIN_CROWDED_STALL_S)
+    assert case.evict_all() == connections[MAX_CONNECTIONS // 2:]
+
+
 def test_a_connection_with_unread_bytes_is_passed_over() -> None:
     case = Case()
     first, second = case.add(Phase.NO_REQUEST), case.add(Phase.NO_REQUEST)
