--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -175,6 +175,7 @@
                 self.reject(400)
             except httptools.HttpParserError as error:
                 self.reject(413 if isinstance(error.__context__, TooLarge) else 400)
+            self.begin_queued()
             if self.has_partial_request and self.in_head:
                 # counted here as well, because the parser buffers an unterminated line and reports no header
                 self.head_size += len(piece)
@@ -236,10 +237,11 @@
         arrived_us = self.server.now_us() - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
         exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, b"".join(self.body),
                             self.parser.should_keep_alive(), arrived_us)
-        if self.current is None and not self.pipelined:
-            self.begin(exchange)
-        else:
-            self.pipelined.append(exchange)
+        self.pipelined.append(exchange)  # it begins once all that was received with it is parsed
+
+    def begin_queued(self) -> None:
+        if self.current is None and self.pipelined and self.transport is not None:
+            self.begin(self.pipelined.popleft())
 
     def begin(self, exchange: Exchange) -> None:
         self.current = exchange
@@ -250,7 +252,7 @@
         self.has_had_request = True
         try:
             self.server.application.on_request(exchange)
-        except Exception:  # the parser would take it for a parse error, and the request would stay unanswered
+        except Exception:  # the connection would end, and the request would stay unanswered
             logs.write_line(traceback.format_exc())
             exchange.answer(502)
 
@@ -261,7 +263,7 @@
         if self.current is not exchange:  # the client would take it for the answer to its current request
             exchange.lifecycle.answered_out_of_turn()
             return
-        if not exchange.keep_alive or self.server.wants_close(self):
+        if not exchange.keep_alive or (self.server.wants_close(self) and not self.has_further_request()):
             self.finishing = True
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"Unknown"))]
         parts += [b"%s: %s\r\n" % header for header in headers]
@@ -286,9 +288,13 @@
     def begin_next(self) -> None:
         """Begins the next pipelined request, and parses on."""
         if self.current is None and self.pipelined and self.transport is not None:
-            self.begin(self.pipelined.popleft())
+            self.begin_queued()
             self.parse()
 
+    def has_further_request(self) -> bool:
+        """Whether another request has arrived, at least in part, read or not: it is owed an answer as well."""
+        return bool(self.pipelined or self.unparsed) or self.has_partial_request or self.has_unread()
+
     def reject(self, status: int) -> None:
         """Ends the connection over a malformed or incomplete request; complete ones before it are still answered."""
         if not self.close_reason:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -123,6 +123,35 @@
     run(test)
 
 
+SENT_AHEAD = 120  # with its headers each, more than is parsed at a time
+LONG_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nX-Pad: %s\r\n\r\n" % (b"x" * 350)
+
+
+# Guards against requests that a client has sent ahead and that are thrown away, parsed in part or not, as the answer
+# before them ends the connection in a shutdown.
+@pytest.mark.parametrize("pieces", [[LONG_REQUEST * SENT_AHEAD], [LONG_REQUEST + LONG_REQUEST[:20], LONG_REQUEST[20:]]],
+                         ids=["many at once", "one and a part"])
+def test_all_requests_sent_ahead_are_answered_in_a_shutdown(pieces: list[bytes]) -> None:
+    async def test() -> None:
+        server = Server(AnsweringApplication(), 8, now_us)
+        await server.listen(("127.0.0.1", 0))
+        assert server.listener is not None
+        reader, writer = await asyncio.open_connection(*server.listener.getsockname())
+        await until(lambda: server.connections)
+        stopping = asyncio.create_task(server.stop(0.0, 0.5, 0.5, 5.0))
+        await until(lambda: server.stopping)
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.05)
+        for _ in range(b"".join(pieces).count(LONG_REQUEST)):
+            assert (await read_message(reader)).status == 200
+        assert await reader.read() == b""
+        writer.close()
+        await stopping
+
+    run(test)
+
+
 # Guards against the loss of an answer that is still on its way as its connection is closed over unread bytes.
 def test_an_answer_arrives_whole_although_its_client_has_sent_more_than_its_last_request() -> None:
     async def test() -> None:
