--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import select
 import socket
@@ -44,6 +45,13 @@
     FAILED = "failed"  # more may be queued, and can't be accepted now
 
 
+def was_reset(sock: socket.socket) -> bool:
+    """Whether the connection has failed; False if the kernel doesn't tell."""
+    with contextlib.suppress(OSError):
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    return False
+
+
 class Server:
     """Accepts clients' connections, at most `max_connections` at a time, and closes silent and idle ones."""
 
@@ -103,21 +111,24 @@
                 continue  # accept(2) reports an error of that one connection; others may be queued behind it
             is_probe = self.listener_shutdown is not None and self.listener_shutdown.is_probe(peer)
             # a connection that was reset in the queue may be a probe of another process that closes its listener
-            if is_probe or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            if is_probe or was_reset(sock):
                 sock.close()
-                continue
-            connection = ClientConnection(self, sock)
-            self.connections.add(connection)
-            self.quiet.classify(connection)
-            self.last_opened_us = self.now_us()
-            sock.setblocking(False)
-            connection.open()
+            else:
+                self.open_connection(sock)
         else:
             return Accepted.SOME
         self.pause_accepting()
         self.loop.call_later(ACCEPT_PAUSE_S, self.resume_accepting)
         return Accepted.FAILED
 
+    def open_connection(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        connection = ClientConnection(self, sock)
+        self.connections.add(connection)
+        self.quiet.classify(connection)
+        self.last_opened_us = self.now_us()
+        connection.open()
+
     def pause_accepting(self) -> None:
         if self.listener is not None and not self.accepting_paused:
             self.accepting_paused = True
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import select
 import signal
 import socket
@@ -175,6 +176,38 @@
     run(test)
 
 
+class SocketWithoutOptions(socket.socket):
+    def getsockopt(self, *arguments: object) -> int:  # type: ignore[override]
+        raise OSError(errno.ENOBUFS, "no buffer space")
+
+
+class ListenerWithoutOptions(socket.socket):
+    """A listener whose accepted sockets can't be asked for their options."""
+
+    def accept(self) -> tuple[socket.socket, tuple[str, int]]:
+        accepted, peer = super().accept()
+        return SocketWithoutOptions(fileno=accepted.detach()), peer
+
+
+# Guards against a connection that is dropped as it is accepted, because a look at its state fails.
+def test_a_connection_whose_state_cannot_be_asked_for_is_served() -> None:
+    async def test() -> None:
+        server = Server(AnsweringApplication(), 8, now_us)
+        await server.listen(("127.0.0.1", 0))
+        assert server.listener is not None
+        server.loop.remove_reader(server.listener)
+        server.listener = ListenerWithoutOptions(fileno=server.listener.detach())
+        server.listener.setblocking(False)
+        server.loop.add_reader(server.listener, server.accept)
+        reader, writer = await asyncio.open_connection(*server.listener.getsockname())
+        writer.write(REQUEST)
+        assert (await read_message(reader)).status == 200
+        writer.close()
+        await server.stop(0.0, 0.0, 0.0, 5.0)
+
+    run(test)
+
+
 async def close_listener_completely(server: Server) -> None:
     """Closes the server's listener to the end."""
     while not server.close_listener():
