--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -12,32 +12,22 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-import httptools
-
 from ironscale import logs
+from ironscale.net.end_poller import END_EVENTS, EndPoller
 from ironscale.net.errors import Severity, severity
+from ironscale.net.http_message import MAX_BODY_BYTES
 from ironscale.net.lifecycle import Event, Ledger, Lifecycle
+from ironscale.net.request_parser import ParsedRequest, RequestError, RequestParser
 from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
-MAX_BODY_BYTES = 64 << 10
-MAX_HEAD_BYTES = 64 << 10
-MAX_HEADERS = 100
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 PARSE_CHUNK_BYTES = 16 << 10  # bytes parsed at a time; bounds how many pipelined requests are queued
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
 END_POLL_TRIES = 3  # an interrupted poll misses a client's end, and a request would be sent for nobody
-END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 READY_PATH = b"/health/ready"
 REASON_PHRASES = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
                   502: b"Bad Gateway", 503: b"Service Unavailable"}
-# Headers that concern a single connection or the message framing, and so are not forwarded.
-HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer",
-                        b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
-# Requests with these headers are rejected. Some servers read the first two as the framing headers that they resemble,
-# and after `Upgrade` the parser takes the body for another protocol and drops it.
-REJECTED_HEADERS = frozenset((b"transfer_encoding", b"content_length", b"upgrade"))
-Headers = list[tuple[bytes, bytes]]
 logger = logging.getLogger("ironscale.clients")
 
 
@@ -51,10 +41,6 @@
     CLOSING = "closing after its last answer"
 
 
-class TooLarge(Exception):
-    """The head or the body of a request exceeds its limit."""
-
-
 class Exchange:
     """One request of a client and its single answer.
 
@@ -62,19 +48,18 @@
     side.
     """
 
-    def __init__(self, connection: ClientConnection, method: bytes, target: bytes, headers: Headers,
-                 body: bytes, keep_alive: bool, arrived_us: int) -> None:
+    def __init__(self, connection: ClientConnection, request: ParsedRequest, arrived_us: int) -> None:
         self.connection = connection
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.keep_alive = keep_alive
+        self.method = request.method
+        self.target = request.target
+        self.headers = request.headers
+        self.body = request.body
+        self.keep_alive = request.keep_alive
         self.arrived_us = arrived_us
         self.lifecycle = Lifecycle(connection.server.ledger)
         self.client_has_left = connection.client_has_left
         self.header_values: dict[bytes, bytes] = {}
-        for name, value in headers:
+        for name, value in request.headers:
             # a repeated header reads as empty, since it is ambiguous which value counts
             self.header_values[name] = value if name not in self.header_values else b""
 
@@ -108,6 +93,7 @@
     ledger: Ledger
     now_us: Callable[[], int]
     unread_lines: logs.LineBudget
+    end_poller: EndPoller
 
     def wants_close(self, connection: ClientConnection) -> bool:
         """Whether the connection should be closed after its next answer."""
@@ -118,12 +104,6 @@
     def received(self, connection: ClientConnection) -> None:
         """The connection has received bytes."""
 
-    def watch_for_end(self, connection: ClientConnection) -> None:
-        """Reading has been paused, so the event loop no longer reports the client's end."""
-
-    def unwatch(self, connection: ClientConnection) -> None:
-        """Reading has been resumed."""
-
     def forget(self, connection: ClientConnection) -> None:
         """The connection has ended."""
 
@@ -136,12 +116,11 @@
         self.sock = sock
         self.descriptor = sock.fileno()  # kept, as a closed socket object no longer knows it
         self.transport: Stream | None = None
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.parser = RequestParser()
         self.current: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()  # received before the current request was answered
         self.unparsed = b""
         self.is_new = True  # nothing has been read from it
-        self.has_partial_request = False
         self.has_had_request = False  # readiness probes don't count
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
         self.reading_paused = False  # if so, the event loop does not report the client's end
@@ -168,76 +147,40 @@
     def parse(self) -> None:
         while self.unparsed and not self.pipelined and not self.finishing:
             piece, self.unparsed = self.unparsed[:PARSE_CHUNK_BYTES], self.unparsed[PARSE_CHUNK_BYTES:]
-            try:
-                assert self.parser is not None
-                self.parser.feed_data(piece)
-            except httptools.HttpParserUpgrade:
-                self.reject(400)
-            except httptools.HttpParserError as error:
-                self.reject(413 if isinstance(error.__context__, TooLarge) else 400)
+            self.parse_piece(piece)
             self.begin_queued()
-            if self.has_partial_request and self.in_head:
-                # counted here as well, because the parser buffers an unterminated line and reports no header
-                self.head_size += len(piece)
-                if self.head_size > MAX_HEAD_BYTES and not self.finishing:
-                    self.reject(413)
         if self.transport is not None and not self.transport.is_closing():
             # reading pauses while requests are queued: pipelining without end would fill the memory
             self.reading_paused = bool(self.pipelined) or self.finishing
             if self.reading_paused:
                 self.transport.pause_reading()
-                self.server.watch_for_end(self)
+                self.server.end_poller.watch(self)
             else:
                 self.transport.resume_reading()
-                self.server.unwatch(self)
+                self.server.end_poller.unwatch(self)
         self.server.reclassify(self)
 
-    def on_message_begin(self) -> None:
-        self.has_partial_request = True
-        self.in_head = True
-        self.target = b""
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.head_size = self.headers_seen = self.body_size = 0
-
-    def on_url(self, url: bytes) -> None:
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers_seen += 1
-        if self.headers_seen > MAX_HEADERS:
-            raise TooLarge("head")
-        if self.in_head:  # trailers come after the body and are dropped: they could override headers already checked
-            self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self.in_head = False
-        if len(self.target) + sum(len(name) + len(value) for name, value in self.headers) > MAX_HEAD_BYTES:
-            raise TooLarge("head")
-        for name, value in self.headers:
-            # rejected by its declared length, before up to 60 MB are read in vain
-            if name == b"content-length" and int(value) > MAX_BODY_BYTES:
-                raise TooLarge("body")
-            if name in REJECTED_HEADERS:
-                raise ValueError(name)
-
-    def on_body(self, body: bytes) -> None:
-        self.body_size += len(body)
-        if self.body_size > MAX_BODY_BYTES:
-            raise TooLarge("body")
-        self.body.append(body)
-
-    def on_message_complete(self) -> None:
-        assert self.parser is not None
-        self.has_partial_request = False
-        if self.finishing:  # pipelined behind a request that ends the connection
-            return
+    def parse_piece(self, piece: bytes) -> None:
+        """Queues the requests that the piece completes. They begin once all of it is parsed: an answer that is given at
+        once has to know what follows."""
+        failure: RequestError | None = None
+        try:
+            self.parser.feed(piece)
+        except RequestError as error:
+            failure = error
+        self.pipelined.extend(map(self.new_exchange, self.parser.take_complete()))
+        if failure is not None:
+            self.reject(failure.status)
+
+    def new_exchange(self, request: ParsedRequest) -> Exchange:
         # the request may have waited in the socket buffer while the process was stalled or its reads failed
         waited_us = since_last_byte_us(self.sock)
         arrived_us = self.server.now_us() - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
-        exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, b"".join(self.body),
-                            self.parser.should_keep_alive(), arrived_us)
-        self.pipelined.append(exchange)  # it begins once all that was received with it is parsed
+        return Exchange(self, request, arrived_us)
+
+    @property
+    def has_partial_request(self) -> bool:
+        return self.parser.has_partial_request
 
     def begin_queued(self) -> None:
         if self.current is None and self.pipelined and self.transport is not None:
@@ -302,7 +245,7 @@
         self.finishing = True
         self.unparsed = b""
         if self.current is None and not self.pipelined:
-            self.current = Exchange(self, b"", b"", [], b"", False, 0)
+            self.current = Exchange(self, ParsedRequest(b"", b"", [], b"", False), 0)
             self.current.answer(status)
 
     def has_unread(self) -> bool:
@@ -406,7 +349,7 @@
         self.cancel_requests(f"connection ended: {exc}" if exc is not None else "client left",
                              own_failure=not ended_by_peer)
         self.transport = None
-        self.parser = None  # breaks the reference cycle, which only the garbage collector would free
+        self.parser.close()
         self.server.forget(self)
 
     def cancel_requests(self, reason: str, own_failure: bool = False) -> None:
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import enum
-import select
 import socket
 from collections.abc import Callable
 
 from ironscale import logs
-from ironscale.net.client import END_EVENTS, Application, ClientConnection, Phase
+from ironscale.net.client import Application, ClientConnection, Phase
+from ironscale.net.end_poller import EndPoller
 from ironscale.net.errors import Severity, severity
 from ironscale.net.lifecycle import Ledger
 from ironscale.net.listener_shutdown import BACKLOG, ListenerShutdown
@@ -26,7 +26,6 @@
 # shutdown can still connect again; the client of a later one can't.
 FIRST_BYTE_TIMEOUT_S, LATE_FIRST_BYTE_TIMEOUT_S = 0.25, 1.0
 SWEEP_INTERVAL_S = 0.2
-END_POLL_INTERVAL_S = 0.03  # between polls for the ends of clients whose reading is paused; 0.1 s are allowed
 # Shares of the most connections. While more than the first are idle a connection is closed after its answer; while more
 # than the second are open this goes for those that have only carried readiness probes.
 CROWDED_IDLE_SHARE, CROWDED_SHARE = 1 / 3, 1 / 2
@@ -73,9 +72,7 @@
         self.reuse_port = False
         self.listener_shutdown: ListenerShutdown | None = None
         self.sweeper: Periodic | None = None
-        self.paused_connections: dict[int, ClientConnection] = {}  # by descriptor
-        self.end_poll = select.poll()  # for all paused ones: one call for a thousand costs what thirty single calls do
-        self.end_poller: Periodic | None = None  # runs while there are `paused_connections`
+        self.end_poller = EndPoller()
 
     async def listen(self, address: tuple[str, int], reuse_port: bool = False) -> int:
         """Starts to listen and returns the port. Raises OSError."""
@@ -154,7 +151,7 @@
         self.quiet.received(connection)
 
     def forget(self, connection: ClientConnection) -> None:
-        self.unwatch(connection)  # its descriptor may soon belong to another connection
+        self.end_poller.unwatch(connection)  # its descriptor may soon belong to another connection
         self.connections.discard(connection)
         self.quiet.remove(connection)
         self.resume_accepting()
@@ -177,29 +174,6 @@
             self.reclassify(connection)
         self.resume_accepting()
 
-    def watch_for_end(self, connection: ClientConnection) -> None:
-        """The connection's reading has been paused: from now on its end is polled for here."""
-        if connection.descriptor not in self.paused_connections:
-            self.paused_connections[connection.descriptor] = connection
-            self.end_poll.register(connection.descriptor, END_EVENTS)
-            if self.end_poller is None:
-                self.end_poller = Periodic(END_POLL_INTERVAL_S, self.poll_for_ends)
-
-    def unwatch(self, connection: ClientConnection) -> None:
-        if self.paused_connections.get(connection.descriptor) is connection:
-            del self.paused_connections[connection.descriptor]
-            self.end_poll.unregister(connection.descriptor)
-
-    def poll_for_ends(self) -> None:
-        """Cancels the requests of clients that have closed their side, even behind unread bytes."""
-        for descriptor, _ in self.end_poll.poll(0):
-            connection = self.paused_connections[descriptor]
-            self.unwatch(connection)
-            connection.on_client_left()
-        if not self.paused_connections and self.end_poller is not None:
-            self.end_poller.cancel()
-            self.end_poller = None
-
     def close_idle(self) -> None:
         """Closes connections without an open request, as the process ends; a client whose request crosses the close
         sends it again on a new connection."""
@@ -290,6 +264,6 @@
         for connection in self.connections:
             if connection.current is not None:
                 connection.current.lifecycle.connection_closed("the process ends")
-        for timer in (self.sweeper, self.end_poller):
-            if timer is not None:
-                timer.cancel()
+        self.end_poller.close()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -21,11 +21,12 @@
 from ironscale import interface as api
 from ironscale import logs
 from ironscale.balance import Balancer
-from ironscale.net.client import HOP_BY_HOP, Exchange, Headers
+from ironscale.net.client import Exchange
 from ironscale.net.config import Config, ConfigError, apply_merge_patch, load, parse
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.errors import is_transient
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
+from ironscale.net.http_message import HOP_BY_HOP, Headers
 from ironscale.net.lifecycle import Ledger
 from ironscale.net.periodic import Periodic
 from ironscale.net.request_log import RequestLog
--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -11,9 +11,9 @@
 import httptools
 
 from ironscale.interface import Outcome
-from ironscale.net.client import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Headers
 from ironscale.net.connection_metrics import CloseReason, ConnectionUse
 from ironscale.net.connection_reuse import MAX_EARLIER_ANSWERS
+from ironscale.net.http_message import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, Headers
 from ironscale.net.stream import Stream, Unread, peek
 
 if TYPE_CHECKING:
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -15,7 +15,8 @@
 import pytest
 
 from ironscale.net import server as module
-from ironscale.net.client import END_EVENTS, MAX_UNREAD_ANSWER_BYTES, ClientConnection
+from ironscale.net.client import MAX_UNREAD_ANSWER_BYTES, ClientConnection
+from ironscale.net.end_poller import END_EVENTS, POLL_INTERVAL_S
 from ironscale.net.upstream import Pool
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
@@ -123,10 +124,10 @@
         address = client.getsockname()
         leave(client)
         wait_for_end(scene, address)
-        scene.sidecar.server.poll_for_ends()
+        scene.sidecar.server.end_poller.poll()
         assert scene.sidecar.balancer.buffer is None and len(scene.sidecar.by_txn) == 1
         await finish_all(scene, peer)
-        assert module.END_POLL_INTERVAL_S <= 0.05 and len(peer.got) == 1
+        assert POLL_INTERVAL_S <= 0.05 and len(peer.got) == 1
 
     run(test)
 
@@ -184,7 +185,7 @@
         scene, peer, _first = await scene_without_free_slot()
         client = connect(scene, scene.request(), scene.request(), scene.request())
         await until(lambda: scene.sidecar.balancer.buffer is not None and connection_of(scene, client).reading_paused)
-        scene.sidecar.server.poll_for_ends()
+        scene.sidecar.server.end_poller.poll()
         reader, writer = await asyncio.open_connection(sock=client)
         answered = 0
         while answered < 3:
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -13,10 +13,9 @@
 import pytest
 
 from ironscale.interface import Outcome
-from ironscale.net import server as module
 from ironscale.net.client import ClientConnection
 from ironscale.net.connection_metrics import CloseReason
-from ironscale.net.server import Server
+from ironscale.net.end_poller import POLL_INTERVAL_S, EndPoller
 from ironscale.net.upstream import Pool
 from ironscale.net.upstream_connection import Attempt, Connection
 from ironscale.standins.http import TURNED_AWAY, ok
@@ -77,7 +76,7 @@
 
 
 def without_end_polling(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Server, "poll_for_ends", lambda server: None)
+    monkeypatch.setattr(EndPoller, "poll", lambda poller: None)
 
 
 async def waiting_in_the_buffer(pipelined: Callable[[Scene], list[bytes]]) -> tuple[
@@ -101,10 +100,10 @@
         await wait_out_allowance()
         assert scene.sidecar.balancer.buffer is None and len(scene.sidecar.by_txn) == 1
         await finish_all(scene, peer)
-        assert len(peer.got) == 1 and not scene.sidecar.server.paused_connections
+        assert len(peer.got) == 1 and not scene.sidecar.server.end_poller.connections
 
     run(test)
-    assert module.END_POLL_INTERVAL_S <= ALLOWED_S / 2
+    assert POLL_INTERVAL_S <= ALLOWED_S / 2
 
 
 class Site:
--- a/tests/ends/test_process.py
+++ b/tests/ends/test_process.py
@@ -107,14 +107,14 @@
             real()
             client.send(request[10:])  # read in the next step of the loop, after the last answers
             for one in scene.sidecar.server.connections:
-                one.has_partial_request = False  # the unread bytes alone must keep the connection from being closed
+                one.parser.has_partial_request = False  # the unread bytes alone must keep the connection open
             ended.set_result(None)
 
         monkeypatch.setattr(scene.sidecar, "fail_open_requests", at_end)
         ending = asyncio.create_task(scene.sidecar.stop())
         await ended
         for one in scene.sidecar.server.connections:
-            one.has_partial_request = True
+            one.parser.has_partial_request = True
         reader, writer = await asyncio.open_connection(sock=client)
         assert (await read_message(reader)).status == 503 and not peer.got
         writer.close()
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -13,6 +13,7 @@
 from ironscale.interface import Outcome
 from ironscale.net import connection_reuse, lifecycle, socket_connect
 from ironscale.net.client import Exchange
+from ironscale.net.request_parser import ParsedRequest
 from ironscale.net.stream import Unread, peek
 from ironscale.net.upstream_connection import Connection
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
@@ -146,7 +147,7 @@
         writer.write(scene.request())
         await until(lambda: peer.got)
         connection = next(iter(scene.sidecar.server.connections))
-        other = Exchange(connection, b"GET", b"/api", [], b"", True, 0)
+        other = Exchange(connection, ParsedRequest(b"GET", b"/api", [], b"", True), 0)
         other.answer(200, [], b"foreign")
         peer.answer_held(ok(b"own"))
         answer = await read_message(reader)
