--- a/tests/ends/test_descriptors.py
+++ b/tests/ends/test_descriptors.py
@@ -45,13 +45,15 @@
         return True
 
 
-async def reconnect_closed(port: int, clients: list[socket.socket]) -> None:
-    """Reconnects every client whose connection was closed."""
+async def reconnect_closed(port: int, clients: list[socket.socket], data: bytes = b"") -> None:
+    """Reconnects every client whose connection was closed; each sends `data` first."""
     while True:
         for place, client in enumerate(clients):
             if is_closed(client):
                 client.close()
                 clients[place] = connect_idle(port)
+                with contextlib.suppress(OSError):
+                    clients[place].send(data)
         await asyncio.sleep(0.02)
 
 
