--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -124,6 +124,27 @@
     run(test)
 
 
+# Guards against a reset in place of the 408, as the rest of a request that was given up arrives.
+@pytest.mark.parametrize("closing", [sweep, make_room])
+def test_the_rest_of_a_request_that_was_given_up_meets_its_answer_and_no_reset(
+        closing: Callable[[Server], Awaitable[None]]) -> None:
+    async def test() -> None:
+        async with serving(False) as (server, client):
+            client.send(REQUEST[:10])
+            await until(lambda: any(one.has_partial_request for one in server.connections))
+            for one in server.connections:
+                one.quiet_since_us -= 60_000_000
+                one.last_byte_us -= 60_000_000
+            await closing(server)
+            client.send(REQUEST[10:])  # in the same turn
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).status == 408
+            assert await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
 SENT_AHEAD = 120  # with its headers each, more than is parsed at a time
 LONG_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nX-Pad: %s\r\n\r\n" % (b"x" * 350)
 
