--- a/ironscale/net/quiet_connections.py
+++ b/ironscale/net/quiet_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from itertools import islice
 
@@ -91,5 +92,7 @@
             return MIN_IDLE_S
         if phase is not Phase.PARTIAL_REQUEST:
             return MIN_SILENCE_S
-        crowded = len(self.by_phase[phase]) > CROWDED_PARTIAL_SHARE * max_connections
-        return MIN_CROWDED_STALL_S if crowded else MIN_STALL_S
+        if len(self.by_phase[phase]) > CROWDED_PARTIAL_SHARE * max_connections:
+            return MIN_CROWDED_STALL_S
+        # connections without a request make room soon, or become busy
+        return math.inf if self.by_phase[Phase.NO_REQUEST] else MIN_STALL_S
--- a/tests/test_quiet_connections.py
+++ b/tests/test_quiet_connections.py
@@ -106,6 +106,17 @@
     assert case.evict_all() == [writing]
 
 
+# Guards against giving up a request that is being written for want of a tenth of a second's patience with idle clients.
+def test_no_request_in_part_is_closed_while_connections_without_a_request_will_make_room() -> None:
+    case = Case()
+    partial = case.add(Phase.PARTIAL_REQUEST)
+    case.clock.advance(LONG_S)
+    unused = case.add(Phase.NO_REQUEST)
+    assert case.evict_all() == []
+    case.clock.advance(MIN_SILENCE_S)
+    assert case.evict_all() == [unused, partial]
+
+
 # Guards against clients that stop in the middle of a request and take most of the connections for half a second each.
 def test_while_most_connections_are_in_the_middle_of_a_request_they_are_kept_for_less() -> None:
     case = Case()
