--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -686,6 +686,12 @@
     run(test)
 
 
+@pytest.fixture(scope="module", autouse=True)
+def deploy_build() -> None:
+    """Builds the program before any test's time begins: in a fresh clone the build takes longer than a test may."""
+    build()
+
+
 class Process:
     """The program as it is deployed, run with a discovery of its own."""
 
@@ -698,7 +704,6 @@
         self.discovery = await FakeDiscovery().start()
         self.port = free_port()
         path = self.configure(self.discovery)
-        build()
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", DEPLOY["run"], cwd=ROOT, stderr=subprocess.PIPE, env={
                 **os.environ, "GW_CONFIG": str(path), "GW_DISCOVERY": f"127.0.0.1:{self.discovery.port}"})
