--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -32,7 +32,7 @@
 
 
 class Phase(enum.Enum):
-    """What a connection was doing when it was closed."""
+    """What a connection is doing."""
 
     NO_REQUEST = "no request yet"  # but perhaps readiness probes
     PARTIAL_REQUEST = "request read in part"
--- a/tests/ends/test_crowd.py
+++ b/tests/ends/test_crowd.py
@@ -79,9 +79,9 @@
         writer.close()
 
 
-# Guards against a connection that is closed to make room over the unread rest of its request. The order of events is
-# forced: new clients and then the rest reach the sidecar while it is stopped, so that it accepts before it reads.
+# Guards against a connection that is closed to make room over the unread rest of its request.
 def test_the_rest_of_a_request_that_arrives_as_room_is_made_is_answered(tmp_path: Path) -> None:
+    """New clients and then the rest reach the sidecar while it is stopped, so that it accepts before it reads."""
     async def test() -> None:
         scene = Scene()
         async with sidecar_process(tmp_path) as (process, port):
@@ -105,8 +105,7 @@
     run(test)
 
 
-# Guards against a connection that is closed to make room between two pieces of its request, and against new clients
-# that are not accepted because of it.
+# Guards against a connection that is closed to make room between two pieces of its request.
 def test_requests_written_in_pieces_and_new_clients_are_answered_in_a_crowd(tmp_path: Path) -> None:
     async def test() -> None:
         scene, judged = Scene(), 0
@@ -139,8 +138,7 @@
     run(test, 60)
 
 
-# Guards against clients that stop in the middle of a request and shut all others out, and against closing them with no
-# answer.
+# Guards against clients that stop in the middle of a request and shut others out, or are closed with no answer.
 def test_clients_that_stop_in_the_middle_of_a_request_make_room_and_are_told_so(tmp_path: Path) -> None:
     async def test() -> None:
         scene = Scene()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -108,8 +108,7 @@
     run(test)
 
 
-# Guards against a socket that stays open for a turn of the event loop after it was found empty: what arrives in that
-# turn is thrown away, and the client gets a reset in place of the end.
+# Guards against a socket that stays open after it was found empty, and throws away what arrives then.
 @pytest.mark.parametrize("closing", [close_idle, sweep, make_room])
 @pytest.mark.parametrize("asked", [False, True])
 def test_a_request_written_just_after_its_connection_was_closed_meets_the_end_and_no_reset(
@@ -145,12 +144,50 @@
     run(test)
 
 
+# Guards against a client that stays for ever because some of its bytes lie unread at each sweep.
+def test_unread_bytes_put_off_the_end_of_a_silent_client_but_do_not_begin_its_time_anew() -> None:
+    async def test() -> None:
+        async with serving(False) as (server, client):
+            client.send(REQUEST[:10])
+            await until(lambda: any(one.has_partial_request for one in server.connections))
+            connection, = server.connections
+            connection.quiet_since_us -= 60_000_000
+            client.send(REQUEST[10:12])
+            await sweep(server)
+            assert not connection.finishing
+            await until(lambda: not connection.has_unread())
+            await sweep(server)
+            assert connection.finishing
+            reader, writer = await asyncio.open_connection(sock=client)
+            assert (await read_message(reader)).status == 408
+            writer.close()
+
+    run(test)
+
+
+# Guards against new clients that wait for a sweep although room could be made before it.
+def test_a_listener_without_room_tries_again_without_a_sweep() -> None:
+    async def test() -> None:
+        server = Server(AnsweringApplication(), 1, now_us)
+        await server.listen(("127.0.0.1", 0))
+        assert server.listener is not None and server.sweeper is not None
+        server.sweeper.cancel()
+        with socket.create_connection(server.listener.getsockname()):
+            await until(lambda: server.connections)
+            reader, writer = await asyncio.open_connection(*server.listener.getsockname())
+            writer.write(REQUEST)
+            assert (await read_message(reader)).status == 200
+            writer.close()
+        await server.stop(0.0, 0.0, 0.0, 5.0)
+
+    run(test)
+
+
 SENT_AHEAD = 120  # with its headers each, more than is parsed at a time
 LONG_REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nX-Pad: %s\r\n\r\n" % (b"x" * 350)
 
 
-# Guards against requests that a client has sent ahead and that are thrown away, parsed in part or not, as the answer
-# before them ends the connection in a shutdown.
+# Guards against requests sent ahead that are thrown away as the answer before them ends the connection in a shutdown.
 @pytest.mark.parametrize("pieces", [[LONG_REQUEST * SENT_AHEAD], [LONG_REQUEST + LONG_REQUEST[:20], LONG_REQUEST[20:]]],
                          ids=["many at once", "one and a part"])
 def test_all_requests_sent_ahead_are_answered_in_a_shutdown(pieces: list[bytes]) -> None:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -189,3 +189,24 @@
             accepted.close()  # by a reset, after which the kernel no longer knows the peer
             looked_at.script = deque([number])
             assert peek(looked_at) is Unread.END
+
+
+class SocketWithFailingClose(FailingSocket):
+    def close(self) -> None:
+        super().close()
+        raise OSError(errno.EIO, "close")
+
+
+# Guards against an owner that never hears of its connection's end, and counts it as open for ever.
+def test_the_owner_hears_of_the_end_although_the_close_of_the_socket_fails() -> None:
+    async def test() -> None:
+        ours, other = pair()
+        failing = SocketWithFailingClose(fileno=ours.detach())
+        failing.script = deque()
+        failing.setblocking(False)
+        user = Owner()
+        Stream(failing, user).close()
+        await until(lambda: user.ends)
+        other.close()
+
+    run(test)
