Rejections with their reasons, and the memory of the process, in log and counts

Change: request_checks.py holds the checks of a request (moved out of sidecar.py) and names each rejection; the request log writes them within a budget of their own. limits.memory_mb is read; a process logs its memory as it starts and its peak as it ends. What is accepted and rejected is as before.

--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -31,6 +32,7 @@
     file_discovery: Address | None  # used by a reload, because the environment can't change
     seed: int
     sockets: int  # limit on open file descriptors of the process
+    memory_mb: float  # limit on the resident memory of the process; 0 if it is not known
     settings: Settings
     report_fields: list[str]  # names of the fields in the load reports of answers
     discovery_timeout_us: int  # a call that discovery has not answered by then counts as failed
@@ -77,7 +79,11 @@
         assert isinstance(raw, dict)
         directory = ListParser(_string_list(raw.get("areas")), _string_list(raw.get("kinds")))
         address_in_file = data.get("discovery")
-        sockets = int((data.get("limits") or {}).get("sockets", 1024))
+        limits = data.get("limits") or {}
+        sockets = int(limits.get("sockets", 1024))
+        memory_mb = float(limits.get("memory_mb") or 0.0)
+        if not 0.0 <= memory_mb < math.inf:
+            raise ConfigError(f"limits.memory_mb: expected a size, got {memory_mb}")
         if sockets < LEAST_SOCKETS:
             raise ConfigError(f"limits.sockets: expected {LEAST_SOCKETS} or more, got {sockets}")
         known = directory.parse(data.get("known") or {"generation": 0, "reset": True, "instances": []})
@@ -88,6 +94,7 @@
             file_discovery=parse_address(address_in_file, "discovery") if address_in_file else None,
             seed=int(str(data.get("seed", "0")), 16),
             sockets=sockets,
+            memory_mb=memory_mb,
             settings=replace(settings.read_settings(options), list_by_watch=True),
             report_fields=[name for name in options.string("report.names", "").split(",") if name],
             discovery_timeout_us=_answer_timeout_us(options),
--- a/ironscale/net/lifecycle.py
+++ b/ironscale/net/lifecycle.py
@@ -30,6 +30,7 @@
 
 class Event(enum.Enum):
     ACCEPTED = "accepted"
+    REJECTED = "rejected"
     SENT = "sent"
     RETRIED = "retried"
     ATTEMPT_ENDED = "attempt ended"
--- /dev/null
+++ b/ironscale/net/request_checks.py
@@ -0,0 +1,65 @@
+"""What a request's headers and target say, and why a request that is not sound is rejected. Pure: no I/O, no clock."""
+
+from __future__ import annotations
+
+import enum
+import re
+from functools import lru_cache
+from hashlib import blake2b
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from ironscale.net.http_message import Headers
+
+MAX_ID_LENGTH = 256
+REMAINING_PATTERN = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
+UNIT_US = {"m": 1000.0, "u": 1.0}
+MAX_REMAINING_US = 3_600_000_000  # one hour; a longer remaining time is rejected as malformed
+
+
+class Rejection(enum.Enum):
+    """Why a request is answered with status 400."""
+
+    UNKNOWN_CLASS = "unknown class"
+    MALFORMED_REMAINING_TIME = "malformed remaining time"
+    MALFORMED_ID = "missing or too long id"
+    ID_IN_USE = "id of another request"
+    WRONG_METHOD = "method, body or key that its class does not have"
+
+
+class Request(Protocol):
+    """A request that has been read to its last byte."""
+
+    method: bytes
+    headers: Headers
+    body: bytes
+
+
+@lru_cache(1024)  # most requests of a class have the same value; parsing takes 2 us
+def parse_remaining_us(text: str) -> int | None:
+    """The value of `X-Remaining` (`480m` or `480000u`) in microseconds; None if it is malformed or over an hour."""
+    found = REMAINING_PATTERN.fullmatch(text)
+    remaining_us = int(float(found[1]) * UNIT_US[found[2]]) if found else None
+    return remaining_us if remaining_us is not None and remaining_us <= MAX_REMAINING_US else None
+
+
+def subject(target: bytes) -> str:
+    """The first `sid` in the query string; empty if there is none."""
+    query = target.partition(b"?")[2]
+    if query.startswith(b"sid=") and query[4:].isalnum():  # the usual form; parse_qs would take 4 us
+        return query[4:].decode("ascii")
+    return parse_qs(query.decode("latin-1")).get("sid", [""])[0] if b"sid" in query or b"%" in query else ""
+
+
+def key_number(key: str) -> int:
+    """A 64-bit hash of an affinity key; 0 for an empty one."""
+    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) if key else 0
+
+
+def matches_effect(request: Request, effect: str) -> bool:
+    """Whether method, body and idempotency key match the effect of the class; if not, a retry may not be safe."""
+    keys = [value for name, value in request.headers if name == b"idempotency-key"]
+    if effect == "idempotent":
+        return request.method == b"GET" and not request.body and not keys
+    keyed = len(keys) == 1 and bool(keys[0])
+    return request.method == b"POST" and (keyed if effect == "deduplicated" else not keys)
--- a/ironscale/net/request_log.py
+++ b/ironscale/net/request_log.py
@@ -11,8 +11,10 @@
 
 from ironscale.logs import LineBudget
 from ironscale.net.lifecycle import AttemptRecord, Lifecycle
+from ironscale.net.request_checks import MAX_ID_LENGTH, Rejection
 
 LINES_PER_S, MAX_BURST_LINES = 20.0, 200
+REJECTED_LINES_PER_S, MAX_REJECTED_BURST_LINES = 1.0, 50
 logger = logging.getLogger("ironscale.requests")
 
 
@@ -22,6 +24,7 @@
     def __init__(self, name: str, now_us: Callable[[], int]) -> None:
         self.name = name
         self.budget = LineBudget(now_us, LINES_PER_S, MAX_BURST_LINES)
+        self.rejected_budget = LineBudget(now_us, REJECTED_LINES_PER_S, MAX_REJECTED_BURST_LINES)
 
     def request_over(self, lifecycle: Lifecycle, class_name: str) -> None:
         """Logs a request that is over and has no attempt in flight."""
@@ -29,6 +32,12 @@
         if not was_served_at_once and self.budget.allows():
             logger.info("%s: %s%s", self.name, describe(lifecycle, class_name), self.budget.note())
 
+    def request_rejected(self, request: str, class_name: str, rejection: Rejection) -> None:
+        """Logs a request that was rejected as not sound. Its names are the client's, so they are cut."""
+        if self.rejected_budget.allows():
+            logger.info("%s: request=%s class=%s status=400 reason=%r%s", self.name, ascii(request[:MAX_ID_LENGTH]),
+                        ascii(class_name[:MAX_ID_LENGTH]), rejection.value, self.rejected_budget.note())
+
 
 def describe(lifecycle: Lifecycle, class_name: str) -> str:
     """How the request went, in one line; times are in milliseconds since it was accepted."""
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -13,10 +13,8 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from contextlib import AbstractAsyncContextManager, nullcontext
-from functools import lru_cache, partial
-from hashlib import blake2b
+from functools import partial
 from typing import Any
-from urllib.parse import parse_qs
 
 from ironscale import interface as api
 from ironscale import logs
@@ -27,8 +25,17 @@
 from ironscale.net.errors import is_transient
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
 from ironscale.net.http_message import HOP_BY_HOP, Headers
-from ironscale.net.lifecycle import Ledger
+from ironscale.net.lifecycle import Event, Ledger
+from ironscale.net.memory import read_memory
 from ironscale.net.periodic import Periodic
+from ironscale.net.request_checks import (
+    MAX_ID_LENGTH,
+    Rejection,
+    key_number,
+    matches_effect,
+    parse_remaining_us,
+    subject,
+)
 from ironscale.net.request_log import RequestLog
 from ironscale.net.server import Server
 from ironscale.net.signals import Signals
@@ -51,10 +58,6 @@
 CLOCK_CHECK_INTERVAL_S = 0.5
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 UPSTREAM_PATTERN = re.compile(r"\bupstream (\d+)")
-REMAINING_PATTERN = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
-UNIT_US = {"m": 1000.0, "u": 1.0}
-MAX_REMAINING_US = 3_600_000_000  # one hour; a longer remaining time is rejected as malformed
-MAX_ID_LENGTH = 256
 NOT_FORWARDED = HOP_BY_HOP | {b"x-remaining"}
 MIN_CANCELLED_TIMERS = 1_000  # up to so many cancelled timers stay in the heap until their time
 # Garbage collector threshold of the youngest generation. The objects of the data path form no cycles, and at the
@@ -177,14 +180,6 @@
         return not self.exchange.lifecycle.is_over
 
 
-@lru_cache(1024)  # most requests of a class have the same value; parsing takes 2 us
-def parse_remaining_us(text: str) -> int | None:
-    """The value of `X-Remaining` (`480m` or `480000u`) in microseconds; None if it is malformed or over an hour."""
-    found = REMAINING_PATTERN.fullmatch(text)
-    remaining_us = int(float(found[1]) * UNIT_US[found[2]]) if found else None
-    return remaining_us if remaining_us is not None and remaining_us <= MAX_REMAINING_US else None
-
-
 def parse_load_report(headers: Headers, fields: list[str]) -> list[float]:
     """The load report of an answer, its values in the order of `fields`; empty if it is missing or malformed."""
     if not fields:
@@ -198,19 +193,6 @@
     return report if all(math.isfinite(value) for value in report) else []
 
 
-def subject(target: bytes) -> str:
-    """The first `sid` in the query string; empty if there is none."""
-    query = target.partition(b"?")[2]
-    if query.startswith(b"sid=") and query[4:].isalnum():  # the usual form; parse_qs would take 4 us
-        return query[4:].decode("ascii")
-    return parse_qs(query.decode("latin-1")).get("sid", [""])[0] if b"sid" in query or b"%" in query else ""
-
-
-def key_number(key: str) -> int:
-    """A 64-bit hash of an affinity key; 0 for an empty one."""
-    return int.from_bytes(blake2b(key.encode(), digest_size=8).digest()) if key else 0
-
-
 def connections_each(sockets: int) -> int:
     """The limit of connections from clients, and likewise to upstreams, for so many sockets in all. The process may be
     limited to fewer descriptors than the settings say; idle clients would then take the last ones, and discovery could
@@ -269,6 +251,12 @@
         self.port = await self.server.listen(self.config.listen, reuse_port)
         return self.port
 
+    def memory_summary(self) -> str:
+        """The resident memory of the process, its peak and its limit, in one line."""
+        memory = read_memory()
+        limit = f"{self.config.memory_mb:g} MB" if self.config.memory_mb else "not known"
+        return f"memory {memory.resident_mb:.1f} MB, at most {memory.peak_mb:.1f} MB, limit {limit}"
+
     def reload(self, environ: Mapping[str, str]) -> None:
         """Reads the configuration file again. Only discovery's address can change; the rest needs a restart."""
         if self.reload_retry is not None:
@@ -332,7 +320,7 @@
         end_s = max(STOP_GRACE_S + min(longest_s, STOP_MAX_DEADLINE_S), STOP_MIN_END_S)
         await self.server.stop(STOP_QUIET_PERIOD_S, STOP_MIN_ACCEPT_S, STOP_MAX_ACCEPT_S, end_s,
                                self.fail_open_requests)
-        self.log(f"ended: {self.ledger.summary(self.upstreams.metrics.summary())}")
+        self.log(f"ended: {self.ledger.summary(self.upstreams.metrics.summary(), self.memory_summary())}")
         self.clock_checker.cancel()
         self.discovery.close()
         self.upstreams.close()
@@ -360,11 +348,15 @@
     def on_request(self, exchange: Exchange) -> None:
         txn, index = exchange.header(b"x-txn"), self.classes.get(exchange.header(b"x-lane"))
         remaining_us = parse_remaining_us(exchange.header(b"x-remaining"))
-        # rejected while another request with the same id is open: the two could not be told apart
-        is_valid_id = 0 < len(txn) <= MAX_ID_LENGTH and txn not in self.by_txn
-        if index is None or remaining_us is None or not is_valid_id or not self.matches_effect(exchange, index):
-            exchange.keep_alive = False
-            exchange.answer(400)
+        if index is None:
+            self.reject(exchange, Rejection.UNKNOWN_CLASS)
+            return
+        if remaining_us is None:
+            self.reject(exchange, Rejection.MALFORMED_REMAINING_TIME)
+            return
+        rejection = self.why_rejected(exchange, txn, index)
+        if rejection is not None:
+            self.reject(exchange, rejection)
             return
         exchange.lifecycle.begin(txn, exchange.arrived_us + remaining_us)
         ident = self.next_request
@@ -394,14 +386,21 @@
         else:
             handler.handle_request(event)
 
-    def matches_effect(self, exchange: Exchange, index: int) -> bool:
-        """Whether method, body and idempotency key match the effect of the class; if not, a retry may not be safe."""
-        effect = self.config.settings.classes[index].effect
-        keys = [value for name, value in exchange.headers if name == b"idempotency-key"]
-        if effect == "idempotent":
-            return exchange.method == b"GET" and not exchange.body and not keys
-        keyed = len(keys) == 1 and bool(keys[0])
-        return exchange.method == b"POST" and (keyed if effect == "deduplicated" else not keys)
+    def why_rejected(self, exchange: Exchange, txn: str, index: int) -> Rejection | None:
+        """Why a request of the class must not be accepted; None if it may be."""
+        if not 0 < len(txn) <= MAX_ID_LENGTH:
+            return Rejection.MALFORMED_ID
+        if txn in self.by_txn:
+            return Rejection.ID_IN_USE
+        fits = matches_effect(exchange, self.config.settings.classes[index].effect)
+        return None if fits else Rejection.WRONG_METHOD
+
+    def reject(self, exchange: Exchange, rejection: Rejection) -> None:
+        """Answers a request that is not sound with status 400, which also ends its connection."""
+        self.ledger.note(Event.REJECTED, rejection.value)
+        self.request_log.request_rejected(exchange.header(b"x-txn"), exchange.header(b"x-lane"), rejection)
+        exchange.keep_alive = False
+        exchange.answer(400)
 
     def on_client_disconnected(self, exchange: Exchange) -> None:
         request = self.by_txn.get(exchange.header(b"x-txn"))
@@ -649,6 +648,7 @@
     gc.collect()
     gc.freeze()  # objects created at the start stay alive, so the collector need not scan them again
     gc.set_threshold(GC_YOUNG_THRESHOLD, *gc.get_threshold()[1:])
+    sidecar.log(sidecar.memory_summary())
     async with extension(sidecar, stopped.set) if extension is not None else nullcontext():
         await stopped.wait()
         await sidecar.stop()
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -8,6 +8,8 @@
 import pytest
 
 from ironscale import logs
+from ironscale.net.lifecycle import Event
+from ironscale.net.request_checks import Rejection
 from ironscale.net.request_log import MAX_BURST_LINES
 from ironscale.standins.http import TURNED_AWAY, Message, ok
 from ironscale.standins.upstream import Peer, hang, reply
@@ -101,3 +103,17 @@
     monkeypatch.setattr(logs, "write_line", written.append)
     logs.LogHandler().emit(logging.LogRecord("x", logging.INFO, "", 0, "%d", ("no number",), None))
     assert "log record of x could not be formatted: TypeError" in written[0]
+
+
+# Guards against rejections that leave no reason in the log.
+def test_a_rejected_request_is_logged_with_its_reason_and_counted(lines: list[str]) -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        assert (await scene.call("nowhere")).status == 400
+        assert (await scene.call("view", remaining="soon")).status == 400
+        counts = scene.sidecar.ledger.counts
+        assert counts[Event.REJECTED, Rejection.UNKNOWN_CLASS.value] == 1
+        assert counts[Event.REJECTED, Rejection.MALFORMED_REMAINING_TIME.value] == 1
+
+    run(test)
+    assert [line.partition("reason=")[2] for line in lines] == ["'unknown class'", "'malformed remaining time'"]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,7 +19,8 @@
 
 from ironscale import interface as api
 from ironscale.net import client, server, upstream, upstream_connection
-from ironscale.net.sidecar import ANSWER_MARGIN_US, Clock, parse_load_report, parse_remaining_us
+from ironscale.net.request_checks import parse_remaining_us
+from ironscale.net.sidecar import ANSWER_MARGIN_US, Clock, parse_load_report
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
 from ironscale.standins.settings import SETTINGS
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from ironscale.net import sidecar as module
-from ironscale.net.sidecar import Clock, TimerQueue, subject
+from ironscale.net.request_checks import subject
+from ironscale.net.sidecar import Clock, TimerQueue
 from tests.sockets import run, until
 
 
