The peak of a process's memory is read from /proc, and stands in its last line alone

Cause: ru_maxrss is handed on by fork and exec, so a process started by pytest told 37.3 MB for 26.4; and the line at the start came before one that test_a_reload_moves_discovery_and_loses_nothing waits for.

Change: VmRSS and VmHWM of /proc/self/status, asked for when the process ends. Measured: tests/test_*.py, tests/ends and tests/control pass.

--- a/ironscale/net/memory.py
+++ b/ironscale/net/memory.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import contextlib
-import resource
 from dataclasses import dataclass
 from pathlib import Path
 
-STATM = Path("/proc/self/statm")
-PAGE_BYTES = resource.getpagesize()
+STATUS = Path("/proc/self/status")
 KIB, MIB = 1 << 10, 1 << 20
 
 
@@ -29,8 +27,11 @@
 
 
 def read_memory() -> Memory:
-    """The memory of this process. Raises nothing: where a read fails the figure is 0."""
-    resident_bytes = 0
+    """The memory of this process. Raises nothing: where a read fails its figures are 0."""
+    sizes = {"VmRSS": 0, "VmHWM": 0}
     with contextlib.suppress(OSError, ValueError, IndexError):
-        resident_bytes = int(STATM.read_text().split()[1]) * PAGE_BYTES
-    return Memory(resident_bytes, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIB)
+        for line in STATUS.read_text().splitlines():
+            name, _, value = line.partition(":")
+            if name in sizes:
+                sizes[name] = int(value.split()[0]) * KIB
+    return Memory(sizes["VmRSS"], sizes["VmHWM"])
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -648,7 +648,6 @@
     gc.collect()
     gc.freeze()  # objects created at the start stay alive, so the collector need not scan them again
     gc.set_threshold(GC_YOUNG_THRESHOLD, *gc.get_threshold()[1:])
-    sidecar.log(sidecar.memory_summary())
     async with extension(sidecar, stopped.set) if extension is not None else nullcontext():
         await stopped.wait()
         await sidecar.stop()
