A repeated request id is not served again, while its attempts are out and after

What callers saw: a request that is not sound answered as served; an id that ran twice after its client had left.

Cause: an id was free as soon as its client had left or been answered, while its attempts were still out for up to the deadline. A copy on another connection was forwarded and answered 200. Class: a name released before the effect that it names is over. Clients give every request a new id, so nobody sound is rejected. Why it works: whatever ends a request, its id passes from one set to the other in the same step.

--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -28,6 +28,7 @@
 from ironscale.net.lifecycle import Event, Ledger
 from ironscale.net.memory import read_memory
 from ironscale.net.periodic import Periodic
+from ironscale.net.recent_ids import RecentIds
 from ironscale.net.request_checks import (
     MAX_ID_LENGTH,
     Rejection,
@@ -229,6 +230,8 @@
                                    config.seed)
         self.requests: dict[int, Request] = {}
         self.by_txn: dict[str, Request] = {}  # by transaction id: those not yet answered
+        self.known_txns: set[str] = set()  # of all `requests`
+        self.recent_txns = RecentIds(self.clock.now_us())  # of requests that were in `requests`
         self.next_request = 1
         # By index of the class: handles its requests in place of the upstreams.
         self.request_handlers: dict[int, RequestHandler] = {}
@@ -364,6 +367,7 @@
         # counted from the arrival, or a pipelined request that waited behind another would be answered too late
         request = Request(ident, index, txn, exchange, exchange.arrived_us + remaining_us - ANSWER_MARGIN_US)
         self.requests[ident] = self.by_txn[txn] = request
+        self.known_txns.add(txn)
         # answers the request even if the balancer never does
         request.backstop = self.schedule(request.deadline_us + BACKSTOP_DELAY_US, partial(self.fail, ident))
         estimate = exchange.header(b"x-estimate")
@@ -390,7 +394,8 @@
         """Why a request of the class must not be accepted; None if it may be."""
         if not 0 < len(txn) <= MAX_ID_LENGTH:
             return Rejection.MALFORMED_ID
-        if txn in self.by_txn:
+        # every request has a new id: upstreams could not tell a repeated one from the first, and might run it again
+        if txn in self.known_txns or self.recent_txns.contains(txn, self.clock.now_us()):
             return Rejection.ID_IN_USE
         fits = matches_effect(exchange, self.config.settings.classes[index].effect)
         return None if fits else Rejection.WRONG_METHOD
@@ -586,6 +591,8 @@
         if request.attempts_in_flight == 0 and not request.is_open():
             known = self.requests.pop(request.ident, None)
             if known is not None:
+                self.known_txns.discard(request.txn)
+                self.recent_txns.add(request.txn, self.clock.now_us())
                 self.request_log.request_over(request.exchange.lifecycle, self.class_name(request.class_index))
 
     def schedule(self, at_us: int, callback: Callable[[], None]) -> Timer:
