What the data path is done with is freed at once: rejections and attempts form no cycles

What callers saw: processes over their memory limit beside crowds of rejected clients.

Cause: two reference cycles. parse_piece kept the exception of a rejected request in a local of a frame that the exception's traceback refers to; and an attempt that had ended kept the callbacks that refer to its request. Every rejected connection and every served request, body included, stayed until the collector ran (each 10,000 objects). Class: memory that only the garbage collector frees. Change: the parser returns why it failed in place of raising; an attempt drops its callbacks at its end.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -17,7 +17,7 @@
 from ironscale.net.errors import Severity, severity
 from ironscale.net.http_message import MAX_BODY_BYTES
 from ironscale.net.lifecycle import Event, Ledger, Lifecycle
-from ironscale.net.request_parser import ParsedRequest, RequestError, RequestParser
+from ironscale.net.request_parser import ParsedRequest, RequestParser
 from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
@@ -163,14 +163,10 @@
     def parse_piece(self, piece: bytes) -> None:
         """Queues the requests that the piece completes. They begin once all of it is parsed: an answer that is given at
         once has to know what follows."""
-        failure: RequestError | None = None
-        try:
-            self.parser.feed(piece)
-        except RequestError as error:
-            failure = error
+        failure = self.parser.feed(piece)
         self.pipelined.extend(map(self.new_exchange, self.parser.take_complete()))
         if failure is not None:
-            self.reject(failure.status)
+            self.reject(failure.value)
 
     def new_exchange(self, request: ParsedRequest) -> Exchange:
         # the request may have waited in the socket buffer while the process was stalled or its reads failed
--- a/ironscale/net/request_parser.py
+++ b/ironscale/net/request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 import httptools
@@ -17,12 +18,15 @@
     """The head or the body of a request exceeds its limit."""
 
 
-class RequestError(Exception):
-    """A request that can't be read. `status` is that of its answer."""
+class ParseFailure(enum.Enum):
+    """Why the rest of a connection can't be read; the value is the status of the answer.
 
-    def __init__(self, status: int) -> None:
-        super().__init__(f"rejected with {status}")
-        self.status = status
+    It is returned and not raised: the traceback of an exception that a caller keeps refers to the caller's own frame,
+    and the connection would stay in memory until the garbage collector runs.
+    """
+
+    MALFORMED = 400
+    TOO_LARGE = 413
 
 
 @dataclass(slots=True)
@@ -49,20 +53,22 @@
         self.body: list[bytes] = []
         self.head_size = self.headers_seen = self.body_size = 0
 
-    def feed(self, data: bytes) -> None:
-        """Parses the next bytes; complete requests are added to `complete`. Raises RequestError."""
+    def feed(self, data: bytes) -> ParseFailure | None:
+        """Parses the next bytes; complete requests are added to `complete`."""
         assert self.parser is not None
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            raise RequestError(400) from None
+            return ParseFailure.MALFORMED
         except httptools.HttpParserError as error:
-            raise RequestError(413 if isinstance(error.__context__, TooLarge) else 400) from error
+            is_too_large = isinstance(error.__context__, TooLarge)
+            return ParseFailure.TOO_LARGE if is_too_large else ParseFailure.MALFORMED
         if self.has_partial_request and self.in_head:
             # counted here as well, because the parser buffers an unterminated line and reports no header
             self.head_size += len(data)
             if self.head_size > MAX_HEAD_BYTES:
-                raise RequestError(413)
+                return ParseFailure.TOO_LARGE
+        return None
 
     def take_complete(self) -> list[ParsedRequest]:
         complete, self.complete = self.complete, []
--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -53,13 +53,24 @@
         return Outcome.ERROR
 
 
+def no_payload() -> bytes:
+    """The payload of an attempt that has ended."""
+    return b""
+
+
+def never() -> bool:
+    """Whether an attempt that has ended should still be sent."""
+    return False
+
+
 class Attempt:
     """One transmission of a request to an upstream. It ends exactly once, with the first outcome."""
 
     def __init__(self, build_payload: Callable[[], bytes], is_wanted: Callable[[], bool],
                  on_end: Callable[[Outcome, Answer | None], None]) -> None:
-        self.build_payload = build_payload  # called when the request is written, because it contains the time left
-        self.is_wanted = is_wanted  # called just before the first byte is written
+        # Both are called just before the first byte is written. The payload contains the time that is left then.
+        self.build_payload = build_payload
+        self.is_wanted = is_wanted
         self.on_end: Callable[[Outcome, Answer | None], None] | None = on_end
         self.connection: Connection | None = None
         self.use: ConnectionUse | None = None  # None until it is written to a connection
@@ -69,6 +80,7 @@
         on_end, self.on_end = self.on_end, None  # breaks the cycle attempt, callback, timer
         if on_end is not None:
             self.ended = True
+            self.build_payload, self.is_wanted = no_payload, never  # breaks the cycle request, attempt, callback
             on_end(outcome, answer)
 
     def give_up(self, outcome: Outcome) -> None:
