An ended call to discovery is freed at once

The parser is dropped once the connection is lost. Measured: the new test of tests/test_garbage.py failed before, passes now; tests/test_discovery.py and tests/ends/test_lists.py pass.

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -327,7 +327,7 @@
         self.drained_while_lagging: set[str] = set()  # names of upstreams whose drain such a list reported
         self.is_closed = False
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.stream = JsonStream()
         self.request = (f"GET {target} HTTP/1.1\r\nHost: {self.address[0]}:{self.address[1]}\r\n"
                         "Accept: application/json\r\n\r\n").encode()
@@ -361,6 +361,7 @@
         self.last_data_s = loop.time()
         self.silence_timer = loop.call_later(limit_s, self.handle_silence)
         try:
+            assert self.parser is not None
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # exceptions of callbacks are wrapped in HttpParserError
@@ -368,6 +369,7 @@
             self.finish()
 
     def on_headers_complete(self) -> None:
+        assert self.parser is not None
         status = self.parser.get_status_code()
         self.is_interim = status in INTERIM_STATUSES  # the final answer follows
         self.interim_answers += self.is_interim
@@ -400,6 +402,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.finish()
+        self.parser = None  # breaks a reference cycle that only the garbage collector would free
 
     def close(self) -> None:
         self.is_closed = True
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -67,3 +67,20 @@
         assert not found
 
     run(test)
+
+
+# Guards against ended calls to discovery that stay in memory with the lists that they were reading.
+def test_an_ended_call_to_discovery_leaves_nothing_to_collect() -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        scene.sidecar.discovery.subscribe()
+        await until(lambda: scene.discovery.writers)
+        async with collecting_nothing() as found:
+            for _ in range(REQUESTS):
+                calls = len(scene.discovery.writers)
+                scene.discovery.writers[-1].write(b"5\r\n{\"a\":\r\n")
+                scene.discovery.writers[-1].close()
+                await until(lambda: len(scene.discovery.writers) > calls)  # noqa: B023
+        assert not found
+
+    run(test)
