Values that a client chooses are bounded before they are kept or parsed

What callers saw: memory that grows with ever new names; other clients' answers late beside one client at full speed.

Cause: the cache of X-Remaining kept up to 1,024 texts of up to 64 KB each; parse_qs decoded every field of a target (10,000 fields: some 10 ms on the event loop) to find one; an X-Estimate of thousands of digits became an integer that the balancer can't use, or an exception with a traceback a request. Class: work and memory in proportion to what a peer chose.

--- a/ironscale/net/request_checks.py
+++ b/ironscale/net/request_checks.py
@@ -7,12 +7,16 @@
 from functools import lru_cache
 from hashlib import blake2b
 from typing import Protocol
-from urllib.parse import parse_qs
+from urllib.parse import unquote_plus
 
 from ironscale.net.http_message import Headers
 
 MAX_ID_LENGTH = 256
+MAX_REMAINING_LENGTH = 18  # of any text that the pattern matches
+MAX_ESTIMATE_LENGTH = 15
 REMAINING_PATTERN = re.compile(r"(\d{1,10}(?:\.\d{1,6})?)([mu])", re.ASCII)
+# The first field `sid` with a value, its name also percent-encoded. parse_qs would decode thousands of other fields.
+SUBJECT_PATTERN = re.compile(rb"(?:^|&)(?:s|%73)(?:i|%69)(?:d|%64)=([^&]+)")
 UNIT_US = {"m": 1000.0, "u": 1.0}
 MAX_REMAINING_US = 3_600_000_000  # one hour; a longer remaining time is rejected as malformed
 
@@ -35,20 +39,31 @@
     body: bytes
 
 
-@lru_cache(1024)  # most requests of a class have the same value; parsing takes 2 us
 def parse_remaining_us(text: str) -> int | None:
     """The value of `X-Remaining` (`480m` or `480000u`) in microseconds; None if it is malformed or over an hour."""
+    # only short texts are kept in the cache: clients choose them
+    return parse_short_remaining_us(text) if len(text) <= MAX_REMAINING_LENGTH else None
+
+
+@lru_cache(1024)  # most requests of a class have the same value; parsing takes 2 us
+def parse_short_remaining_us(text: str) -> int | None:
     found = REMAINING_PATTERN.fullmatch(text)
     remaining_us = int(float(found[1]) * UNIT_US[found[2]]) if found else None
     return remaining_us if remaining_us is not None and remaining_us <= MAX_REMAINING_US else None
 
 
+def parse_estimate_us(text: str) -> int:
+    """The value of `X-Estimate`; 0, for none, if it is malformed or longer than any estimate."""
+    return int(text) if text.isdecimal() and len(text) <= MAX_ESTIMATE_LENGTH else 0
+
+
 def subject(target: bytes) -> str:
     """The first `sid` in the query string; empty if there is none."""
     query = target.partition(b"?")[2]
-    if query.startswith(b"sid=") and query[4:].isalnum():  # the usual form; parse_qs would take 4 us
+    if query.startswith(b"sid=") and query[4:].isalnum():  # the usual form
         return query[4:].decode("ascii")
-    return parse_qs(query.decode("latin-1")).get("sid", [""])[0] if b"sid" in query or b"%" in query else ""
+    found = SUBJECT_PATTERN.search(query)
+    return unquote_plus(found[1].decode("latin-1")) if found else ""
 
 
 def key_number(key: str) -> int:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -34,6 +34,7 @@
     Rejection,
     key_number,
     matches_effect,
+    parse_estimate_us,
     parse_remaining_us,
     subject,
 )
@@ -370,14 +371,13 @@
         self.known_txns.add(txn)
         # answers the request even if the balancer never does
         request.backstop = self.schedule(request.deadline_us + BACKSTOP_DELAY_US, partial(self.fail, ident))
-        estimate = exchange.header(b"x-estimate")
         event = api.RequestArrived(
             ident,
             request.deadline_us,
             index,
             self.tenants.get(exchange.header(b"x-org"), len(self.tenants)),
             key_number(subject(exchange.target)),
-            int(estimate) if estimate.isdecimal() else 0,
+            parse_estimate_us(exchange.header(b"x-estimate")),
             exchange.header(b"x-resent") == "1",
             "write=1" in exchange.header(b"x-labels").split(","),
         )
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -7,11 +7,12 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ironscale.net import sidecar as module
-from ironscale.net.request_checks import subject
+from ironscale.net.request_checks import parse_estimate_us, subject
 from ironscale.net.sidecar import Clock, TimerQueue
 from tests.sockets import run, until
 
@@ -138,3 +139,9 @@
     target = b"/api" + before + value.replace(b"?", b"")
     query = target.partition(b"?")[2].decode("latin-1")
     assert subject(target) == parse_qs(query).get("sid", [""])[0]
+
+
+# Guards against an estimate of thousands of digits, which no integer is read from and no balancer can use.
+@pytest.mark.parametrize(("text", "expected"), [("", 0), ("1500", 1500), ("-5", 0), ("9" * 5_000, 0), ("9" * 16, 0)])
+def test_an_estimate_that_no_request_can_have_counts_as_none(text: str, expected: int) -> None:
+    assert parse_estimate_us(text) == expected
