Requests and answers in part are held in one piece, and requests sent ahead stay unparsed

What callers saw: processes over their memory limit beside hundreds of clients that write slowly or send ahead.

Cause: a body was kept as a list of the pieces in which it came: 2 bytes a chunk take 56 bytes each; and a read of 64 KB was parsed 16 KB at a time, up to 900 small requests of 2 KB each, before the first was answered. Class: objects that cost many times the bytes which a peer sent. Change: bodies of requests and answers grow in a bytearray; the parser stops at the end of each request, so that what follows waits as bytes, at most 16 KB of them. Why it works: no message can be cut into more objects than it has fields, of which there are 100 at most.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -22,7 +22,7 @@
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
-PARSE_CHUNK_BYTES = 16 << 10  # bytes parsed at a time; bounds how many pipelined requests are queued
+MAX_READ_BYTES = 16 << 10  # read at a time; bounds what is read ahead of the current request
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
 END_POLL_TRIES = 3  # an interrupted poll misses a client's end, and a request would be sent for nobody
 READY_PATH = b"/health/ready"
@@ -119,7 +119,6 @@
         self.parser = RequestParser()
         self.current: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()  # received before the current request was answered
-        self.unparsed = b""
         self.is_new = True  # nothing has been read from it
         self.has_had_request = False  # readiness probes don't count
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
@@ -132,7 +131,7 @@
         self.close_decided_us = 0
 
     def open(self) -> None:
-        self.transport = Stream(self.sock, self)
+        self.transport = Stream(self.sock, self, MAX_READ_BYTES)
 
     def resume_writing(self) -> None:
         """Called by the stream; answers are written without waiting for room, so there is nothing to do."""
@@ -140,14 +139,13 @@
     def data_received(self, data: bytes) -> None:
         self.is_new = False
         self.last_byte_us = self.server.now_us()
-        self.unparsed += data
+        self.parser.append(data)
         self.parse()
         self.server.received(self)
 
     def parse(self) -> None:
-        while self.unparsed and not self.pipelined and not self.finishing:
-            piece, self.unparsed = self.unparsed[:PARSE_CHUNK_BYTES], self.unparsed[PARSE_CHUNK_BYTES:]
-            self.parse_piece(piece)
+        while self.parser.unparsed_size() and not self.pipelined and not self.finishing:
+            self.parse_next()
             self.begin_queued()
         if self.transport is not None and not self.transport.is_closing():
             # reading pauses while requests are queued: pipelining without end would fill the memory
@@ -160,10 +158,9 @@
                 self.server.end_poller.unwatch(self)
         self.server.reclassify(self)
 
-    def parse_piece(self, piece: bytes) -> None:
-        """Queues the requests that the piece completes. They begin once all of it is parsed: an answer that is given at
-        once has to know what follows."""
-        failure = self.parser.feed(piece)
+    def parse_next(self) -> None:
+        """Queues the next request once it is complete."""
+        failure = self.parser.parse_next()
         self.pipelined.extend(map(self.new_exchange, self.parser.take_complete()))
         if failure is not None:
             self.reject(failure.value)
@@ -232,14 +229,15 @@
 
     def has_further_request(self) -> bool:
         """Whether another request has arrived, at least in part, read or not: it is owed an answer as well."""
-        return bool(self.pipelined or self.unparsed) or self.has_partial_request or self.has_unread()
+        return (bool(self.pipelined) or self.parser.unparsed_size() > 0 or self.has_partial_request
+                or self.has_unread())
 
     def reject(self, status: int) -> None:
         """Ends the connection over a malformed or incomplete request; complete ones before it are still answered."""
         if not self.close_reason:
             self.record_close(f"rejected with {status}", self.phase())
         self.finishing = True
-        self.unparsed = b""
+        self.parser.drop_unparsed()
         if self.current is None and not self.pipelined:
             self.current = Exchange(self, ParsedRequest(b"", b"", [], b"", False), 0)
             self.current.answer(status)
@@ -352,7 +350,7 @@
         """Cancels all requests of the connection. With `own_failure` this side has failed, and each of them counts as a
         violation."""
         self.finishing = True
-        self.unparsed = b""
+        self.parser.drop_unparsed()
         exchange, self.current = self.current, None
         for one in [*self.pipelined, *([exchange] if exchange is not None else [])]:
             if own_failure:
--- a/ironscale/net/request_parser.py
+++ b/ironscale/net/request_parser.py
@@ -13,6 +13,10 @@
 # and after `Upgrade` the parser takes the body for another protocol and drops it.
 REJECTED_HEADERS = frozenset((b"transfer_encoding", b"content_length", b"upgrade"))
 
+END_OF_HEAD = b"\r\n\r\n"  # also the last bytes of a body in chunks
+MIN_FEED_BYTES = 64  # requests shorter than this may be parsed together
+FIELD_BYTES = 160  # memory that a header takes beside its characters
+
 
 class TooLarge(Exception):
     """The head or the body of a request exceeds its limit."""
@@ -38,22 +42,66 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    size: int = 0  # of the memory that it takes, about
 
 
 class RequestParser:
-    """Takes the bytes of a connection and gives its complete requests."""
+    """Takes the bytes of a connection and gives its requests, one after another."""
 
     def __init__(self) -> None:
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.unparsed = b""
+        self.position = 0  # up to which it has been parsed
         self.complete: list[ParsedRequest] = []
         self.has_partial_request = False
         self.in_head = True
         self.target = b""
         self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.head_size = self.headers_seen = self.body_size = 0
+        self.body = bytearray()  # in one piece: a list of small pieces would take many times their bytes
+        self.head_size = self.headers_seen = 0
+        self.body_left = 0  # of a body with a length
+
+    def append(self, data: bytes) -> None:
+        """Adds bytes that have been received; `parse_next` parses them."""
+        self.unparsed = self.unparsed[self.position:] + data
+        self.position = 0
+
+    def unparsed_size(self) -> int:
+        return len(self.unparsed) - self.position
+
+    def drop_unparsed(self) -> None:
+        self.unparsed, self.position = b"", 0
+
+    def parse_next(self) -> ParseFailure | None:
+        """Parses up to the end of the next request. What follows stays unparsed, as it takes less memory so than as
+        complete requests that wait."""
+        begin, self.position = self.position, self.feed_end()
+        view = memoryview(self.unparsed)[begin:self.position]
+        if self.position == len(self.unparsed):
+            self.drop_unparsed()
+        return self.feed(view)
+
+    def feed_end(self) -> int:
+        """The position in the unparsed bytes up to which they are fed."""
+        if self.body_left:
+            return min(self.position + self.body_left, len(self.unparsed))
+        end = self.unparsed.find(END_OF_HEAD, self.position + MIN_FEED_BYTES)
+        return len(self.unparsed) if end < 0 else end + len(END_OF_HEAD)
+
+    def held_bytes(self) -> int:
+        """The memory that the unparsed bytes and the request received in part take, about."""
+        return len(self.unparsed) + (self.partial_size() if self.has_partial_request else 0)
+
+    def partial_size(self) -> int:
+        return self.head_size + self.headers_seen * FIELD_BYTES + len(self.body)
+
+    def discard(self) -> None:
+        """Frees the request received in part and the unparsed bytes. Nothing may be parsed after it."""
+        self.drop_unparsed()
+        self.has_partial_request = False
+        self.headers, self.body = [], bytearray()
 
-    def feed(self, data: bytes) -> ParseFailure | None:
+    def feed(self, data: memoryview) -> ParseFailure | None:
         """Parses the next bytes; complete requests are added to `complete`."""
         assert self.parser is not None
         try:
@@ -85,8 +133,8 @@
         self.in_head = True
         self.target = b""
         self.headers = []
-        self.body = []
-        self.head_size = self.headers_seen = self.body_size = 0
+        self.body = bytearray()
+        self.head_size = self.headers_seen = self.body_left = 0
 
     def on_url(self, url: bytes) -> None:
         self.target += url
@@ -100,23 +148,28 @@
 
     def on_headers_complete(self) -> None:
         self.in_head = False
-        if len(self.target) + sum(len(name) + len(value) for name, value in self.headers) > MAX_HEAD_BYTES:
+        self.head_size = len(self.target) + sum(len(name) + len(value) for name, value in self.headers)
+        if self.head_size > MAX_HEAD_BYTES:
             raise TooLarge("head")
         for name, value in self.headers:
             # rejected by its declared length, before up to 60 MB are read in vain
-            if name == b"content-length" and int(value) > MAX_BODY_BYTES:
-                raise TooLarge("body")
+            if name == b"content-length":
+                self.body_left = int(value)
+                if self.body_left > MAX_BODY_BYTES:
+                    raise TooLarge("body")
             if name in REJECTED_HEADERS:
                 raise ValueError(name)
 
     def on_body(self, body: bytes) -> None:
-        self.body_size += len(body)
-        if self.body_size > MAX_BODY_BYTES:
+        if len(self.body) + len(body) > MAX_BODY_BYTES:
             raise TooLarge("body")
-        self.body.append(body)
+        self.body += body
+        self.body_left = max(0, self.body_left - len(body))
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
+        size = self.partial_size()
         self.has_partial_request = False
-        self.complete.append(ParsedRequest(self.parser.get_method(), self.target, self.headers, b"".join(self.body),
-                                           self.parser.should_keep_alive()))
+        body, self.body, self.body_left = bytes(self.body), bytearray(), 0
+        self.complete.append(ParsedRequest(self.parser.get_method(), self.target, self.headers, body,
+                                           self.parser.should_keep_alive(), size))
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -93,8 +93,9 @@
 class Stream:
     """Reads from the start, and writes at once as much as the kernel takes; the rest is buffered."""
 
-    def __init__(self, sock: socket.socket, owner: StreamOwner) -> None:
+    def __init__(self, sock: socket.socket, owner: StreamOwner, read_bytes: int = READ_BYTES) -> None:
         self.sock, self.owner = sock, owner
+        self.read_bytes = read_bytes  # at most at a time
         self.loop = asyncio.get_running_loop()
         self.write_buffer = bytearray()
         self.is_reading = False
@@ -126,7 +127,7 @@
 
     def read(self) -> None:
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(self.read_bytes)
         except OSError as error:
             self.read_failed(error)
             return
--- a/ironscale/net/upstream_connection.py
+++ b/ironscale/net/upstream_connection.py
@@ -26,19 +26,18 @@
 
 
 class Answer:
-    """The HTTP response of an upstream. `size` is the length of the body in bytes."""
+    """The HTTP response of an upstream."""
 
-    __slots__ = ("headers", "parts", "size", "status")
+    __slots__ = ("content", "headers", "status")
 
     def __init__(self) -> None:
         self.status = 0
         self.headers: Headers = []
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.content = bytearray()  # in one piece: a list of small pieces would take many times their bytes
 
     @property
     def body(self) -> bytes:
-        return b"".join(self.parts)
+        return bytes(self.content)
 
     def digest(self) -> int:
         """Equal for equal answers, however they arrived in pieces; differs otherwise, but for chance."""
@@ -226,10 +225,9 @@
 
     def on_body(self, body: bytes) -> None:
         if not self.is_complete:
-            self.answer.size += len(body)
-            if self.answer.size > MAX_BODY_BYTES:
+            if len(self.answer.content) + len(body) > MAX_BODY_BYTES:
                 raise OverflowError("body too long")
-            self.answer.parts.append(body)
+            self.answer.content += body
 
     def on_message_complete(self) -> None:
         if self.is_complete:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -360,10 +360,10 @@
         connection = next(iter(scene.sidecar.server.connections))
         for _ in range(20_000):
             writer.write(scene.request(remaining="300m"))
-        await until(lambda: connection.unparsed)
+        await until(connection.parser.unparsed_size)
         await asyncio.sleep(0.35)
-        assert len(connection.pipelined) <= client.PARSE_CHUNK_BYTES // 100
-        assert len(connection.unparsed) <= 512 << 10
+        assert len(connection.pipelined) <= client.MAX_READ_BYTES // 100
+        assert connection.parser.unparsed_size() <= 512 << 10
         peer.behave = reply(ok())
         peer.answer_held(ok())
         assert (await read_message(reader)).status == 200
