The deadline of a request sent ahead counts from its own bytes

What the kernel held behind a paused connection had the same fault in, and keeps it (open). Change: the time is taken as bytes are read.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -126,6 +126,7 @@
         self.end_poll: select.poll | None = None
         # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
         self.quiet_since_us = self.last_byte_us = self.last_answer_us = server.now_us()
+        self.arrived_us = 0  # when the bytes read last, of which some may still be unparsed, reached this machine
         self.listed_phase: Phase | None = None  # kept by the server's QuietConnections
         self.close_reason = ""  # why this side closes it, with its phase; empty if it did not decide to
         self.close_decided_us = 0
@@ -139,6 +140,9 @@
     def data_received(self, data: bytes) -> None:
         self.is_new = False
         self.last_byte_us = self.server.now_us()
+        # the bytes may have waited in the socket buffer while the process was stalled or its reads failed
+        waited_us = since_last_byte_us(self.sock)
+        self.arrived_us = self.last_byte_us - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
         self.parser.append(data)
         self.parse()
         self.server.received(self)
@@ -166,10 +170,7 @@
             self.reject(failure.value)
 
     def new_exchange(self, request: ParsedRequest) -> Exchange:
-        # the request may have waited in the socket buffer while the process was stalled or its reads failed
-        waited_us = since_last_byte_us(self.sock)
-        arrived_us = self.server.now_us() - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
-        return Exchange(self, request, arrived_us)
+        return Exchange(self, request, self.arrived_us)
 
     @property
     def has_partial_request(self) -> bool:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -348,6 +348,30 @@
     run(test)
 
 
+WAITED_S = 0.35
+
+
+# Guards against a request sent ahead whose deadline counts from bytes that came after it.
+def test_the_deadline_of_a_request_sent_ahead_counts_from_its_own_bytes() -> None:
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await Scene().start(peer.entry("s-1"))
+        reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+        writer.write(b"".join(scene.request("pay", remaining="6000m") for _ in range(4)))
+        await until(lambda: peer.got)
+        await asyncio.sleep(WAITED_S)
+        writer.write(scene.request("pay", remaining="6000m"))
+        await asyncio.sleep(0.01)
+        peer.behave = reply(ok())
+        peer.answer_held(ok())
+        assert [(await read_message(reader)).status for _ in range(5)] == [200] * 5
+        told_s = [int(message.headers["x-remaining"][:-1]) / 1e6 for message in peer.got]
+        assert all(one < 6.0 - WAITED_S for one in told_s[1:4]), told_s
+        writer.close()
+
+    run(test)
+
+
 def test_pipelined_requests_are_held_back_and_their_deadlines_count_from_arrival() -> None:
     """Otherwise they would fill the memory, and one that waited would be answered after its deadline."""
 
