Others have their turn between any two requests of one connection

What callers saw: other clients' answers late or never beside clients that send ahead; memory that grows.

Class: one event that schedules more than one of its kind. Change: at most one begin_next is scheduled for a connection, and no request begins before its turn.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -126,6 +126,7 @@
         self.parser = RequestParser()
         self.current: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()  # received before the current request was answered
+        self.next_is_scheduled = False  # the next request begins in the next turn of the event loop
         self.is_new = True  # nothing has been read from it
         self.has_had_request = False  # readiness probes don't count
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
@@ -201,7 +202,7 @@
         return self.parser.has_partial_request
 
     def begin_queued(self) -> None:
-        if self.current is None and self.pipelined and self.transport is not None:
+        if self.current is None and self.pipelined and self.transport is not None and not self.next_is_scheduled:
             self.begin(self.pipelined.popleft())
 
     def begin(self, exchange: Exchange) -> None:
@@ -243,14 +244,21 @@
         if self.transport.get_write_buffer_size() > MAX_UNREAD_ANSWER_BYTES:  # the client reads no answers
             self.abort_unread()
         elif self.pipelined or (self.parser.unparsed_size() and not self.finishing):
-            asyncio.get_running_loop().call_soon(self.begin_next)
+            self.schedule_next()
         elif self.finishing:
             self.transport.close()
         self.server.reclassify(self)
         self.server.charge(self)
 
+    def schedule_next(self) -> None:
+        """Begins the next request in the next turn of the event loop: others have their turn between any two."""
+        if not self.next_is_scheduled:
+            self.next_is_scheduled = True
+            asyncio.get_running_loop().call_soon(self.begin_next)
+
     def begin_next(self) -> None:
         """Begins the next pipelined request, and parses on."""
+        self.next_is_scheduled = False
         if self.current is None and self.transport is not None:
             self.begin_queued()
             self.parse()
