Clients whose bytes take long to parse leave time to others

What callers saw: other clients' answers late or never beside clients that send bodies in small chunks.

Cause: a read of such a body takes some 1 to 4 ms to parse, and hundreds of clients each have a read in every turn of the event loop: a turn took up to 2 s. Class: work per connection in each turn, with no bound over all. Change: after a piece that took over 0.2 ms, the connection is read again after a pause in proportion to that time and to the number of requests in part: all of them together take 0.4 of the time. A paused client gets its 408 in time, and its end is noticed. A small request, or a chunk of usual size, is never paused. A connection under its share of the memory may begin a request while the bound is exceeded, at least a usual one.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -23,6 +23,8 @@
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
+MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
+PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
 EXCHANGE_BYTES = 2_000  # memory that a request takes beside its bytes, until it is over
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
@@ -108,6 +110,9 @@
     def received(self, connection: ClientConnection) -> None:
         """The connection has received bytes."""
 
+    def in_part_count(self) -> int:
+        """How many connections are in the middle of a request."""
+
     def charge(self, connection: ClientConnection) -> None:
         """The memory that the connection holds may have changed."""
 
@@ -130,6 +135,7 @@
         self.is_new = True  # nothing has been read from it
         self.has_had_request = False  # readiness probes don't count
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
+        self.is_paced = False  # reading is paused for the time that its last piece took to parse
         self.reading_paused = False  # if so, the event loop does not report the client's end
         self.end_poll: select.poll | None = None
         # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
@@ -164,23 +170,41 @@
         self.arrived_us = self.last_byte_us - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
         self.parser.append(data)
         self.parse()
+        self.pace(self.server.now_us() - self.last_byte_us)
         self.server.received(self)
 
+    def pace(self, spent_us: int) -> None:
+        """Pauses reading after a piece of a request that took long to parse, so that all such clients together take a
+        part of the time only: the pause is in proportion to the time and to their number."""
+        if spent_us >= MIN_PACED_US and self.has_partial_request and self.current is None and not self.is_paced:
+            self.is_paced = True
+            self.update_reading()
+            pause_s = spent_us / 1e6 * self.server.in_part_count() / PACED_SHARE
+            asyncio.get_running_loop().call_later(pause_s, self.end_pace)
+
+    def end_pace(self) -> None:
+        self.is_paced = False
+        self.update_reading()
+
     def parse(self) -> None:
         while self.may_parse():
             self.parse_next()
             self.begin_queued()
-        if self.transport is not None and not self.transport.is_closing():
-            # reading pauses while requests are queued: pipelining without end would fill the memory
-            self.reading_paused = bool(self.pipelined or self.parser.unparsed_size()) or self.finishing
-            if self.reading_paused:
-                self.transport.pause_reading()
-                self.server.end_poller.watch(self)
-            else:
-                self.transport.resume_reading()
-                self.server.end_poller.unwatch(self)
+        self.update_reading()
         self.server.reclassify(self)
 
+    def update_reading(self) -> None:
+        """Pauses reading while requests are queued, as pipelining without end would fill the memory, or resumes it."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.reading_paused = bool(self.pipelined or self.parser.unparsed_size()) or self.finishing or self.is_paced
+        if self.reading_paused:
+            self.transport.pause_reading()
+            self.server.end_poller.watch(self)
+        else:
+            self.transport.resume_reading()
+            self.server.end_poller.unwatch(self)
+
     def may_parse(self) -> bool:
         """Whether to parse on. Only one request waits for the one before it, and none while memory is short."""
         if not self.parser.unparsed_size() or self.finishing:
@@ -212,7 +236,8 @@
             exchange.answer(200 if self.server.application.is_ready() else 503)
             return
         self.has_had_request = True
-        if self.server.memory.is_exceeded():
+        memory = self.server.memory
+        if memory.is_exceeded() and self.held_bytes() > memory.fair_share_bytes():
             self.server.ledger.note(Event.REJECTED, "memory")
             exchange.answer(503, RETRY_AFTER)
             return
@@ -336,7 +361,7 @@
         if self.transport.is_closing():
             self.abort_if_unsent_for_long(reason)
         elif phase is Phase.PARTIAL_REQUEST:
-            if not self.has_unread():
+            if self.is_paced or not self.has_unread():
                 self.record_close(reason, phase)
                 self.reject(408)
         elif self.transport.close_unless_unread():
--- a/ironscale/net/memory_budget.py
+++ b/ironscale/net/memory_budget.py
@@ -14,6 +14,7 @@
 MIN_DATA_BYTES, DEFAULT_DATA_BYTES = MIB // 2, 64 * MIB  # the second where no limit is known
 CONNECTION_BYTES = 4 << 10  # memory that a connection takes without any request
 MIN_CONNECTIONS = 16
+MIN_SHARE_BYTES = 4 << 10
 MIN_READ_BYTES, MAX_READ_BYTES = 2 << 10, 16 << 10
 
 
@@ -54,6 +55,5 @@
         return self.used_bytes > self.plan.data_bytes
 
     def fair_share_bytes(self) -> int:
-        """What each connection may hold while all hold the same. When the bound is exceeded, at least one connection
-        holds more."""
-        return self.plan.data_bytes // self.plan.max_connections
+        """What each connection may always hold: as much as while all hold the same, and at least a usual request."""
+        return max(MIN_SHARE_BYTES, self.plan.data_bytes // self.plan.max_connections)
--- a/ironscale/net/quiet_connections.py
+++ b/ironscale/net/quiet_connections.py
@@ -61,9 +61,8 @@
     def all_in(self, phase: Phase) -> list[ClientConnection]:
         return list(self.by_phase[phase])
 
-    def idle_count(self) -> int:
-        """How many connections wait for their next request."""
-        return len(self.by_phase[Phase.BETWEEN_REQUESTS])
+    def count(self, phase: Phase) -> int:
+        return len(self.by_phase[phase])
 
     def quiet_for(self, silence_s: float, idle_s: float) -> Iterator[ClientConnection]:
         """The connections that have sent no complete request for `silence_s`, and those idle for `idle_s`."""
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -162,6 +162,9 @@
         if self.memory.is_exceeded():
             self.free_memory()
 
+    def in_part_count(self) -> int:
+        return self.quiet.count(Phase.PARTIAL_REQUEST)
+
     def charge(self, connection: ClientConnection) -> None:
         if connection in self.connections:
             held_bytes = connection.held_bytes()
@@ -200,7 +203,7 @@
         return self.stopping or crowded
 
     def has_many_idle(self) -> bool:
-        return self.quiet.idle_count() > CROWDED_IDLE_SHARE * self.max_connections
+        return self.quiet.count(Phase.BETWEEN_REQUESTS) > CROWDED_IDLE_SHARE * self.max_connections
 
     def sweep(self) -> None:
         """Closes connections that have been silent or idle for too long."""
