Probes without end make room for new connections in a crowd

What callers saw: with hundreds of clients connected that send probes ahead, new connections were never accepted.

Cause: a connection with a further request is busy and can't make room; one that sends readiness probes without end is busy for ever. Class: a resource that its holder keeps by its own doing. Change: while over half of the places are taken, a connection that has carried probes alone is closed after 8 of them, also if more have come; requests sent ahead are answered as before.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -25,6 +25,7 @@
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
 PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
+MAX_PROBES_IN_CROWD = 8  # readiness probes on a connection without another request
 EXCHANGE_BYTES = 2_000  # memory that a request takes beside its bytes, until it is over
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
@@ -134,6 +135,7 @@
         self.next_is_scheduled = False  # the next request begins in the next turn of the event loop
         self.is_new = True  # nothing has been read from it
         self.has_had_request = False  # readiness probes don't count
+        self.probes = 0  # readiness probes so far
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
         self.is_paced = False  # reading is paused for the time that its last piece took to parse
         self.reading_paused = False  # if so, the event loop does not report the client's end
@@ -233,6 +235,7 @@
         self.current = exchange
         self.server.reclassify(self)
         if exchange.target.partition(b"?")[0] == READY_PATH:
+            self.probes += 1
             exchange.answer(200 if self.server.application.is_ready() else 503)
             return
         self.has_had_request = True
@@ -254,7 +257,7 @@
         if self.current is not exchange:  # the client would take it for the answer to its current request
             exchange.lifecycle.answered_out_of_turn()
             return
-        if not exchange.keep_alive or (self.server.wants_close(self) and not self.has_further_request()):
+        if not exchange.keep_alive or (self.server.wants_close(self) and self.may_close_after_answer()):
             self.finishing = True
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b"Unknown"))]
         parts += [b"%s: %s\r\n" % header for header in headers]
@@ -296,6 +299,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def may_close_after_answer(self) -> bool:
+        """Whether nothing more has arrived that is owed an answer. Probes without end are owed none in a crowd."""
+        return not self.has_further_request() or (not self.has_had_request and self.probes > MAX_PROBES_IN_CROWD)
+
     def has_further_request(self) -> bool:
         """Whether another request has arrived, at least in part, read or not: it is owed an answer as well."""
         return (bool(self.pipelined) or self.parser.unparsed_size() > 0 or self.has_partial_request
--- a/tests/ends/test_paced.py
+++ b/tests/ends/test_paced.py
@@ -1,4 +1,4 @@
-"""Clients whose bytes take long to parse leave time to others."""
+"""Clients whose bytes take long to parse, or who send probes without end, leave time and room to others."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from tests.ends.test_clients import connect, connection_of
 from tests.sockets import Scene, run, until
 
+PROBE = b"GET /health/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+
 
 async def paced_scene(monkeypatch: pytest.MonkeyPatch, share: float) -> Scene:
     """A scene in which every piece of a request counts as one that took long."""
@@ -63,3 +65,28 @@
         await until(lambda: not scene.sidecar.server.connections)
 
     run(test)
+
+
+# Guards against connections that no new client can replace, as their probes never end.
+def test_probes_without_end_make_room_in_a_crowd() -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        scene.sidecar.server.max_connections = 1
+        client = connect(scene, PROBE * 200)
+        reader, writer = await asyncio.open_connection(sock=client)
+        answers = await reader.read()
+        assert 0 < answers.count(b"HTTP/1.1") <= module.MAX_PROBES_IN_CROWD + 2  # the limit passed, and one that waits
+        writer.close()
+
+    run(test)
+
+
+def test_probes_are_all_answered_where_there_is_room() -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        reader, writer = await asyncio.open_connection(sock=connect(scene, PROBE * 200))
+        for _ in range(200):
+            await read_message(reader)
+        writer.close()
+
+    run(test)
