No attempt begins for a client whose end may lie behind bytes that don't fit

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: while reading is paused, the kernel's buffer fills, and a client's end waits in the client's own kernel behind bytes that do not fit. No read, poll or look at the socket shows it: the client counted as present until its deadline. Class: absence of a sign taken for a sign of absence. Change: from a quarter of the buffer on, and once no look has shown an open client for 50 ms, nothing more is sent for it. An attempt that is out may still answer; a request with none is answered at once, 503 if it was never sent, else 502. The stores of record ask the same question. Why it works: below a quarter the end fits, and the looks before each send find it; 50 ms are half of what is allowed.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -19,9 +19,10 @@
 from ironscale.net.lifecycle import Event, Ledger, Lifecycle
 from ironscale.net.memory_budget import MemoryBudget
 from ironscale.net.request_parser import ParsedRequest, RequestParser
-from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
+from ironscale.net.stream import Stream, Unread, may_hide_end, peek, since_last_byte_us
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
+MAX_HIDDEN_US = 50_000  # 0.1 s are allowed from a client's end until nothing more is sent for it
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
 PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
@@ -50,7 +51,7 @@
     """One request of a client and its single answer.
 
     `arrived_us` is when its last byte reached this machine; `client_has_left` asks whether the client has closed its
-    side.
+    side, and `end_may_be_hidden` whether it may have, without a sign of it.
     """
 
     def __init__(self, connection: ClientConnection, request: ParsedRequest, arrived_us: int) -> None:
@@ -63,6 +64,7 @@
         self.arrived_us = arrived_us
         self.lifecycle = Lifecycle(connection.server.ledger)
         self.client_has_left = connection.client_has_left
+        self.end_may_be_hidden = connection.end_may_be_hidden
         self.size = EXCHANGE_BYTES + request.size
         self.header_values: dict[bytes, bytes] = {}
         for name, value in request.headers:
@@ -142,6 +144,7 @@
         self.end_poll: select.poll | None = None
         # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
         self.quiet_since_us = self.last_byte_us = self.last_answer_us = server.now_us()
+        self.seen_open_us = self.quiet_since_us  # when an end of the client would have been seen, and was not
         self.arrived_us = 0  # when the bytes read last, of which some may still be unparsed, reached this machine
         self.charged_bytes = 0  # of the server's MemoryBudget
         self.listed_phase: Phase | None = None  # kept by the server's QuietConnections
@@ -170,6 +173,8 @@
         # the bytes may have waited in the socket buffer while the process was stalled or its reads failed
         waited_us = since_last_byte_us(self.sock)
         self.arrived_us = self.last_byte_us - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
+        if len(data) < self.server.memory.plan.read_bytes:  # the buffer is empty: an end would have been seen
+            self.seen_open_us = self.last_byte_us
         self.parser.append(data)
         self.parse()
         self.pace(self.server.now_us() - self.last_byte_us)
@@ -344,6 +349,15 @@
         self.on_client_left()
         return True
 
+    def end_may_be_hidden(self) -> bool:
+        """Whether the client may have left for longer than an attempt may begin after it, without a sign of it."""
+        if not self.reading_paused:  # otherwise the event loop reads up to the end
+            return False
+        now_us = self.server.now_us()
+        if not may_hide_end(self.sock):
+            self.seen_open_us = now_us
+        return now_us - self.seen_open_us > MAX_HIDDEN_US
+
     def client_has_left_behind_bytes(self) -> bool:
         """Whether the client's end follows the unread bytes."""
         if self.end_poll is None:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -19,7 +19,7 @@
 from ironscale import interface as api
 from ironscale import logs
 from ironscale.balance import Balancer
-from ironscale.net.client import Exchange
+from ironscale.net.client import RETRY_AFTER, Exchange
 from ironscale.net.config import Config, ConfigError, apply_merge_patch, load, parse
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.errors import is_transient
@@ -524,9 +524,25 @@
     def may_start_attempt(self, request: Request, until_us: int) -> bool:
         """Whether an attempt should still be sent. Asked just before its first byte, which may be long after the
         balancer's decision."""
+        return self.is_open(request.ident) and self.may_send(request, until_us)
+
+    def may_send(self, request: Request, until_us: int) -> bool:
+        """Whether the client still waits for the request. One whose end may be hidden is answered soon instead."""
         exchange = request.exchange
-        return (self.is_open(request.ident)
-                and exchange.lifecycle.may_send(self.clock.now_us(), until_us, exchange.client_has_left))
+        if not exchange.lifecycle.may_send(self.clock.now_us(), until_us, exchange.client_has_left):
+            return False
+        if exchange.end_may_be_hidden():
+            self.loop.call_soon(self.end_hidden, request)
+            return False
+        return True
+
+    def end_hidden(self, request: Request) -> None:
+        """Answers a request whose client may have left unseen, unless an attempt is out already."""
+        if request.attempts_in_flight == 0 and request.is_open():
+            request.exchange.lifecycle.end_reason = "the client may have left behind unread bytes"
+            was_sent = request.exchange.lifecycle.sends > 0
+            self.answer(request.ident, 502 if was_sent else 503, [] if was_sent else [*RETRY_AFTER])
+            self.notify_abandoned(request)
 
     def payload(self, exchange: Exchange, give_up_us: int) -> bytes:
         """The request as it is sent to an upstream, with the time that remains now; counts the attempt as begun."""
--- a/ironscale/net/stream.py
+++ b/ironscale/net/stream.py
@@ -9,8 +9,10 @@
 import asyncio
 import contextlib
 import enum
+import fcntl
 import socket
 import sys
+import termios
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,6 +22,8 @@
 READ_BYTES = 64 << 10
 LAST_DATA_RECV_OFFSET = 52  # of tcpi_last_data_recv in Linux's struct tcp_info; the value is in milliseconds
 PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+INT_BYTES = 4
+FULL_BUFFER_RATIO = 4  # the kernel counts overhead too: a buffer is full from half of its size in bytes on
 MAX_DISCARDED_BYTES = 1 << 20  # a peer that goes on sending must not hold up the event loop
 RETRY_PAUSE_S = 0.005  # before a call that hit a transient error is retried
 
@@ -53,6 +57,15 @@
         return Unread.UNKNOWN if survives(sock, error) else Unread.END
 
 
+def may_hide_end(sock: socket.socket) -> bool:
+    """Whether the peer may have ended its sending without a sign of it. While the receive buffer is nearly full, the
+    end waits at the peer behind bytes that do not fit. False if the kernel doesn't tell."""
+    with contextlib.suppress(OSError):
+        unread_bytes = int.from_bytes(fcntl.ioctl(sock, termios.FIONREAD, bytes(INT_BYTES)), sys.byteorder)
+        return unread_bytes >= sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) / FULL_BUFFER_RATIO
+    return False
+
+
 def survives(sock: socket.socket, error: OSError) -> bool:
     """Whether the connection survives the error. Where the error leaves that open the peer's address is asked for: the
     kernel no longer knows it once the connection has ended."""
--- a/ironscale/record/store_dispatcher.py
+++ b/ironscale/record/store_dispatcher.py
@@ -118,8 +118,7 @@
         attempt.handle = self.recorder.write(self.entry(request), deadline, partial(self.on_result, request, attempt))
 
     def may_write(self, request: Request) -> bool:
-        exchange = request.exchange
-        return exchange.lifecycle.may_send(self.now_us(), request.deadline_us, exchange.client_has_left)
+        return self.host.may_send(request, request.deadline_us)
 
     def entry(self, request: Request) -> model.Entry:
         exchange, kind = request.exchange, self.host.config.settings.classes[request.class_index]
--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -18,8 +18,8 @@
 from ironscale.net.end_poller import POLL_INTERVAL_S, EndPoller
 from ironscale.net.upstream import Pool
 from ironscale.net.upstream_connection import Attempt, Connection
-from ironscale.standins.http import TURNED_AWAY, ok
-from ironscale.standins.upstream import Peer, hang
+from ironscale.standins.http import TURNED_AWAY, ok, read_message
+from ironscale.standins.upstream import Peer, hang, reply
 from tests.ends.test_clients import (
     WAYS_TO_LEAVE,
     connect,
@@ -32,6 +32,7 @@
 from tests.sockets import Scene, run, until
 
 ALLOWED_S = 0.1
+UNLIMITED = [{"name": "north", "allowance-per-s": 1e6, "share": 1.0}]
 
 Leave = Callable[[socket.socket], None]
 
@@ -201,3 +202,22 @@
         assert leave is None or site.sent() == before
 
     run(test)
+
+
+# Guards against a client that is taken for gone because it sends more ahead than the kernel holds.
+def test_a_client_that_sends_far_ahead_and_stays_is_answered_each_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        peer = await Peer(reply(ok())).start()
+        scene = await Scene().start(peer.entry("s-1"), accounts=UNLIMITED)
+        reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+        count = 1_500
+        writer.write(b"".join(scene.request("pay", b"x" * 100) for _ in range(count)))
+        statuses = [(await read_message(reader)).status for _ in range(count)]
+        assert set(statuses) <= {200, 502, 503} and 200 in statuses
+        assert len(peer.got) == statuses.count(200)
+        assert (await scene.call("pay")).status == 200
+        writer.close()
+
+    run(test)
