A discovery that has started anew is not taken for the old one lagging behind

Cause: a list with a lower version counts as a replica that lags, for 3 s of one watch. A watch kept the short limit for its first data after its first list, so where lists are pushed each watch ended before a heartbeat, and its 3 s began anew with the next, for ever. And 3 s are past the grace of a drain. Class: an identity inferred from an address. Change: the 3 s count over all watches and by a timer; a watch that has answered gets the limit of heartbeats; what an older whole list leaves out is left out at 0.6 of the grace, until its next update, as drains in it are at once. Why it works: whichever of the two discovery is, nothing is sent to what either list rules out.

--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -36,6 +36,7 @@
     settings: Settings
     report_fields: list[str]  # names of the fields in the load reports of answers
     discovery_timeout_us: int  # a call that discovery has not answered by then counts as failed
+    drain_grace_us: int  # how long after a drain was told requests may still be sent
     upstream_idle_timeout_us: int  # an upstream closes a connection that was idle for this long
     directory: ListParser  # parses the lists of discovery, with the zone and machine type names of the settings
     last_known_list: Listing  # the last known list of upstreams; may be empty or outdated
@@ -55,13 +56,16 @@
     return [str(name) for name in value] if isinstance(value, list) else []
 
 
+def _drain_grace_us(options: settings.Options) -> int:
+    return options.integer("invariants.drain-grace", "1000000")
+
+
 def _answer_timeout_us(options: settings.Options) -> int:
     """Returns how long a call to discovery may wait for its answer. For an agent on this machine it is short: what the
     agent knows counts as known to the sidecar, even while the agent is silent and as soon as it is back."""
     if options.string("registry-mode") == "on_request":
         return CALL_US
-    grace_us = options.integer("invariants.drain-grace", "1000000")
-    return min(max(grace_us // 2, LEAST_ANSWER_US), MOST_ANSWER_US)
+    return min(max(_drain_grace_us(options) // 2, LEAST_ANSWER_US), MOST_ANSWER_US)
 
 
 def parse(data: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
@@ -98,6 +102,7 @@
             settings=replace(settings.read_settings(options), list_by_watch=True),
             report_fields=[name for name in options.string("report.names", "").split(",") if name],
             discovery_timeout_us=_answer_timeout_us(options),
+            drain_grace_us=_drain_grace_us(options),
             upstream_idle_timeout_us=options.integer("bounds.conn-idle", "15000000"),
             directory=directory,
             last_known_list=known,
--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, cast
 
 import httptools
@@ -26,6 +26,7 @@
 # A discovery service whose generation stays lower than ours for this long has restarted its numbering; one that merely
 # lags has caught up by then.
 MAX_LAG_S = 3.0
+UNNAMED_LAG_SHARE = 0.6  # of the grace of a drain
 _STATES = {state.value: state for state in UpstreamState}
 
 
@@ -122,7 +123,7 @@
 
     def __init__(self, address: tuple[str, int], parser: ListParser, generation: int, on_list: OnList,
                  first_data_timeout_s: float, log: Callable[[str], None], is_shared: bool = False,
-                 seed: int = 0) -> None:
+                 seed: int = 0, drain_grace_s: float = math.inf) -> None:
         self.address = address
         self.first_data_timeout_s = first_data_timeout_s  # time to wait for the first data of a call
         self.log = log
@@ -141,6 +142,10 @@
         self.successor: _Call | None = None  # the watch at a new address, until its first data arrives
         self.move_timer: asyncio.TimerHandle | None = None
         self.fetches: set[_Call] = set()
+        self.members: dict[str, Member] = {}  # the latest list, by name
+        self.lagging_since_s: float | None = None  # since when lists have been older than ours, over all calls
+        self.unnamed_lag_s = drain_grace_s * UNNAMED_LAG_SHARE  # see `leave_out_unnamed`
+        self.lag_timers: list[asyncio.TimerHandle] = []
 
     def subscribe(self) -> None:
         if self.watch is None:
@@ -209,6 +214,7 @@
 
     def close(self) -> None:
         self.unsubscribe()
+        self.end_lag()
         while self.fetches:
             self.fetches.pop().close()
 
@@ -240,9 +246,8 @@
             return  # a fetched list that is older than what the watch has delivered
         if listing.generation < self.generation:
             # A discovery replica that lags behind the previous one would make drained upstreams ready again.
-            if not self.is_lag_tolerated(call):
-                self.generation = 0  # makes the next watch begin with the full list
-                call.finish()
+            if not self.is_lag_tolerated(call, listing):
+                self.accept_restart(call)
                 return
             # If discovery has restarted its numbering instead, the drains in its lists are valid, so they are applied
             # at once. If they turn out to be outdated, the upstream is left out only until its next update.
@@ -252,6 +257,8 @@
             listing = Listing(self.generation, False, drains)
         else:
             call.lagging_since_s = None
+            self.end_lag()
+            self.record_members(listing)
         self.generation = listing.generation
         self.on_list(ListKind.FULL if listing.full else ListKind.DELTA, listing)
 
@@ -263,12 +270,53 @@
             self.late_calls.popitem()[0].close()
         self.open_successor()  # the answer may come from an address that was replaced since the call began
 
-    def is_lag_tolerated(self, call: _Call) -> bool:
-        """Whether discovery may still be lagging, rather than have restarted its numbering."""
-        now_s = asyncio.get_running_loop().time()
+    def record_members(self, listing: Listing) -> None:
+        if listing.full:
+            self.members = {}
+        for member in listing.members:
+            self.members[member.name] = member
+            if member.upstream.state is UpstreamState.GONE:
+                del self.members[member.name]
+
+    def is_lag_tolerated(self, call: _Call, listing: Listing) -> bool:
+        """Whether discovery may still be lagging, rather than be a new process that has restarted its numbering."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
         if call.lagging_since_s is None:
             call.lagging_since_s = now_s
-        return now_s - call.lagging_since_s < MAX_LAG_S
+        if self.lagging_since_s is None:
+            self.lagging_since_s = now_s
+            self.lag_timers.append(loop.call_later(MAX_LAG_S, self.accept_restart_of_watch))
+        if listing.full and self.unnamed_lag_s < MAX_LAG_S:
+            names = {member.name for member in listing.members}
+            self.lag_timers.append(loop.call_later(self.unnamed_lag_s, self.leave_out_unnamed, names))
+        return now_s - self.lagging_since_s < MAX_LAG_S
+
+    def leave_out_unnamed(self, names: set[str]) -> None:
+        """Stops sending to upstreams that an older whole list doesn't name: if discovery has restarted its numbering
+        they are gone, and nothing may be sent to them once the grace of a drain is over. Otherwise they are left out
+        only until their next update."""
+        unnamed = [replace(member, upstream=replace(member.upstream, state=UpstreamState.DRAINING))
+                   for member in self.members.values()
+                   if member.name not in names and member.upstream.state is UpstreamState.READY]
+        if unnamed:
+            self.on_list(ListKind.DELTA, Listing(self.generation, False, unnamed))
+
+    def accept_restart(self, call: _Call) -> None:
+        """Discovery has restarted its numbering: makes the next watch begin with the full list."""
+        self.generation = 0
+        self.end_lag()
+        call.finish()
+
+    def accept_restart_of_watch(self) -> None:
+        if self.watch is not None and self.watch.lagging_since_s is not None:
+            self.accept_restart(self.watch)
+
+    def end_lag(self) -> None:
+        """The lists are no longer older than ours, or count as current."""
+        self.lagging_since_s = None
+        while self.lag_timers:
+            self.lag_timers.pop().cancel()
 
     def keeps_open(self, call: _Call) -> bool:
         """Whether a call whose first data is late stays open. If it were closed, it would lose its place in the queue
@@ -360,9 +408,14 @@
             limit_s = min(self.discovery.current_timeout_s(), self.max_first_data_s)
         self.last_data_s = loop.time()
         self.silence_timer = loop.call_later(limit_s, self.handle_silence)
+        had_answered = self.has_answered
         try:
             assert self.parser is not None
             self.parser.feed_data(data)
+            if self.has_answered and not had_answered and not self.is_closed:
+                # from now on only heartbeats are due
+                self.silence_timer.cancel()
+                self.silence_timer = loop.call_later(SILENCE_TIMEOUT_S, self.handle_silence)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # exceptions of callbacks are wrapped in HttpParserError
             self.discovery.log(f"discovery at {self.address[0]}:{self.address[1]}: {error.__context__ or error}")
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -228,7 +228,7 @@
         self.server = Server(self, max_connections, self.clock.now_us, self.ledger, config.memory_mb)
         self.discovery = Discovery(config.discovery, config.directory, config.last_known_list.generation, self.on_list,
                                    config.discovery_timeout_us / 1e6, self.log, self.balancer.list_call_spread_us() > 0,
-                                   config.seed)
+                                   config.seed, config.drain_grace_us / 1e6)
         self.requests: dict[int, Request] = {}
         self.by_txn: dict[str, Request] = {}  # by transaction id: those not yet answered
         self.known_txns: set[str] = set()  # of all `requests`
--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -369,3 +369,49 @@
         assert refused.status == 503 and "retry-after" not in refused.headers and len(peer.got) == 5
 
     run(test)
+
+
+# Guards against a new discovery process, which numbers its lists anew, that is taken for the old one lagging.
+def test_an_upstream_that_a_restarted_discovery_leaves_out_gets_nothing_after_its_grace() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await scene_with_watch(peer, {}, grace_us=500_000)
+        scene.discovery.line(listing(generation=1))
+        begun_s = asyncio.get_running_loop().time()
+        await until(lambda: upstream_state(scene) is UpstreamState.DRAINING)
+        assert asyncio.get_running_loop().time() - begun_s < 0.5
+        assert scene.sidecar.discovery.generation == 42
+
+    run(test)
+
+
+def test_an_upstream_that_a_lagging_list_leaves_out_for_a_moment_stays() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await scene_with_watch(peer, {}, grace_us=500_000)
+        scene.discovery.line(listing(generation=41))
+        await asyncio.sleep(0.1)
+        scene.discovery.line(listing(peer.entry("s-1"), generation=43))
+        await asyncio.sleep(0.4)
+        assert upstream_state(scene) is UpstreamState.READY and not scene.sidecar.discovery.lag_timers
+
+    run(test)
+
+
+# Guards against a restarted discovery that is never believed, as each watch on it ends before its first heartbeat.
+def test_a_restarted_discovery_is_believed_though_it_sends_no_heartbeat(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MAX_LAG_S", 1.5)
+
+    async def test() -> None:
+        peer, other = await Peer().start(), await Peer().start()
+        scene = await scene_with_watch(peer, {"registry-mode": "pushed"}, grace_us=500_000)
+        new = listing(other.entry("s-2"), generation=1)
+        scene.discovery.line(new)
+        while "s-2" not in {pool.member.name for pool in scene.sidecar.upstreams.pools.values()}:
+            watches = len(scene.discovery.writers)
+            await asyncio.sleep(0.05)
+            if len(scene.discovery.writers) > watches:
+                scene.discovery.line(new)
+        assert (await scene.call()).status == 200 and len(other.got) == 1
+
+    run(test)
