Messages that other servers may read in another way are rejected

Cause: the parser takes HTTP/0.9 and 2.0 on an HTTP/1.1 connection, codings before chunked (the body was passed on decoded from the chunks alone), chunks in HTTP/1.0, a second Host and a fragment in the target. Class: a message accepted by what one parser allows and not by what all read alike. Change: they get 400.

--- a/ironscale/net/request_parser.py
+++ b/ironscale/net/request_parser.py
@@ -13,6 +13,7 @@
 # and after `Upgrade` the parser takes the body for another protocol and drops it.
 REJECTED_HEADERS = frozenset((b"transfer_encoding", b"content_length", b"upgrade"))
 
+VERSIONS = frozenset(("1.0", "1.1"))
 END_OF_HEAD = b"\r\n\r\n"  # also the last bytes of a body in chunks
 MIN_FEED_BYTES = 64  # requests shorter than this may be parsed together
 FIELD_BYTES = 160  # memory that a header takes beside its characters
@@ -147,7 +148,13 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        assert self.parser is not None
         self.in_head = False
+        version = self.parser.get_http_version()
+        if version not in VERSIONS:
+            raise ValueError(version)
+        if b"#" in self.target:  # clients keep the fragment to themselves; an upstream may read it as part of the path
+            raise ValueError(self.target)
         self.head_size = len(self.target) + sum(len(name) + len(value) for name, value in self.headers)
         if self.head_size > MAX_HEAD_BYTES:
             raise TooLarge("head")
@@ -159,6 +166,10 @@
                     raise TooLarge("body")
             if name in REJECTED_HEADERS:
                 raise ValueError(name)
+            if name == b"transfer-encoding" and (value.strip().lower() != b"chunked" or version != "1.1"):
+                raise ValueError(value)  # the body would be passed on in a coding that nobody names any more
+        if sum(name == b"host" for name, _ in self.headers) > 1:
+            raise ValueError("host")
 
     def on_body(self, body: bytes) -> None:
         if len(self.body) + len(body) > MAX_BODY_BYTES:
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -99,3 +99,30 @@
         while failure is None and parser.unparsed_size():
             failure = parser.parse_next()
         assert failure is ParseFailure.TOO_LARGE and not parser.take_complete()
+
+
+UNSOUND = {
+    "version 0.9": b"GET /api HTTP/0.9\r\nHost: h\r\n\r\n",
+    "version 2.0": b"GET /api HTTP/2.0\r\nHost: h\r\n\r\n",
+    "fragment": b"GET /api#x HTTP/1.1\r\nHost: h\r\n\r\n",
+    "two hosts": b"GET /api HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+    "another coding": b"POST /api HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    "chunks in 1.0": b"POST /api HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    "two lengths": b"POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+    "length and chunks": b"POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab",
+    "signed length": b"POST /api HTTP/1.1\r\nHost: h\r\nContent-Length: +2\r\n\r\nab",
+    "space before colon": b"GET /api HTTP/1.1\r\nHost : h\r\n\r\n",
+    "folded line": b"GET /api HTTP/1.1\r\nHost: h\r\nX: y\r\n z\r\n\r\n",
+    "line feed alone": b"GET /api HTTP/1.1\nHost: h\n\n",
+    "control character": b"GET /api HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n",
+}
+
+
+# Guards against a message that is not sound and is passed on as one that is.
+@pytest.mark.parametrize("data", UNSOUND.values(), ids=[name.replace(" ", "-") for name in UNSOUND])
+def test_a_message_that_is_not_sound_gives_no_request(data: bytes) -> None:
+    parser, failure = RequestParser(), None
+    parser.append(data)
+    while failure is None and parser.unparsed_size():
+        failure = parser.parse_next()
+    assert failure is ParseFailure.MALFORMED and not parser.take_complete()
