--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -31,8 +31,9 @@
 from ironscale.agent.versions_replica import VersionsReplica, run_forever
 from ironscale.control.extension import package_version
 from ironscale.control.messages import Hello
-from ironscale.net.sidecar import STOP_SIGNALS, Clock
+from ironscale.net.sidecar import STOP_SIGNALS
 from ironscale.net.signals import Signals
+from ironscale.net.timers import Clock
 from ironscale.operator_file import AgentConfig as AgentSection
 from ironscale.operator_file import read_secret
 from ironscale.versions.serving import VersionDistributor
--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import enum
 import logging
-import select
 import socket
 import traceback
 from collections import deque
@@ -13,24 +12,23 @@
 from typing import Protocol
 
 from ironscale import logs
-from ironscale.net.end_poller import END_EVENTS, EndPoller
+from ironscale.net.client_end import ClientEnd
+from ironscale.net.end_poller import EndPoller
 from ironscale.net.errors import Severity, severity
+from ironscale.net.exchange import Exchange
 from ironscale.net.http_message import MAX_BODY_BYTES
-from ironscale.net.lifecycle import Event, Ledger, Lifecycle
+from ironscale.net.lifecycle import Event, Ledger
 from ironscale.net.memory_budget import MemoryBudget
 from ironscale.net.request_parser import ParsedRequest, RequestParser
-from ironscale.net.stream import Stream, Unread, may_hide_end, peek, since_last_byte_us
+from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
-MAX_HIDDEN_US = 50_000  # 0.1 s are allowed from a client's end until nothing more is sent for it
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
 PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
 MAX_PROBES_IN_CROWD = 8  # readiness probes on a connection without another request
-EXCHANGE_BYTES = 2_000  # memory that a request takes beside its bytes, until it is over
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
-END_POLL_TRIES = 3  # an interrupted poll misses a client's end, and a request would be sent for nobody
 READY_PATH = b"/health/ready"
 REASON_PHRASES = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large",
                   502: b"Bad Gateway", 503: b"Service Unavailable"}
@@ -47,40 +45,6 @@
     CLOSING = "closing after its last answer"
 
 
-class Exchange:
-    """One request of a client and its single answer.
-
-    `arrived_us` is when its last byte reached this machine; `client_has_left` asks whether the client has closed its
-    side, and `end_may_be_hidden` whether it may have, without a sign of it.
-    """
-
-    def __init__(self, connection: ClientConnection, request: ParsedRequest, arrived_us: int) -> None:
-        self.connection = connection
-        self.method = request.method
-        self.target = request.target
-        self.headers = request.headers
-        self.body = request.body
-        self.keep_alive = request.keep_alive
-        self.arrived_us = arrived_us
-        self.lifecycle = Lifecycle(connection.server.ledger)
-        self.client_has_left = connection.client_has_left
-        self.end_may_be_hidden = connection.end_may_be_hidden
-        self.size = EXCHANGE_BYTES + request.size
-        self.header_values: dict[bytes, bytes] = {}
-        for name, value in request.headers:
-            # a repeated header reads as empty, since it is ambiguous which value counts
-            self.header_values[name] = value if name not in self.header_values else b""
-
-    def header(self, name: bytes) -> str:
-        """The header's value, by its lower-case name; empty if it is missing or repeated."""
-        return self.header_values.get(name, b"").decode("latin-1")
-
-    def answer(self, status: int, headers: Iterable[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
-        """Sends the answer; ignored if the request has been answered or cancelled already."""
-        if self.lifecycle.answer(status):
-            self.connection.answer(self, status, headers, body)
-
-
 class Application(Protocol):
     """The interface through which client connections call the sidecar."""
 
@@ -141,16 +105,19 @@
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
         self.is_paced = False  # reading is paused for the time that its last piece took to parse
         self.reading_paused = False  # if so, the event loop does not report the client's end
-        self.end_poll: select.poll | None = None
         # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
         self.quiet_since_us = self.last_byte_us = self.last_answer_us = server.now_us()
-        self.seen_open_us = self.quiet_since_us  # when an end of the client would have been seen, and was not
+        self.client_end = ClientEnd(sock, self.quiet_since_us)
         self.arrived_us = 0  # when the bytes read last, of which some may still be unparsed, reached this machine
         self.charged_bytes = 0  # of the server's MemoryBudget
         self.listed_phase: Phase | None = None  # kept by the server's QuietConnections
         self.close_reason = ""  # why this side closes it, with its phase; empty if it did not decide to
         self.close_decided_us = 0
 
+    @property
+    def ledger(self) -> Ledger:
+        return self.server.ledger
+
     def open(self) -> None:
         self.transport = Stream(self.sock, self, self.server.memory.plan.read_bytes)
 
@@ -174,7 +141,7 @@
         waited_us = since_last_byte_us(self.sock)
         self.arrived_us = self.last_byte_us - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
         if len(data) < self.server.memory.plan.read_bytes:  # the buffer is empty: an end would have been seen
-            self.seen_open_us = self.last_byte_us
+            self.client_end.seen_open_us = self.last_byte_us
         self.parser.append(data)
         self.parse()
         self.pace(self.server.now_us() - self.last_byte_us)
@@ -336,35 +303,18 @@
         return peek(self.sock) in (Unread.BYTES, Unread.UNKNOWN)
 
     def client_has_left(self) -> bool:
-        """Whether the client has closed its side; if so, its requests are cancelled. Asks the socket, because the event
-        loop may not have read the end yet (never while reading is paused), and a request would be sent for nobody."""
-        if self.transport is None:
-            return True
-        if not self.transport.is_closing():  # once it closes no answer can be written: the client counts as gone
-            unread = peek(self.sock)
-            if unread in (Unread.NOTHING, Unread.UNKNOWN):
-                return False
-            if unread is Unread.BYTES and not self.client_has_left_behind_bytes():
-                return False
-        self.on_client_left()
+        """Whether the client has closed its side; if so, its requests are cancelled."""
+        # once the transport closes no answer can be written: the client counts as gone
+        if self.transport is not None and not self.transport.is_closing() and not self.client_end.is_seen():
+            return False
+        if self.transport is not None:
+            self.on_client_left()
         return True
 
     def end_may_be_hidden(self) -> bool:
-        """Whether the client may have left for longer than an attempt may begin after it, without a sign of it."""
-        if not self.reading_paused:  # otherwise the event loop reads up to the end
-            return False
-        now_us = self.server.now_us()
-        if not may_hide_end(self.sock):
-            self.seen_open_us = now_us
-        return now_us - self.seen_open_us > MAX_HIDDEN_US
-
-    def client_has_left_behind_bytes(self) -> bool:
-        """Whether the client's end follows the unread bytes."""
-        if self.end_poll is None:
-            self.end_poll = select.poll()
-            self.end_poll.register(self.sock, END_EVENTS)
-        # a poll that a signal interrupts reports nothing, hence the repetition
-        return any(events & END_EVENTS for _ in range(END_POLL_TRIES) for _, events in self.end_poll.poll(0))
+        """Whether the client may have left, for longer than an attempt may begin after it, without a sign of it."""
+        # while reading goes on, the event loop comes to the end
+        return self.reading_paused and self.client_end.may_be_hidden(self.server.now_us())
 
     def on_client_left(self) -> None:
         """Cancels the open requests and closes: the client has closed its side."""
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -23,17 +23,17 @@
                           timeout=60)
     assert done.stdout.split() == [
         "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.confidence", "ironscale.fleet_estimates",
-        "ironscale.interface", "ironscale.logs", "ironscale.net", "ironscale.net.client", "ironscale.net.config",
-        "ironscale.net.connection_metrics", "ironscale.net.connection_reuse", "ironscale.net.discovery",
-        "ironscale.net.discovery_schedule", "ironscale.net.end_poller", "ironscale.net.errors",
-        "ironscale.net.event_dispatcher", "ironscale.net.http_message", "ironscale.net.jsonstream",
-        "ironscale.net.lifecycle", "ironscale.net.listener_shutdown", "ironscale.net.memory",
-        "ironscale.net.memory_budget",
+        "ironscale.interface", "ironscale.logs", "ironscale.net", "ironscale.net.client", "ironscale.net.client_end",
+        "ironscale.net.config", "ironscale.net.connection_metrics", "ironscale.net.connection_reuse",
+        "ironscale.net.discovery", "ironscale.net.discovery_schedule", "ironscale.net.end_poller",
+        "ironscale.net.errors", "ironscale.net.event_dispatcher", "ironscale.net.exchange",
+        "ironscale.net.http_message", "ironscale.net.jsonstream", "ironscale.net.lifecycle",
+        "ironscale.net.listener_shutdown", "ironscale.net.memory", "ironscale.net.memory_budget",
         "ironscale.net.periodic", "ironscale.net.quiet_connections", "ironscale.net.recent_ids",
-        "ironscale.net.request_checks",
-        "ironscale.net.request_log", "ironscale.net.request_parser", "ironscale.net.server", "ironscale.net.sidecar",
-        "ironscale.net.signals", "ironscale.net.socket_connect", "ironscale.net.start_times", "ironscale.net.stream",
-        "ironscale.net.upstream", "ironscale.net.upstream_connection", "ironscale.settings", "ironscale.sum_tree"]
+        "ironscale.net.request_checks", "ironscale.net.request_log", "ironscale.net.request_parser",
+        "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.signals", "ironscale.net.socket_connect",
+        "ironscale.net.start_times", "ironscale.net.stream", "ironscale.net.timers", "ironscale.net.upstream",
+        "ironscale.net.upstream_connection", "ironscale.settings", "ironscale.sum_tree"]
 
 
 def test_the_control_extension_needs_no_extra_packages() -> None:
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -15,8 +15,9 @@
 import pytest
 
 from ironscale.net import server as module
-from ironscale.net.client import MAX_UNREAD_ANSWER_BYTES, ClientConnection, Exchange
+from ironscale.net.client import MAX_UNREAD_ANSWER_BYTES, ClientConnection
 from ironscale.net.end_poller import END_EVENTS, POLL_INTERVAL_S
+from ironscale.net.exchange import Exchange
 from ironscale.net.upstream import Pool
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
--- a/tests/ends/test_surplus.py
+++ b/tests/ends/test_surplus.py
@@ -12,7 +12,8 @@
 
 from ironscale.interface import Outcome
 from ironscale.net import connection_reuse, lifecycle, socket_connect
-from ironscale.net.client import Exchange, Phase
+from ironscale.net.client import Phase
+from ironscale.net.exchange import Exchange
 from ironscale.net.request_parser import ParsedRequest
 from ironscale.net.stream import Unread, peek
 from ironscale.net.upstream_connection import Connection
--- a/tests/ends/test_unsent.py
+++ b/tests/ends/test_unsent.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from ironscale.net.client import UNREAD_ANSWER_TIMEOUT_S, Exchange
+from ironscale.net.client import UNREAD_ANSWER_TIMEOUT_S
+from ironscale.net.exchange import Exchange
 from ironscale.net.server import Server
 from ironscale.standins.http import read_message
 from tests.sockets import run, until
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from ironscale.net.client import Exchange
+from ironscale.net.exchange import Exchange
 from ironscale.net.server import Server
 from ironscale.standins.http import read_message
 from tests.learned.test_restart import Site
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,9 +19,11 @@
 
 from ironscale import interface as api
 from ironscale.net import client, server, upstream, upstream_connection
+from ironscale.net.exchange import Exchange
 from ironscale.net.memory_budget import MAX_READ_BYTES
 from ironscale.net.request_checks import parse_remaining_us
-from ironscale.net.sidecar import ANSWER_MARGIN_US, Clock, parse_load_report
+from ironscale.net.sidecar import ANSWER_MARGIN_US, parse_load_report
+from ironscale.net.timers import Clock
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
 from ironscale.standins.settings import SETTINGS
@@ -534,7 +536,7 @@
 
         def counts() -> tuple[int, int, int]:
             gc.collect()
-            objects = sum(isinstance(o, client.ClientConnection | client.Exchange | upstream_connection.Connection
+            objects = sum(isinstance(o, client.ClientConnection | Exchange | upstream_connection.Connection
                                      | upstream_connection.Attempt | upstream.Pool) for o in gc.get_objects())
             return objects, len(os.listdir("/proc/self/fd")), len(asyncio.all_tasks())
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -11,9 +11,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ironscale.net import sidecar as module
+from ironscale.net import timers as module
 from ironscale.net.request_checks import parse_estimate_us, subject
-from ironscale.net.sidecar import Clock, TimerQueue
+from ironscale.net.timers import Clock, TimerQueue
 from tests.sockets import run, until
 
 
