A connection whose next request begins in the next turn counts as busy

Cause: since requests sent ahead stay unparsed, a connection could seem idle for one turn of the event loop between an answer and the next request, where memory is short; a shutdown that looked just then closed it over what it had read. Change: it is busy until that turn. Found by reading the change again; no run of a process had shown it.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -355,7 +355,8 @@
         return self.transport.is_over
 
     def is_busy(self) -> bool:
-        return self.current is not None or bool(self.pipelined)
+        """Whether a request is open, or the next one begins in the next turn of the event loop."""
+        return self.current is not None or bool(self.pipelined) or self.next_is_scheduled
 
     def eof_received(self) -> None:
         self.cancel_requests("client left")
--- a/tests/ends/test_clients.py
+++ b/tests/ends/test_clients.py
@@ -18,6 +18,7 @@
 from ironscale.net.client import MAX_UNREAD_ANSWER_BYTES, ClientConnection
 from ironscale.net.end_poller import END_EVENTS, POLL_INTERVAL_S
 from ironscale.net.exchange import Exchange
+from ironscale.net.memory_budget import MAX_READ_BYTES, MemoryPlan
 from ironscale.net.upstream import Pool
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
@@ -291,3 +292,26 @@
         client.close()
 
     run(test)
+
+
+# Guards against requests sent ahead that are dropped where a shutdown finds their connection between two of them.
+def test_a_shutdown_drops_no_request_that_begins_in_the_next_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While memory is short a request is parsed only after the answer to the one before."""
+    reuse_at_once(monkeypatch)
+
+    async def test() -> None:
+        scene = await Scene().start((await Peer(reply(ok())).start()).entry("s-1"))
+        scene.sidecar.server.memory.plan = MemoryPlan(data_bytes=1, max_connections=20, read_bytes=MAX_READ_BYTES)
+        count = 4
+        client = connect(scene, b"".join(scene.request() for _ in range(count)))
+        await until(lambda: scene.sidecar.server.connections)
+        connection = connection_of(scene, client)
+        await until(lambda: connection.has_had_request)
+        while connection.is_busy() or connection.parser.unparsed_size():
+            scene.sidecar.server.close_idle()
+            await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(sock=client)
+        assert [(await read_message(reader)).status for _ in range(count)] == [200] * count
+        writer.close()
+
+    run(test)
