A pause after a piece of a request follows from its bytes, not from a held-up process

Cause: the pause was in proportion to the time on the clock; a process held up for 0.15 s in that moment, with 100 requests in part, would not have read a slow client for 37 s. A request in part behind an open one was never paused. An end counts as looked for by what the stream reads at a time, also after a new configuration. Found by reading the change again.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -25,6 +25,7 @@
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
+MAX_US_PER_BYTE = 0.5  # longer, the process was held up and not by the bytes
 PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
 MAX_PROBES_IN_CROWD = 8  # readiness probes on a connection without another request
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
@@ -140,20 +141,21 @@
         # the bytes may have waited in the socket buffer while the process was stalled or its reads failed
         waited_us = since_last_byte_us(self.sock)
         self.arrived_us = self.last_byte_us - (waited_us if waited_us >= MIN_READ_DELAY_US else 0)
-        if len(data) < self.server.memory.plan.read_bytes:  # the buffer is empty: an end would have been seen
+        if self.transport is not None and len(data) < self.transport.read_bytes:
+            # the buffer is empty: an end would have been seen
             self.client_end.seen_open_us = self.last_byte_us
         self.parser.append(data)
         self.parse()
-        self.pace(self.server.now_us() - self.last_byte_us)
+        self.pace(min(self.server.now_us() - self.last_byte_us, int(len(data) * MAX_US_PER_BYTE)))
         self.server.received(self)
 
     def pace(self, spent_us: int) -> None:
         """Pauses reading after a piece of a request that took long to parse, so that all such clients together take a
         part of the time only: the pause is in proportion to the time and to their number."""
-        if spent_us >= MIN_PACED_US and self.has_partial_request and self.current is None and not self.is_paced:
+        if spent_us >= MIN_PACED_US and self.has_partial_request and not self.is_paced:
             self.is_paced = True
             self.update_reading()
-            pause_s = spent_us / 1e6 * self.server.in_part_count() / PACED_SHARE
+            pause_s = spent_us / 1e6 * max(1, self.server.in_part_count()) / PACED_SHARE
             asyncio.get_running_loop().call_later(pause_s, self.end_pace)
 
     def end_pace(self) -> None:
@@ -261,7 +263,7 @@
         self.next_is_scheduled = False
         if self.current is None and self.transport is not None:
             self.begin_queued()
-            self.parse()
+            self.parse()  # also files the connection anew, if nothing has begun
             self.server.charge(self)
 
     def abort_unread(self) -> None:
--- a/tests/ends/test_paced.py
+++ b/tests/ends/test_paced.py
@@ -18,6 +18,7 @@
 async def paced_scene(monkeypatch: pytest.MonkeyPatch, share: float) -> Scene:
     """A scene in which every piece of a request counts as one that took long."""
     monkeypatch.setattr(module, "MIN_PACED_US", 0)
+    monkeypatch.setattr(module, "MAX_US_PER_BYTE", 1e6)
     monkeypatch.setattr(module, "PACED_SHARE", share)
     return await Scene().start((await Peer(reply(ok())).start()).entry("s-1"))
 
@@ -67,6 +68,21 @@
     run(test)
 
 
+# Guards against a long pause for a client whose small piece was read as the process was held up.
+def test_a_small_piece_is_never_followed_by_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        client = connect(scene, scene.request("pay", b"x" * 100)[:-50])
+        await until(lambda: scene.sidecar.server.connections and connection_of(scene, client).has_partial_request)
+        connection = connection_of(scene, client)
+        monkeypatch.setattr(scene.sidecar.server, "now_us", iter(range(0, 10**9, 200_000)).__next__)
+        connection.data_received(b"x" * 10)
+        assert not connection.is_paced
+        client.close()
+
+    run(test)
+
+
 # Guards against connections that no new client can replace, as their probes never end.
 def test_probes_without_end_make_room_in_a_crowd() -> None:
     async def test() -> None:
