Bodies in chunks are parsed in short steps, and one probe is enough in a crowd

Usual requests that waited meanwhile came as one burst and were refused. Change: a body in chunks is fed 512 bytes at a time and paused after 0.2 ms, within a read too; 0.2 of the time in place of 0.4 for all such clients; in a crowd a connection with probes alone ends after the second answer.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -26,8 +26,8 @@
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
 MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
 MAX_US_PER_BYTE = 0.5  # longer, the process was held up and not by the bytes
-PACED_SHARE = 0.4  # of the time, for all clients together whose pieces take longer
-MAX_PROBES_IN_CROWD = 8  # readiness probes on a connection without another request
+PACED_SHARE = 0.2  # of the time, for all clients together whose pieces take longer
+MAX_PROBES_IN_CROWD = 1  # readiness probes on a connection without another request
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
 READY_PATH = b"/health/ready"
@@ -146,28 +146,31 @@
             self.client_end.seen_open_us = self.last_byte_us
         self.parser.append(data)
         self.parse()
-        self.pace(min(self.server.now_us() - self.last_byte_us, int(len(data) * MAX_US_PER_BYTE)))
         self.server.received(self)
 
+    def parse(self) -> None:
+        begun_us, unparsed_bytes = self.server.now_us(), self.parser.unparsed_size()
+        while self.may_parse():
+            self.parse_next()
+            self.begin_queued()
+            parsed_bytes = unparsed_bytes - self.parser.unparsed_size()
+            self.pace(min(self.server.now_us() - begun_us, int(parsed_bytes * MAX_US_PER_BYTE)))
+        self.update_reading()
+        self.server.reclassify(self)
+
     def pace(self, spent_us: int) -> None:
-        """Pauses reading after a piece of a request that took long to parse, so that all such clients together take a
-        part of the time only: the pause is in proportion to the time and to their number."""
+        """Pauses a request in part whose bytes take long to parse, so that all such clients together take a part of the
+        time only: the pause is in proportion to the time and to their number."""
         if spent_us >= MIN_PACED_US and self.has_partial_request and not self.is_paced:
             self.is_paced = True
-            self.update_reading()
             pause_s = spent_us / 1e6 * max(1, self.server.in_part_count()) / PACED_SHARE
             asyncio.get_running_loop().call_later(pause_s, self.end_pace)
 
     def end_pace(self) -> None:
         self.is_paced = False
-        self.update_reading()
-
-    def parse(self) -> None:
-        while self.may_parse():
-            self.parse_next()
-            self.begin_queued()
-        self.update_reading()
-        self.server.reclassify(self)
+        if self.transport is not None:
+            self.parse()
+            self.server.received(self)
 
     def update_reading(self) -> None:
         """Pauses reading while requests are queued, as pipelining without end would fill the memory, or resumes it."""
@@ -183,7 +186,7 @@
 
     def may_parse(self) -> bool:
         """Whether to parse on. Only one request waits for the one before it, and none while memory is short."""
-        if not self.parser.unparsed_size() or self.finishing:
+        if not self.parser.unparsed_size() or self.finishing or self.is_paced:
             return False
         return not self.pipelined and (self.current is None or not self.server.memory.is_exceeded())
 
--- a/ironscale/net/request_parser.py
+++ b/ironscale/net/request_parser.py
@@ -16,6 +16,7 @@
 VERSIONS = frozenset(("1.0", "1.1"))
 END_OF_HEAD = b"\r\n\r\n"  # also the last bytes of a body in chunks
 MIN_FEED_BYTES = 64  # requests shorter than this may be parsed together
+MAX_CHUNKED_FEED_BYTES = 512  # of a body in chunks, which may be small and many
 FIELD_BYTES = 160  # memory that a header takes beside its characters
 
 
@@ -86,6 +87,8 @@
         """The position in the unparsed bytes up to which they are fed."""
         if self.body_left:
             return min(self.position + self.body_left, len(self.unparsed))
+        if self.has_partial_request and not self.in_head:
+            return min(self.position + MAX_CHUNKED_FEED_BYTES, len(self.unparsed))
         end = self.unparsed.find(END_OF_HEAD, self.position + MIN_FEED_BYTES)
         return len(self.unparsed) if end < 0 else end + len(END_OF_HEAD)
 
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -10,7 +10,13 @@
 from hypothesis import strategies as st
 
 from ironscale.net.http_message import MAX_BODY_BYTES
-from ironscale.net.request_parser import MIN_FEED_BYTES, ParsedRequest, ParseFailure, RequestParser
+from ironscale.net.request_parser import (
+    MAX_CHUNKED_FEED_BYTES,
+    MIN_FEED_BYTES,
+    ParsedRequest,
+    ParseFailure,
+    RequestParser,
+)
 
 HEAD = b"POST /api?sid=7f HTTP/1.1\r\nHost: service.internal\r\nX-Txn: 9b1f03aa5c7e2d41\r\n"
 MAX_MEMORY_RATIO = 3  # of the memory of a request in part to its bytes; a list of pieces of 2 bytes takes over 20
@@ -126,3 +132,15 @@
     while failure is None and parser.unparsed_size():
         failure = parser.parse_next()
     assert failure is ParseFailure.MALFORMED and not parser.take_complete()
+
+
+# Guards against a read of a body in small chunks that is parsed in one long step.
+def test_a_body_in_chunks_is_parsed_in_short_steps() -> None:
+    parser, steps = RequestParser(), 0
+    parser.append(request(b"x" * 3_000, 1))
+    while parser.unparsed_size():
+        before = parser.unparsed_size()
+        assert parser.parse_next() is None
+        steps += 1
+        assert steps == 1 or before - parser.unparsed_size() <= MAX_CHUNKED_FEED_BYTES
+    assert len(parser.take_complete()) == 1
