No more is refused for want of memory than the memory needs

Cause: where the last request in part that was refused freed enough, those behind open requests were refused as well: the bound was asked before each of the first kind alone. Found by reading the change again. Change: it is asked before each. Measured: the new test fails on the commit before, passes now.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -182,11 +182,14 @@
                 connection.free_memory()
         behind_open = [one for one in self.connections if one.is_busy() and one.parser.held_bytes() > share_bytes]
         for connection in behind_open:
+            if not self.memory.is_exceeded():
+                return
             connection.free_memory()
         unread = [one for one in self.connections if one.unsent_bytes() > share_bytes]
         for connection in sorted(unread, key=lambda one: one.last_answer_us):
-            if self.memory.is_exceeded():
-                connection.abort_unread()
+            if not self.memory.is_exceeded():
+                return
+            connection.abort_unread()
 
     def forget(self, connection: ClientConnection) -> None:
         self.end_poller.unwatch(connection)  # its descriptor may soon belong to another connection
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -114,3 +114,24 @@
         assert await status_of(client) == 200  # the open one is answered
 
     run(test)
+
+
+# Guards against requests that are refused although the memory suffices again.
+def test_no_more_is_refused_than_the_memory_needs() -> None:
+    async def test() -> None:
+        peer = await Peer(hang).start()
+        scene = await small_scene(peer)
+        client = connect(scene, scene.request("pay") + scene.request("pay", b"x" * 15_000)[:-50])
+        await until(lambda: peer.got)
+        await asyncio.sleep(READ_TIME_S)
+        stalled = connect(scene, scene.request("pay", b"x" * 30_000)[:-50])
+        assert await status_of(stalled) == 503
+        assert not scene.sidecar.server.memory.is_exceeded()
+        peer.behave = reply(ok())
+        client.send(b"x" * 50)
+        peer.answer_held(ok())
+        reader, writer = await asyncio.open_connection(sock=client)
+        assert [(await read_message(reader)).status for _ in range(2)] == [200, 200]
+        writer.close()
+
+    run(test)
