What the memory limit leaves is measured as the listener opens

Cause: it was measured before the known list of upstreams was applied; a long list takes many MB, which were given away. Found by reading the change again. Change: measured once more as the listener opens, when that list has been applied. Measured: the new test fails on the commit before, passes now.

--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -60,7 +60,8 @@
                  ledger: Ledger | None = None, memory_mb: float = 0.0) -> None:
         self.application = application
         self.ledger = ledger or Ledger(now_us, logs.write_line)
-        self.used_at_start_bytes = read_memory().resident_bytes  # when all that lasts has been created
+        self.memory_mb = memory_mb  # limit of the process; 0 if it is not known
+        self.used_at_start_bytes = read_memory().resident_bytes  # measured again as it starts to listen
         self.memory = MemoryBudget(plan_memory(memory_mb, self.used_at_start_bytes, max_connections))
         self.max_connections = self.memory.plan.max_connections
         self.now_us = now_us
@@ -80,6 +81,7 @@
 
     def set_limits(self, max_connections: int, memory_mb: float) -> None:
         """Shares the memory that was left at the start among at most so many connections; fewer if it is short."""
+        self.memory_mb = memory_mb
         self.memory.plan = plan_memory(memory_mb, self.used_at_start_bytes, max_connections)
         self.max_connections = self.memory.plan.max_connections
 
@@ -94,6 +96,9 @@
             listener.close()  # left open it would take connections from the next start's listener and accept none
             raise
         self.listener, self.reuse_port = listener, reuse_port
+        # by now the first list of upstreams, which may be long, has been read and applied
+        self.used_at_start_bytes = read_memory().resident_bytes
+        self.set_limits(self.max_connections, self.memory_mb)
         self.sweeper = Periodic(SWEEP_INTERVAL_S, self.sweep)
         port: int = listener.getsockname()[1]
         return port
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from ironscale.net import server as server_module
+from ironscale.net.exchange import Exchange
+from ironscale.net.memory import Memory
 from ironscale.net.memory_budget import (
     CONNECTION_BYTES,
     CONNECTIONS_SHARE,
@@ -20,6 +23,7 @@
     MemoryPlan,
     plan_memory,
 )
+from ironscale.net.server import Server
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, hang, reply
 from tests.sockets import Scene, run, until
@@ -43,6 +47,19 @@
     assert plan_memory(0.0, 27 * MIB, 496) == MemoryPlan(DEFAULT_DATA_BYTES, 496, MAX_READ_BYTES)
 
 
+class Application:
+    """Takes no requests."""
+
+    def is_ready(self) -> bool:
+        return True
+
+    def on_request(self, exchange: Exchange) -> None:
+        raise AssertionError("no request was expected")
+
+    def on_client_disconnected(self, exchange: Exchange) -> None:
+        raise AssertionError("no request was expected")
+
+
 async def small_scene(peer: Peer) -> Scene:
     scene = await Scene().start(peer.entry("s-1"))
     scene.sidecar.server.memory.plan = SMALL_PLAN
@@ -135,3 +152,18 @@
         writer.close()
 
     run(test)
+
+
+# Guards against a plan made before the first list of upstreams, which may take many MB, has been applied.
+def test_what_is_left_is_measured_as_the_listener_opens(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        server = Server(Application(), 496, lambda: 0, memory_mb=64)
+        monkeypatch.setattr(server_module, "read_memory", lambda: Memory(60 * MIB, 60 * MIB))
+        await server.listen(("127.0.0.1", 0))
+        assert server.memory.plan == plan_memory(64, 60 * MIB, 496)
+        assert server.max_connections == server.memory.plan.max_connections < 496
+        server.drop_listener()
+        assert server.sweeper is not None
+        server.sweeper.cancel()
+
+    run(test)
