A restarted discovery is told from a lagging one by the known list too

Cause: who is on the list was kept from discovery's own lists alone; a new process of the sidecar, which has only the known list of its configuration, left nobody out whom a restarted discovery does not name. Change: the known list is kept too. Measured: the new test fails on the commit before (TimeoutError), passes now.

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -271,6 +271,7 @@
         self.open_successor()  # the answer may come from an address that was replaced since the call began
 
     def record_members(self, listing: Listing) -> None:
+        """Keeps who is on the latest list, for when a later one leaves somebody out."""
         if listing.full:
             self.members = {}
         for member in listing.members:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -161,6 +161,7 @@
 
     async def start(self, reuse_port: bool = False) -> int:
         """Starts to listen, with the upstreams of the configuration until discovery answers; returns the port."""
+        self.discovery.record_members(self.config.last_known_list)
         self.on_list(api.ListKind.CACHED, self.config.last_known_list)
         self.port = await self.server.listen(self.config.listen, reuse_port)
         return self.port
--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -22,7 +22,7 @@
 from ironscale.net.sidecar import Sidecar
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.upstream import Peer, reset
-from tests.sockets import TEST_TIMEOUT_S, Scene, run, until
+from tests.sockets import TEST_TIMEOUT_S, Scene, config, run, until
 from tests.test_discovery import ENTRY, kinds, open_watch
 
 PUSHED: dict[str, Any] = {"registry-mode": "pushed"}
@@ -385,6 +385,26 @@
     run(test)
 
 
+# Guards against a new process of the sidecar that knows of nobody whom a restarted discovery could leave out.
+def test_an_upstream_of_the_known_list_that_a_restarted_discovery_leaves_out_is_left_out() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = Scene()
+        await scene.discovery.start()
+        changes = settings_of({}, grace_us=500_000)
+        parsed = config(scene.discovery.port, peer.entry("s-1"), **changes)
+        parsed.last_known_list.generation = 41
+        scene.sidecar = Sidecar(parsed)
+        scene.port = await scene.sidecar.start()
+        await until(lambda: scene.discovery.writers)
+        scene.discovery.line(listing(generation=1))
+        begun_s = asyncio.get_running_loop().time()
+        await until(lambda: upstream_state(scene) is not UpstreamState.READY)
+        assert asyncio.get_running_loop().time() - begun_s < 0.5
+
+    run(test)
+
+
 def test_an_upstream_that_a_lagging_list_leaves_out_for_a_moment_stays() -> None:
     async def test() -> None:
         peer = await Peer().start()
