--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -60,7 +60,7 @@
                  ledger: Ledger | None = None, memory_mb: float = 0.0) -> None:
         self.application = application
         self.ledger = ledger or Ledger(now_us, logs.write_line)
-        self.memory_mb = memory_mb  # limit of the process; 0 if it is not known
+        self.limits = max_connections, memory_mb  # as they are set, before the memory is shared
         self.used_at_start_bytes = read_memory().resident_bytes  # measured again as it starts to listen
         self.memory = MemoryBudget(plan_memory(memory_mb, self.used_at_start_bytes, max_connections))
         self.max_connections = self.memory.plan.max_connections
@@ -81,7 +81,7 @@
 
     def set_limits(self, max_connections: int, memory_mb: float) -> None:
         """Shares the memory that was left at the start among at most so many connections; fewer if it is short."""
-        self.memory_mb = memory_mb
+        self.limits = max_connections, memory_mb
         self.memory.plan = plan_memory(memory_mb, self.used_at_start_bytes, max_connections)
         self.max_connections = self.memory.plan.max_connections
 
@@ -98,7 +98,7 @@
         self.listener, self.reuse_port = listener, reuse_port
         # by now the first list of upstreams, which may be long, has been read and applied
         self.used_at_start_bytes = read_memory().resident_bytes
-        self.set_limits(self.max_connections, self.memory_mb)
+        self.set_limits(*self.limits)
         self.sweeper = Periodic(SWEEP_INTERVAL_S, self.sweep)
         port: int = listener.getsockname()[1]
         return port
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -155,13 +155,17 @@
 
 
 # Guards against a plan made before the first list of upstreams, which may take many MB, has been applied.
-def test_what_is_left_is_measured_as_the_listener_opens(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(("first_mb", "then_mb"), [(30, 60), (70, 40)])
+def test_what_is_left_is_measured_as_the_listener_opens(
+        first_mb: int, then_mb: int, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
+        monkeypatch.setattr(server_module, "read_memory", lambda: Memory(first_mb * MIB, first_mb * MIB))
         server = Server(Application(), 496, lambda: 0, memory_mb=64)
-        monkeypatch.setattr(server_module, "read_memory", lambda: Memory(60 * MIB, 60 * MIB))
+        assert server.memory.plan == plan_memory(64, first_mb * MIB, 496)
+        monkeypatch.setattr(server_module, "read_memory", lambda: Memory(then_mb * MIB, then_mb * MIB))
         await server.listen(("127.0.0.1", 0))
-        assert server.memory.plan == plan_memory(64, 60 * MIB, 496)
-        assert server.max_connections == server.memory.plan.max_connections < 496
+        assert server.memory.plan == plan_memory(64, then_mb * MIB, 496)
+        assert server.max_connections == server.memory.plan.max_connections
         server.drop_listener()
         assert server.sweeper is not None
         server.sweeper.cancel()
