--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 from pathlib import Path
@@ -16,14 +15,11 @@
     BROKEN,
     HELD,
     NOT_RUN,
-    ROOT,
-    STARTED,
     TROUBLE,
     Record,
     Sidecar,
     entry,
     exchange,
-    free_port,
     needs,
     read_head,
     request,
@@ -32,13 +28,61 @@
 
 from ironscale.standins.discovery import ListedDiscovery  # noqa: E402
 
-PROGRAM = ROOT / ".venv-ci" / "bin" / "ironscale"
 # "what discovery has to tell counts as told 6 s later at the latest, whether or not it arrived", and the grace of a
 # drain (invariants.drain-grace), with the 50 ms by which each time limit is longer on sockets.
 TOLD_S, GRACE_S, SLACK_S = 6.0, 2.0, 0.05
 PLAYED_S, PACE_S = 14.0, 0.025
 
 
+class StandInAgent:
+    """An agent as docs/design/001-control.md has it: frames of a length and a JSON object. It welcomes one instance,
+    answers its heartbeats, and sends it one command."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.port = 0
+        self.generation = -1  # as last reported
+        self.boot = ""
+        self.writer: asyncio.StreamWriter | None = None
+        self.results: asyncio.Queue[str] = asyncio.Queue()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self.on_connection, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def send(self, writer: asyncio.StreamWriter, **message: Any) -> None:
+        body = json.dumps(message).encode()
+        writer.write(len(body).to_bytes(4) + body)
+
+    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                message = json.loads(await reader.readexactly(int.from_bytes(await reader.readexactly(4))))
+                if message["type"] == "hello":
+                    self.boot, self.writer = message["boot"], writer
+                    self.send(writer, type="welcome", lease_ms=6000, beat_ms=500, spread_ms=100, donors=[], term=1)
+                elif message["type"] == "beat":
+                    self.generation = message["report"]["generation"]
+                    self.send(writer, type="lease", seq=message["seq"])
+                elif message["type"] == "result":
+                    self.record.line(f"the sidecar says of command {message['id']}: {message['status']}")
+                    self.results.put_nowait(message["status"])
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def reconfigure(self, generation: int, overlay: dict[str, Any]) -> str:
+        """What the sidecar says of it."""
+        async with asyncio.timeout(15.0):
+            while self.writer is None:
+                await asyncio.sleep(0.05)
+            self.record.line(f"the agent rolls out generation {generation}: {overlay}")
+            self.send(self.writer, type="command", id="1.0.1", fence=1, boot=self.boot, kind="reconfigure",
+                      args={"generation": generation, "overlay": overlay})
+            return await self.results.get()
+
+
 async def play(record: Record, folder: Path) -> int:
     got: dict[str, list[float]] = {"s-1": [], "s-2": []}
 
@@ -61,36 +105,17 @@
         server = await asyncio.start_server(upstream(name), "127.0.0.1", 0)
         for discovery in (former, new):
             discovery.put(entry(name, server.sockets[0].getsockname()[1]))
-    data, control = folder / "data", free_port()
-    environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
-    (folder / "agent.toml").write_text(
-        f'[agent]\ndata = "{data}"\ncontrol = "127.0.0.1:{control}"\napi = "127.0.0.1:{free_port()}"\n')
+    agent = StandInAgent(record)
+    await agent.start()
+    token = folder / "instance.token"
+    token.write_text("token-of-the-stand-in\n")
+    token.chmod(0o600)
     (folder / "sidecar.toml").write_text(
-        f'[control]\nagent = "127.0.0.1:{control}"\ntoken_file = "{data}/instance.token"\nzone = "a"\n')
-    with open(folder / "agent.log", "ab") as log:
-        agent = await asyncio.create_subprocess_exec(PROGRAM, "agent", str(folder / "agent.toml"), env=environ,
-                                                     cwd=folder, stdin=asyncio.subprocess.DEVNULL, stdout=log,
-                                                     stderr=log)
-    STARTED.append(agent)
-
-    async def command(*words: str) -> int:
-        process = await asyncio.create_subprocess_exec(
-            PROGRAM, *words, "--data", str(data), env=environ, stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
-        STARTED.append(process)
-        said, _ = await process.communicate()
-        record.line(f"ironscale {' '.join(words)}: exit {process.returncode}: {said.decode().strip()}")
-        return process.returncode or 0
-
-    for _ in range(150):
-        if (data / "address").exists() and (data / "instance.token").exists():
-            break
-        await asyncio.sleep(0.2)
+        f'[control]\nagent = "127.0.0.1:{agent.port}"\ntoken_file = "{token}"\nzone = "a"\n')
     sidecar = Sidecar(folder, f"127.0.0.1:{former.port}", operator=folder / "sidecar.toml")
     await sidecar.start()
     await asyncio.sleep(1.0)
-    (folder / "patch.json").write_text(json.dumps({"discovery": f"127.0.0.1:{new.port}"}))
-    if await command("apply", str(folder / "patch.json"), "--yes") != 0:
+    if await agent.reconfigure(1, {"discovery": f"127.0.0.1:{new.port}"}) != "applied":
         record.line("the new discovery was not told as applied: nothing to judge")
         return NOT_RUN
     await asyncio.sleep(1.0)
@@ -100,7 +125,7 @@
         sidecar.process.send_signal(signal.SIGHUP)
     await asyncio.sleep(2.0)
     record.line(f"watches open at the former discovery {len(former.watches)}, at the new one {len(new.watches)}")
-    await command("ls")
+    record.line(f"the sidecar reports generation {agent.generation}")
     new.put({**new.entries["s-1"], "lifecycle": "draining"})
     has_it_s = record.now_s()
     record.line("the new discovery has it that s-1 drains")
@@ -123,5 +148,5 @@
 
 
 if __name__ == "__main__":
-    needs(".venv/bin/python", ".venv-ci/bin/ironscale")
+    needs(".venv/bin/python")
     sys.exit(run_case(Path(__file__).resolve().parent, play))
--- a/review/case_support.py
+++ b/review/case_support.py
@@ -166,10 +166,16 @@
     record = Record(folder)
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             try:
                 async with asyncio.timeout(110):
                     return int(await play(record, Path(temporary)))
+            except asyncio.CancelledError:
+                record.line("the case got SIGTERM")
+                return NOT_RUN
             except Exception as error:  # whatever it is, it shows nothing of the program
                 record.line(f"the case could not run: {type(error).__name__}: {error}")
                 return NOT_RUN
