--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -14,82 +14,25 @@
 
 from ironscale.control import client as module
 from ironscale.control.client import AgentClient, Identity
-from ironscale.control.frames import FrameDecoder, encode_frame
+from ironscale.control.frames import encode_frame
 from ironscale.control.instance import SidecarInstance
 from ironscale.control.messages import (
-    FROM_INSTANCE,
     Command,
-    CommandResult,
     Denied,
     Goodbye,
-    Heartbeat,
     Hello,
     LeaseRenewal,
     Message,
     Welcome,
-    parse_message,
     serialize_message,
 )
 from ironscale.control.simulated_instance import SimulatedInstance, create_simulated_instance
 from ironscale.standins.http import ok
 from ironscale.standins.settings import SETTINGS
 from ironscale.standins.upstream import Peer, hang, reply
+from tests.control.scripted_agents import WELCOME, ScriptedAgent
 from tests.sockets import Scene, run, until
 
-WELCOME = Welcome(5_000, 1_000, 10)
-
-
-class ScriptedAgent:
-    """A fake agent: records the messages that it receives and sends what the test tells it to."""
-
-    def __init__(self, greet: Message | bytes | None = WELCOME) -> None:
-        self.greeting = greet
-        self.received: list[Message] = []
-        self.writers: list[asyncio.StreamWriter] = []
-        self.server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self, port: int = 0) -> ScriptedAgent:
-        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
-        decoder = FrameDecoder()
-        with contextlib.suppress(ConnectionError):
-            while data := await reader.read(65536):
-                decoder.feed(data)
-                while (raw := decoder.next_message()) is not None:
-                    message = parse_message(raw, FROM_INSTANCE)
-                    self.received.append(message)
-                    if isinstance(message, Hello) and self.greeting is not None:
-                        self.send(self.greeting)
-                    if isinstance(message, Heartbeat) and isinstance(self.greeting, Welcome):
-                        self.send(LeaseRenewal(message.seq))
-        writer.close()
-
-    def send(self, message: Message | bytes) -> None:
-        self.writers[-1].write(message if isinstance(message, bytes) else encode_frame(serialize_message(message)))
-
-    def results(self) -> list[CommandResult]:
-        return [m for m in self.received if isinstance(m, CommandResult)]
-
-    def heartbeats(self) -> list[Heartbeat]:
-        return [m for m in self.received if isinstance(m, Heartbeat)]
-
-    async def command(self, ident: str, fence: int, kind: str, boot: str = "boot", **args: Any) -> CommandResult:
-        before = len(self.results())
-        self.send(Command(ident, fence, boot, kind, args))
-        await until(lambda: len(self.results()) > before)
-        return self.results()[-1]
-
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
 
 @contextlib.asynccontextmanager
 async def connected(agent: ScriptedAgent, log: Callable[[str], None] = lambda text: None) -> Any:
--- a/tests/control/test_follower.py
+++ b/tests/control/test_follower.py
@@ -6,110 +6,21 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator
-from typing import Any
 
 import pytest
 
 from ironscale.control import follower as module
 from ironscale.control.follower import Follower
-from ironscale.control.frames import FrameDecoder, encode_frame
 from ironscale.control.messages import (
-    FROM_INSTANCE,
     Denied,
     FollowRequest,
-    Message,
-    OverlayLayer,
-    RunningReport,
-    VersionUpdate,
-    parse_message,
-    serialize_message,
 )
 from ironscale.control.simulated_instance import SimulatedInstance, create_simulated_follower
 from ironscale.versions import agent_selection
-from ironscale.versions.agent_selection import AgentEndpoint
-from ironscale.versions.compacted_log import Change, View, limited_to
-from ironscale.versions.model import ALL, Entry, Labels, combine_layers, overlay_digest
+from ironscale.versions.model import ALL, Entry, overlay_digest
+from tests.control.scripted_agents import LABELS, ScriptedVersionAgent
 from tests.sockets import run, until
 
-LABELS = Labels("app-0", "app", "a", "north")
-
-
-class ScriptedVersionAgent:
-    """A fake agent that serves a version log. `fresh`: it reaches its database."""
-
-    def __init__(self, log: list[Entry], lineage: str = "L") -> None:
-        self.log, self.lineage = log, lineage
-        self.fresh = True
-        self.silent = False
-        self.denial: Denied | None = None
-        self.sends_wrong_digest = False
-        self.received: list[Message] = []
-        self.writers: dict[asyncio.StreamWriter, int] = {}
-        self.server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self) -> ScriptedVersionAgent:
-        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    def place(self, zone: str = "") -> AgentEndpoint:
-        return AgentEndpoint("127.0.0.1", self.port, zone)
-
-    def update(self, since: int, known: str) -> VersionUpdate | None:
-        view = View()
-        view.apply(Change(self.lineage, len(self.log), 0, True, 0, tuple(self.log)))
-        change = view.change_since(since, known)
-        if change is None:
-            return VersionUpdate(self.lineage, view.position, view.position, False, 0, [], "", self.age_ms(), 10)
-        change = limited_to(change, LABELS)
-        update_digest = "wrong" if self.sends_wrong_digest else overlay_digest(combine_layers(view.layers_for(LABELS)))
-        return VersionUpdate(self.lineage, change.position, change.since, change.is_snapshot, change.floor,
-                             [OverlayLayer(e.version, str(e.scope), e.overlay) for e in change.entries], update_digest,
-                             self.age_ms(), 10)
-
-    def age_ms(self) -> int:
-        return 0 if self.fresh else 60_000
-
-    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        decoder = FrameDecoder()
-        with contextlib.suppress(ConnectionError):
-            while data := await reader.read(65536):
-                decoder.feed(data)
-                while (raw := decoder.next_message()) is not None:
-                    message = parse_message(raw, FROM_INSTANCE)
-                    self.received.append(message)
-                    if isinstance(message, FollowRequest) and not self.silent:
-                        if self.denial is not None:
-                            writer.write(encode_frame(serialize_message(self.denial)))
-                            continue
-                        self.writers[writer] = message.position
-                        update = self.update(message.position, message.lineage)
-                        if update is not None:
-                            writer.write(encode_frame(serialize_message(update)))
-        self.writers.pop(writer, None)
-        writer.close()
-
-    def publish(self, overlay: Any) -> None:
-        self.log.append(Entry(len(self.log) + 1, ALL, overlay))
-        self.send_updates()
-
-    def send_updates(self) -> None:
-        for writer, since in list(self.writers.items()):
-            update = self.update(since, self.lineage if since else "")
-            if update is not None and not self.silent:
-                writer.write(encode_frame(serialize_message(update)))
-                self.writers[writer] = update.position
-
-    def running_reports(self) -> list[RunningReport]:
-        return [message for message in self.received if isinstance(message, RunningReport)]
-
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
 
 @contextlib.asynccontextmanager
 async def following(*agents: ScriptedVersionAgent,
--- a/tests/control/test_several_agents.py
+++ b/tests/control/test_several_agents.py
@@ -12,7 +12,7 @@
 from ironscale.control.frames import encode_frame
 from ironscale.control.messages import Command, Denied, Hello, Welcome, serialize_message
 from ironscale.control.simulated_instance import create_simulated_instance, kill_client
-from tests.control.test_client import ScriptedAgent
+from tests.control.scripted_agents import ScriptedAgent
 from tests.sockets import run, until
 
 
