Discovery's address follows from layers, not from the order in which they came

What callers saw: after an agent had rolled out another discovery, SIGHUP with an unchanged file took the sidecar back to the former one, while it went on reporting the new generation.

Change: net/config_layers.py keeps file, environment and overlay and combines them in one pure function; reload and reconfigure replace one layer each and follow the result. The old fields and comparisons are gone (file_discovery, base, generation, overlay, environ).

--- a/ironscale/control/extension.py
+++ b/ironscale/control/extension.py
@@ -42,7 +42,7 @@
         listen=f"{host}:{sidecar.port or port}", token=token, replaces=environ.get("GW_REPLACES", ""),
         host=machine_boot_id(), ticks=start_ticks(os.getpid()) or 0)
     instance = SidecarInstance(sidecar, end)
-    layered = LayeredInstance(instance, sidecar.generation, sidecar.overlay)
+    layered = LayeredInstance(instance, sidecar.config.layers.generation, sidecar.config.layers.overlay)
     client = AgentClient(layered, identity, control.agents[0], random.Random(secrets.randbits(64)),
                          others=control.agents[1:])
 
--- a/ironscale/control/instance.py
+++ b/ironscale/control/instance.py
@@ -89,7 +89,7 @@
         views = upstream_views(sidecar.balancer)
         ready = [view for view in views if view.state is api.UpstreamState.READY]
         return Report(
-            generation=sidecar.generation, fence=self.fence,
+            generation=sidecar.config.layers.generation, fence=self.fence,
             ready=sidecar.is_ready() and not sidecar.server.stopping,
             draining=sidecar.draining or sidecar.server.stopping,
             open=len(sidecar.requests), connections=len(sidecar.server.connections),
--- a/ironscale/load/run.py
+++ b/ironscale/load/run.py
@@ -28,7 +28,7 @@
 from ironscale.load.scenario import Scenario, ScenarioError
 from ironscale.load.schedule import Schedule
 from ironscale.load.worker import FRAME
-from ironscale.net.config import apply_merge_patch
+from ironscale.net.config_layers import apply_merge_patch
 from ironscale.standins.settings import SETTINGS
 
 Address = tuple[str, int]
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -1,15 +1,16 @@
-"""The configuration of a sidecar at its start: reads the environment and JSON files into one validated `Config`."""
+"""The configuration of a sidecar: reads the environment and JSON files into one validated `Config`."""
 
 from __future__ import annotations
 
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ironscale import settings
 from ironscale.interface import Settings
+from ironscale.net.config_layers import DISCOVERY, ENVIRONMENT_KEYS, ConfigLayers, environment_layer
 from ironscale.net.discovery import ListError, Listing, ListParser
 
 Address = tuple[str, int]
@@ -29,7 +30,6 @@
     name: str
     listen: Address
     discovery: Address
-    file_discovery: Address | None  # used by a reload, because the environment can't change
     seed: int
     sockets: int  # limit on open file descriptors of the process
     memory_mb: float  # limit on the resident memory of the process; 0 if it is not known
@@ -40,9 +40,7 @@
     upstream_idle_timeout_us: int  # an upstream closes a connection that was idle for this long
     directory: ListParser  # parses the lists of discovery, with the zone and machine type names of the settings
     last_known_list: Listing  # the last known list of upstreams; may be empty or outdated
-    document: Mapping[str, Any]  # the JSON document that this was read from
-    generation: int = 0  # generation of the overlay that the process started with; 0 if there is none
-    overlay: Mapping[str, Any] = field(default_factory=dict)
+    layers: ConfigLayers  # what this was made of
 
 
 def parse_address(text: object, what: str) -> Address:
@@ -69,20 +67,27 @@
 
 
 def parse(data: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
-    """Validates the document. Name and addresses in the environment take precedence. Raises ConfigError."""
+    """Validates a configuration without an overlay. Raises ConfigError."""
+    return parse_layers(ConfigLayers(data, environment_layer(environ)))
 
-    def required(variable: str, key: str) -> str:
-        value = environ.get(variable) or data.get(key)
-        if not value:
+
+def parse_layers(layers: ConfigLayers) -> Config:
+    """Validates the configuration that the layers combine into. Raises ConfigError."""
+    data = layers.combined()
+
+    def required(key: str) -> str:
+        if not data.get(key):
+            variable = next(variable for variable, name in ENVIRONMENT_KEYS.items() if name == key)
             raise ConfigError(f"{variable} is not set and the configuration has no {key!r}")
-        return str(value)
+        return str(data[key])
 
-    raw = data.get("settings")
+    raw, address_in_file = data.get("settings"), layers.document.get(DISCOVERY)
+    if address_in_file:  # also if another layer hides it now
+        parse_address(address_in_file, DISCOVERY)
     try:
         options = settings.flatten_object(raw)
         assert isinstance(raw, dict)
         directory = ListParser(_string_list(raw.get("areas")), _string_list(raw.get("kinds")))
-        address_in_file = data.get("discovery")
         limits = data.get("limits") or {}
         sockets = int(limits.get("sockets", 1024))
         memory_mb = float(limits.get("memory_mb") or 0.0)
@@ -92,10 +97,9 @@
             raise ConfigError(f"limits.sockets: expected {LEAST_SOCKETS} or more, got {sockets}")
         known = directory.parse(data.get("known") or {"generation": 0, "reset": True, "instances": []})
         return Config(
-            name=required("GW_NAME", "name"),
-            listen=parse_address(required("GW_LISTEN", "listen"), "listen"),
-            discovery=parse_address(required("GW_DISCOVERY", "discovery"), "discovery"),
-            file_discovery=parse_address(address_in_file, "discovery") if address_in_file else None,
+            name=required("name"),
+            listen=parse_address(required("listen"), "listen"),
+            discovery=parse_address(required(DISCOVERY), DISCOVERY),
             seed=int(str(data.get("seed", "0")), 16),
             sockets=sockets,
             memory_mb=memory_mb,
@@ -106,7 +110,7 @@
             upstream_idle_timeout_us=options.integer("bounds.conn-idle", "15000000"),
             directory=directory,
             last_known_list=known,
-            document=data,
+            layers=layers,
         )
     except settings.SettingsError as error:
         raise ConfigError(str(error)) from error
@@ -116,19 +120,6 @@
         raise ConfigError(f"seed or limits: {error}") from error
 
 
-def apply_merge_patch(base: Any, patch: Any) -> Any:
-    """Returns `base` with a JSON merge patch (RFC 7396) applied; neither argument is modified."""
-    if not isinstance(patch, Mapping):
-        return patch
-    result = dict(base) if isinstance(base, Mapping) else {}
-    for name, value in patch.items():
-        if value is None:
-            result.pop(name, None)
-        else:
-            result[name] = apply_merge_patch(result.get(name), value)
-    return result
-
-
 def read_json_object(path: str) -> dict[str, Any]:
     """Reads a JSON file that holds an object. Raises ConfigError."""
     try:
@@ -143,19 +134,35 @@
     return data
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Reads the file that GW_CONFIG names. GW_OVERLAY, if set, names a file with `generation` and `overlay`, a JSON
-    merge patch for the first file. Raises ConfigError."""
+def read_file(environ: Mapping[str, str]) -> dict[str, Any]:
+    """Reads the file that GW_CONFIG names. Raises ConfigError."""
     path = environ.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG is not set")
-    base = read_json_object(path)
-    patch_path = environ.get("GW_OVERLAY")
-    if not patch_path:
-        return parse(base, environ)
-    patch = read_json_object(patch_path)
+    return read_json_object(path)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Reads the configuration at the start of a process. GW_OVERLAY, if set, names a file with `generation` and
+    `overlay`. Raises ConfigError."""
+    layers = ConfigLayers(read_file(environ), environment_layer(environ))
+    overlay_path = environ.get("GW_OVERLAY")
+    if not overlay_path:
+        return parse_layers(layers)
+    patch = read_json_object(overlay_path)
     generation, overlay = patch.get("generation"), patch.get("overlay")
     if type(generation) is not int or not isinstance(overlay, dict):
-        raise ConfigError(f"{patch_path}: expected a whole generation and an object overlay, got {patch!r:.80}")
-    return replace(parse(apply_merge_patch(base, overlay), environ), document=base, generation=generation,
-                   overlay=overlay)
+        raise ConfigError(f"{overlay_path}: expected a whole generation and an object overlay, got {patch!r:.80}")
+    return parse_layers(layers.with_overlay(generation, overlay))
+
+
+def reload_file(config: Config, environ: Mapping[str, str]) -> Config:
+    """Reads the file again, and returns the configuration that is then in force: only discovery can differ. Raises
+    ConfigError if a process could not start with the file and the overlay in force."""
+    document = read_file(environ)
+    parse_layers(replace(config.layers, document=document, environment=environment_layer(environ)))
+    layers = config.layers.with_file(document)
+    address = layers.combined().get(DISCOVERY)
+    if not address:
+        raise ConfigError(f"the overlay in force takes {DISCOVERY!r} away")
+    return replace(config, layers=layers, discovery=parse_address(address, DISCOVERY))
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -18,7 +18,7 @@
 from ironscale import logs
 from ironscale.balance import Balancer
 from ironscale.net.client import RETRY_AFTER
-from ironscale.net.config import Config, ConfigError, apply_merge_patch, load, parse
+from ironscale.net.config import Config, ConfigError, load, parse_layers, reload_file
 from ironscale.net.discovery import Discovery, Listing
 from ironscale.net.errors import is_transient
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
@@ -117,10 +117,8 @@
 class Sidecar(EventDispatcher):
     """A running sidecar: its server, upstream connections, discovery and timers around one `Balancer`."""
 
-    def __init__(self, config: Config, environ: Mapping[str, str] | None = None) -> None:
+    def __init__(self, config: Config) -> None:
         self.config = config
-        self.environ = environ or {}
-        self.base = config.document
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.timers = TimerQueue(self.clock)
@@ -151,8 +149,6 @@
         self.discovery_failed = True  # discovery's last call failed, or none has succeeded yet
         self.draining = False
         self.port = 0  # of the listener
-        self.generation = config.generation  # of the running configuration; 0 = the file without an overlay
-        self.overlay = config.overlay
         # Answers by (index of the class, "served", "refused" or "failed"), and refusals by their reason.
         self.answers: Counter[tuple[int, str]] = Counter()
         self.refusals: Counter[str] = Counter()
@@ -181,18 +177,23 @@
             self.reload_retry = None
         if self.server.stopping:
             return
+        old = self.config
         try:
-            config = load(environ)
+            self.config = reload_file(old, environ)
         except ConfigError as error:  # a partly written file must neither end the process nor change a part of it
             self.log(f"reload: the configuration stays as it was: {error}")
             if is_transient(error):  # a transient error while reading: nobody will send the signal again
                 self.reload_retry = self.loop.call_later(RELOAD_RETRY_S, self.reload, environ)
             return
-        address, old_address = config.file_discovery, self.config.file_discovery
-        self.config.file_discovery = address
-        if address is not None and address != old_address:
-            self.base = {**self.base, "discovery": config.document["discovery"]}
-            self.log(f"reload: discovery is at {address[0]}:{address[1]}")
+        if self.config.layers is not old.layers and self.config.layers.overlay_names_discovery():
+            self.log("reload: the file's discovery counts once no overlay names one")
+        self.follow_discovery("reload")
+
+    def follow_discovery(self, cause: str) -> None:
+        """Moves to the address of discovery in force, if it is another one."""
+        address = self.config.discovery
+        if address != self.discovery.address:
+            self.log(f"{cause}: discovery is at {address[0]}:{address[1]}")
             self.discovery.change_address(address)
 
     def drain(self, draining: bool) -> None:
@@ -201,13 +202,13 @@
         self.notify_all(api.DrainChanged(draining))
 
     def reconfigure(self, generation: int, overlay: Mapping[str, Any]) -> None:
-        """Applies the file's configuration with `overlay` (a JSON merge patch) on top, all of it or nothing.
+        """Replaces the overlay of the configuration (a JSON merge patch), all of it or nothing.
 
         Raises ConfigError if the result is not a valid configuration, and RestartRequired if only a new process can
         run it. It is called between two events, so no request sees a part of the change.
         """
-        base, old = self.base, self.config
-        new = parse(apply_merge_patch(base, overlay), self.environ)
+        old = self.config
+        new = parse_layers(old.layers.with_overlay(generation, overlay))
         changed_setting = api.restart_only_change(old.settings, new.settings)
         for name in ("name", "listen"):
             if getattr(old, name) != getattr(new, name):
@@ -220,7 +221,7 @@
         if changed_setting:
             raise RestartRequired(changed_setting)
         # Nothing below can fail, since all values have been checked.
-        self.config, self.generation, self.overlay = new, generation, overlay
+        self.config = new
         max_connections = connections_each(new.sockets)
         self.server.set_limits(max_connections, new.memory_mb)
         self.upstreams.max_open = max_connections
@@ -228,9 +229,7 @@
         self.classes = {c.name: i for i, c in enumerate(new.settings.classes)}
         self.tenants = {t.name: i for i, t in enumerate(new.settings.tenants)}
         self.notify_all(api.SettingsChanged(new.settings))
-        if new.file_discovery is not None and new.file_discovery != old.file_discovery:
-            # as at a reload; the environment only counts at the start
-            self.discovery.change_address(new.file_discovery)
+        self.follow_discovery("reconfigure")
 
     async def stop(self) -> None:
         """Shuts down gracefully; all open requests are answered."""
@@ -573,7 +572,7 @@
     # handled from before the configuration is read: the file may be replaced meanwhile, and the signal must not be lost
     signals.on(signal.SIGHUP, reload)
     try:
-        sidecar = Sidecar(load(environ), environ)
+        sidecar = Sidecar(load(environ))
         running.append(sidecar)
         await sidecar.start(reuse_port)
     except (OSError, ConfigError) as error:
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -266,7 +266,7 @@
                 classes = [{**c, "aim": 4_000_000 - generation} for c in SETTINGS["request-classes"]]
                 result = await agent.command(f"{generation}.0.1", generation, "reconfigure", generation=generation,
                                              overlay={"settings": {"request-classes": classes}})
-                assert (result.status, scene.sidecar.generation) == ("applied", generation)
+                assert (result.status, scene.sidecar.config.layers.generation) == ("applied", generation)
             elif what == "connection lost":
                 for writer in agent.writers:
                     writer.transport.abort()
@@ -335,11 +335,16 @@
         good = {"settings": {"bounds": {"max-retry-after": 7_000}}, "limits": {"sockets": 100}}
         assert (await agent.command("1.0.1", 1, "reconfigure", generation=1, overlay=good)).status == "applied"
         sidecar = scene.sidecar
-        before = (sidecar.generation, sidecar.config, sidecar.balancer.settings, sidecar.server.max_connections)
+
+        def state() -> tuple[object, ...]:
+            return (sidecar.config.layers.generation, sidecar.config, sidecar.balancer.settings,
+                    sidecar.server.max_connections)
+
+        before = state()
         assert sidecar.balancer.settings.max_retry_after_us == 7_000 and sidecar.server.max_connections == 34
         result = await agent.command("2.0.1", 2, "reconfigure", generation=2, overlay={**good, **overlay})
         assert result.status == status and words in result.detail
-        assert (sidecar.generation, sidecar.config, sidecar.balancer.settings, sidecar.server.max_connections) == before
+        assert state() == before
         assert (await scene.call()).status == 200
         back = await agent.command("3.0.1", 3, "reconfigure", generation=0, overlay={})
         assert back.status == "applied" and sidecar.balancer.settings.max_retry_after_us == 1_000_000
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -24,7 +24,8 @@
     assert done.stdout.split() == [
         "ironscale", "ironscale.__main__", "ironscale.balance", "ironscale.confidence", "ironscale.fleet_estimates",
         "ironscale.interface", "ironscale.logs", "ironscale.net", "ironscale.net.client", "ironscale.net.client_end",
-        "ironscale.net.config", "ironscale.net.connection_metrics", "ironscale.net.connection_reuse",
+        "ironscale.net.config", "ironscale.net.config_layers", "ironscale.net.connection_metrics",
+        "ironscale.net.connection_reuse",
         "ironscale.net.discovery", "ironscale.net.discovery_schedule", "ironscale.net.end_poller",
         "ironscale.net.errors", "ironscale.net.event_dispatcher", "ironscale.net.exchange",
         "ironscale.net.http_message", "ironscale.net.jsonstream", "ironscale.net.lifecycle",
@@ -164,8 +165,8 @@
     (tmp_path / "o.json").write_text(json.dumps({"generation": 5, "overlay": overlay}))
     environ = {"GW_CONFIG": str(tmp_path / "c.json"), "GW_OVERLAY": str(tmp_path / "o.json")}
     found = load(environ)
-    assert (found.generation, found.overlay, found.settings.instances) == (5, overlay, 7)
-    assert found.document == base
+    assert (found.layers.generation, found.layers.overlay, found.settings.instances) == (5, overlay, 7)
+    assert found.layers.document == base
     for bad in ("{}", '{"generation": "5", "overlay": {}}', '{"generation": true, "overlay": {}}', "[]", "{"):
         (tmp_path / "o.json").write_text(bad)
         with pytest.raises(ConfigError, match="o.json"):
