What discovery's client takes from the settings follows them in service

What callers saw: after a live change of invariants.drain-grace or instances, the decisions held to the new settings and the client of discovery to the old ones. With a grace that was cut from 10 s to 0.5 s, an upstream that a restarted discovery leaves out was used on for 3 s; a fleet that had grown to 200 went on calling discovery as one of few.

Change: Discovery.configure, called at the start and by each reconfigure.

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -125,13 +125,11 @@
                  first_data_timeout_s: float, log: Callable[[str], None], is_shared: bool = False,
                  seed: int = 0, drain_grace_s: float = math.inf) -> None:
         self.address = address
-        self.first_data_timeout_s = first_data_timeout_s  # time to wait for the first data of a call
         self.log = log
         self.silent_calls = 0  # consecutive calls that timed out before their first data
         self.parser = parser
         self.generation = generation  # of the list that was last passed to `on_list`
         self.on_list = on_list
-        self.is_shared = is_shared  # many sidecars use this service, so calls are spread over time
         self.random = random.Random(seed)
         self.last_heard_s: float | None = None  # when a watch last received data; None before the first time
         self.calls_begun = 0  # calls begun since then
@@ -144,8 +142,14 @@
         self.fetches: set[_Call] = set()
         self.members: dict[str, Member] = {}  # the latest list, by name
         self.lagging_since_s: float | None = None  # since when lists have been older than ours, over all calls
-        self.unnamed_lag_s = drain_grace_s * UNNAMED_LAG_SHARE  # see `leave_out_unnamed`
         self.lag_timers: list[asyncio.TimerHandle] = []
+        self.configure(first_data_timeout_s, is_shared, drain_grace_s)
+
+    def configure(self, first_data_timeout_s: float, is_shared: bool, drain_grace_s: float) -> None:
+        """Replaces what follows from the settings; calls and lists that have come before keep what held for them."""
+        self.first_data_timeout_s = first_data_timeout_s  # time to wait for the first data of a call
+        self.is_shared = is_shared  # many sidecars use this service, so calls are spread over time
+        self.unnamed_lag_s = drain_grace_s * UNNAMED_LAG_SHARE  # see `leave_out_unnamed`
 
     def subscribe(self) -> None:
         if self.watch is None:
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -229,6 +229,8 @@
         self.classes = {c.name: i for i, c in enumerate(new.settings.classes)}
         self.tenants = {t.name: i for i, t in enumerate(new.settings.tenants)}
         self.notify_all(api.SettingsChanged(new.settings))
+        self.discovery.configure(new.discovery_timeout_us / 1e6, self.balancer.list_call_spread_us() > 0,
+                                 new.drain_grace_us / 1e6)
         self.follow_discovery("reconfigure")
 
     async def stop(self) -> None:
--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -385,6 +385,37 @@
     run(test)
 
 
+# Guards against new settings that the decisions follow and the client of discovery does not.
+@pytest.mark.parametrize("mode", MODES)
+def test_a_drain_grace_that_is_shortened_in_service_holds_for_discovery_too(mode: dict[str, Any]) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        scene = await scene_with_watch(peer, mode, grace_us=10_000_000)
+        scene.sidecar.reconfigure(1, {"settings": settings_of(mode, grace_us=500_000)})
+        discovery, parsed = scene.sidecar.discovery, scene.sidecar.config
+        assert discovery.first_data_timeout_s == parsed.discovery_timeout_us / 1e6
+        scene.discovery.line(listing(generation=1))
+        begun_s = asyncio.get_running_loop().time()
+        await until(lambda: upstream_state(scene) is not UpstreamState.READY)
+        assert asyncio.get_running_loop().time() - begun_s < 0.5
+        assert discovery.generation == 42
+
+    run(test)
+
+
+# Guards against a sidecar whose fleet has become large in service, and that still calls discovery as one of few.
+def test_calls_are_spread_once_the_settings_tell_of_a_large_fleet() -> None:
+    async def test() -> None:
+        scene = await scene_with_watch(await Peer().start(), {})
+        assert not scene.sidecar.discovery.is_shared
+        scene.sidecar.reconfigure(1, {"settings": {"instances": 200}})
+        assert scene.sidecar.discovery.is_shared
+        scene.sidecar.reconfigure(2, {})
+        assert not scene.sidecar.discovery.is_shared
+
+    run(test)
+
+
 # Guards against a new process of the sidecar that knows of nobody whom a restarted discovery could leave out.
 def test_an_upstream_of_the_known_list_that_a_restarted_discovery_leaves_out_is_left_out() -> None:
     async def test() -> None:
