--- a/bench/learned.py
+++ b/bench/learned.py
@@ -38,7 +38,7 @@
 from ironscale.learned.persistence import SnapshotCollector, SnapshotPersistence, run_in_slices
 from ironscale.learned.store import SnapshotFile, load_snapshot, path_for
 from ironscale.net.config import parse
-from ironscale.net.discovery import upstream_id
+from ironscale.net.listing import upstream_id
 from ironscale.net.sidecar import Sidecar
 from ironscale.standins.discovery import ListedDiscovery
 from ironscale.standins.http import read_message
--- a/ironscale/control/instance.py
+++ b/ironscale/control/instance.py
@@ -11,7 +11,7 @@
 from ironscale.control.messages import ClassCounts, Report
 from ironscale.introspection import upstream_views
 from ironscale.net.config import ConfigError
-from ironscale.net.discovery import ListParser
+from ironscale.net.listing import ListParser
 from ironscale.net.sidecar import RestartRequired, Sidecar
 
 # Keys that differ for each instance, so an overlay for many instances can't set them.
--- a/ironscale/learned/peer_transfer.py
+++ b/ironscale/learned/peer_transfer.py
@@ -18,7 +18,7 @@
 from ironscale import confidence
 from ironscale.learned.codec import MAX_BYTES, CodecError, decode_steps
 from ironscale.learned.persistence import SnapshotCollector, run_in_slices
-from ironscale.net.discovery import upstream_id
+from ironscale.net.listing import upstream_id
 from ironscale.net.sidecar import Sidecar
 
 Address = tuple[str, int]
--- a/ironscale/learned/persistence.py
+++ b/ironscale/learned/persistence.py
@@ -30,7 +30,7 @@
 )
 from ironscale.learned.store import SnapshotFile, choose_snapshot
 from ironscale.learned.timestamps import current_timestamp, machine_boot_id
-from ironscale.net.discovery import upstream_id
+from ironscale.net.listing import upstream_id
 from ironscale.net.sidecar import Sidecar
 from ironscale.threads import run_in_thread
 
--- a/ironscale/net/config.py
+++ b/ironscale/net/config.py
@@ -11,7 +11,7 @@
 from ironscale import settings
 from ironscale.interface import Settings
 from ironscale.net.config_layers import DISCOVERY, ENVIRONMENT_KEYS, ConfigLayers, environment_layer
-from ironscale.net.discovery import ListError, Listing, ListParser
+from ironscale.net.listing import ListError, Listing, ListParser
 
 Address = tuple[str, int]
 LEAST_SOCKETS = 64
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -19,12 +19,13 @@
 from ironscale.balance import Balancer
 from ironscale.net.client import RETRY_AFTER
 from ironscale.net.config import Config, ConfigError, load, parse_layers, reload_file
-from ironscale.net.discovery import Discovery, Listing
+from ironscale.net.discovery import Discovery
 from ironscale.net.errors import is_transient
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
 from ironscale.net.exchange import Exchange
 from ironscale.net.http_message import HOP_BY_HOP, Headers
 from ironscale.net.lifecycle import Event, Ledger
+from ironscale.net.listing import Listing
 from ironscale.net.memory import read_memory
 from ironscale.net.periodic import Periodic
 from ironscale.net.recent_ids import RecentIds
--- a/ironscale/net/upstream.py
+++ b/ironscale/net/upstream.py
@@ -19,7 +19,7 @@
 from ironscale.net.upstream_connection import Attempt, Connection
 
 if TYPE_CHECKING:
-    from ironscale.net.discovery import Member
+    from ironscale.net.listing import Member
 
 SURPLUS_LINES_PER_S, MAX_SURPLUS_BURST = 1.0, 50
 IDLE_TIMEOUT_SHARE = 0.9  # share of the upstream's idle timeout; the rest allows for data in flight
--- a/ironscale/scale/discovery.py
+++ b/ironscale/scale/discovery.py
@@ -31,7 +31,8 @@
 from ironscale.load.run import RunError as ChildError
 from ironscale.load.run import child, sidecar_settings
 from ironscale.net.config import CALL_US
-from ironscale.net.discovery import Discovery, Listing, ListParser, _Call
+from ironscale.net.discovery import Discovery, _Call
+from ironscale.net.listing import Listing, ListParser
 from ironscale.scale.path import percentile, raise_file_limit, scenario
 from ironscale.scale.run import RunContext, RunError
 from ironscale.standins.discovery import ListedDiscovery
--- a/ironscale/scale/simulated_instances.py
+++ b/ironscale/scale/simulated_instances.py
@@ -28,7 +28,8 @@
 from ironscale.control.follower import Follower
 from ironscale.control.simulated_instance import SimulatedInstance, create_simulated_follower, create_simulated_instance
 from ironscale.interface import ListKind
-from ironscale.net.discovery import Discovery, Listing, ListParser
+from ironscale.net.discovery import Discovery
+from ironscale.net.listing import Listing, ListParser
 from ironscale.operator_file import read_secret
 from ironscale.scale.bounds import ChildProcesses, resident_memory_mb
 from ironscale.versions.agent_selection import AgentEndpoint
--- a/tests/ends/test_lists.py
+++ b/tests/ends/test_lists.py
@@ -17,8 +17,8 @@
 from ironscale.net import discovery as module
 from ironscale.net import jsonstream
 from ironscale.net.config import CALL_US, parse
-from ironscale.net.discovery import ListParser
 from ironscale.net.jsonstream import BLANK_LINE, JsonStream
+from ironscale.net.listing import ListParser
 from ironscale.net.sidecar import Sidecar
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.upstream import Peer, reset
--- a/tests/learned/test_extension.py
+++ b/tests/learned/test_extension.py
@@ -26,7 +26,7 @@
 from ironscale.learned.persistence import SnapshotCollector, SnapshotPersistence
 from ironscale.learned.store import OsFileSystem, SnapshotFile, load_snapshot, path_for
 from ironscale.learned.timestamps import current_timestamp, machine_boot_id
-from ironscale.net.discovery import upstream_id
+from ironscale.net.listing import upstream_id
 from ironscale.operator_file import ControlConfig, LearnedConfig
 from ironscale.standins.discovery import listing
 from ironscale.standins.upstream import Peer, reset
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,8 @@
 
 from ironscale.interface import ListKind, UpstreamState
 from ironscale.net import discovery as module
-from ironscale.net.discovery import Discovery, ListError, Listing, ListParser, upstream_id
+from ironscale.net.discovery import Discovery
+from ironscale.net.listing import ListError, Listing, ListParser, upstream_id
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import read_message
 from tests.sockets import run, until
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -18,7 +18,7 @@
 from ironscale.net import connection_reuse
 from ironscale.net import upstream as module
 from ironscale.net.connection_metrics import CloseReason
-from ironscale.net.discovery import ListParser, Member
+from ironscale.net.listing import ListParser, Member
 from ironscale.net.upstream import Upstreams
 from ironscale.net.upstream_connection import Answer, Attempt
 from ironscale.standins.discovery import listing
