--- a/ironscale/__main__.py
+++ b/ironscale/__main__.py
@@ -23,7 +23,8 @@
 from ironscale import logs  # noqa: E402
 from ironscale.net.config import ConfigError  # noqa: E402
 from ironscale.net.errors import is_transient  # noqa: E402
-from ironscale.net.sidecar import Extension, Sidecar, StartFailed, serve  # noqa: E402
+from ironscale.net.process import Extension, StartFailed, serve  # noqa: E402
+from ironscale.net.sidecar import Sidecar  # noqa: E402
 
 START_TIMEOUT_S = 20.0  # a start may take 30 s in all
 START_RETRY_INTERVAL_S = 0.1
--- a/ironscale/agent/serve.py
+++ b/ironscale/agent/serve.py
@@ -31,7 +31,7 @@
 from ironscale.agent.versions_replica import VersionsReplica, run_forever
 from ironscale.control.extension import package_version
 from ironscale.control.messages import Hello
-from ironscale.net.sidecar import STOP_SIGNALS
+from ironscale.net.process import STOP_SIGNALS
 from ironscale.net.signals import Signals
 from ironscale.net.timers import Clock
 from ironscale.operator_file import AgentConfig as AgentSection
--- a/ironscale/control/extension.py
+++ b/ironscale/control/extension.py
@@ -16,7 +16,8 @@
 from ironscale.control.instance import SidecarInstance
 from ironscale.control.layers import LayeredInstance
 from ironscale.control.processes import machine_boot_id, start_ticks
-from ironscale.net.sidecar import Extension, Sidecar
+from ironscale.net.process import Extension
+from ironscale.net.sidecar import Sidecar
 from ironscale.operator_file import ControlConfig, VersionsConfig, read_secret
 from ironscale.tasks import log_failure
 
--- a/ironscale/learned/extension.py
+++ b/ironscale/learned/extension.py
@@ -12,7 +12,8 @@
 from ironscale.learned.peer_transfer import Address, DonorClient, DonorServer
 from ironscale.learned.persistence import SnapshotCollector, SnapshotPersistence
 from ironscale.learned.store import SnapshotFile, path_for
-from ironscale.net.sidecar import Extension, Sidecar
+from ironscale.net.process import Extension
+from ironscale.net.sidecar import Sidecar
 from ironscale.operator_file import LearnedConfig, is_loopback
 from ironscale.tasks import run_in_background
 from ironscale.toml_tables import read_address
--- a/ironscale/load/recording.py
+++ b/ironscale/load/recording.py
@@ -18,7 +18,8 @@
 from ironscale import logs
 from ironscale.interface import RequestArrived
 from ironscale.load.traces import header
-from ironscale.net.sidecar import Extension, Sidecar
+from ironscale.net.process import Extension
+from ironscale.net.sidecar import Sidecar
 from ironscale.operator_file import RecordingConfig
 from ironscale.tasks import run_in_background
 from ironscale.threads import run_in_thread
--- a/ironscale/net/sidecar.py
+++ b/ironscale/net/sidecar.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import math
 import re
 import resource
-import signal
 from collections import Counter
 from collections.abc import Callable, Mapping
-from contextlib import AbstractAsyncContextManager, nullcontext
 from functools import partial
 from typing import Any
 
@@ -18,17 +14,18 @@
 from ironscale import logs
 from ironscale.balance import Balancer
 from ironscale.net.client import RETRY_AFTER
-from ironscale.net.config import Config, ConfigError, load, parse_layers, reload_file
+from ironscale.net.config import Config, ConfigError, parse_layers, reload_file
 from ironscale.net.discovery import Discovery
 from ironscale.net.errors import is_transient
 from ironscale.net.event_dispatcher import EventDispatcher, RequestHandler
 from ironscale.net.exchange import Exchange
-from ironscale.net.http_message import HOP_BY_HOP, Headers
+from ironscale.net.http_message import HOP_BY_HOP
 from ironscale.net.lifecycle import Event, Ledger
 from ironscale.net.listing import Listing
 from ironscale.net.memory import read_memory
 from ironscale.net.periodic import Periodic
 from ironscale.net.recent_ids import RecentIds
+from ironscale.net.request import Request, parse_load_report
 from ironscale.net.request_checks import (
     MAX_ID_LENGTH,
     Rejection,
@@ -40,7 +37,6 @@
 )
 from ironscale.net.request_log import RequestLog
 from ironscale.net.server import Server
-from ironscale.net.signals import Signals
 from ironscale.net.start_times import StartTimes
 from ironscale.net.timers import Clock, Timer, TimerQueue, wall_clock_us
 from ironscale.net.upstream import Upstreams
@@ -59,53 +55,14 @@
 STOP_MIN_END_S = 0.6  # with short deadlines: time for the listener to close first
 RELOAD_RETRY_S = 0.1
 CLOCK_CHECK_INTERVAL_S = 0.5
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 UPSTREAM_PATTERN = re.compile(r"\bupstream (\d+)")
 NOT_FORWARDED = HOP_BY_HOP | {b"x-remaining"}
-# Garbage collector threshold of the youngest generation. The objects of the data path form no cycles, and at the
-# default of 700 the collector took 3 % of the CPU.
-GC_YOUNG_THRESHOLD = 10_000
 
 
 class RestartRequired(Exception):
     """A valid configuration that the running process can't adopt; the message names the setting that differs."""
 
 
-class Request:
-    """An accepted request, kept until it is answered and all its attempts have ended."""
-
-    def __init__(self, ident: int, index: int, txn: str, exchange: Exchange, deadline_us: int) -> None:
-        self.ident = ident
-        self.class_index = index  # index of its class in the settings
-        self.txn = txn
-        self.exchange = exchange
-        self.deadline_us = deadline_us
-        self.attempts: list[Attempt] = []
-        self.attempts_in_flight = 0
-        self.backstop: Timer | None = None
-        self.dispatcher: EventDispatcher | None = None  # the one whose balancer decides on it now
-        self.has_run = False  # an earlier dispatcher has run it, so the next one's balancer may not refuse it
-        # continues with the next dispatcher once the current one has served the request
-        self.forward_to: Callable[[Answer | None], None] | None = None
-        self.upstream_answer: Answer | None = None  # an upstream's answer, held back until the next dispatcher is done
-
-    def is_open(self) -> bool:
-        return not self.exchange.lifecycle.is_over
-
-
-def parse_load_report(headers: Headers, fields: list[str]) -> list[float]:
-    """The load report of an answer, its values in the order of `fields`; empty if it is missing or malformed."""
-    if not fields:
-        return []
-    text = dict(headers).get(b"x-pressure", b"").decode("latin-1")
-    pairs = dict(part.split("=", 1) for part in text.split(",") if "=" in part)
-    try:
-        report = [float(pairs[name]) for name in fields]
-    except (KeyError, ValueError):
-        return []
-    return report if all(math.isfinite(value) for value in report) else []
-
-
 def connections_each(sockets: int) -> int:
     """The limit of connections from clients, and likewise to upstreams, for so many sockets in all. The process may be
     limited to fewer descriptors than the settings say; idle clients would then take the last ones, and discovery could
@@ -546,50 +503,3 @@
 
     def log(self, text: str) -> None:
         logs.write_line(f"{self.config.name}: {text}")
-
-
-# A subsystem that runs alongside a started sidecar: called with the sidecar and a function that ends the process.
-Extension = Callable[[Sidecar, Callable[[], None]], AbstractAsyncContextManager[None]]
-
-
-class StartFailed(Exception):
-    """The start failed before any connection was accepted; the cause is the error that occurred."""
-
-
-async def serve(environ: Mapping[str, str], extension: Extension | None = None,
-                reuse_port: bool = False) -> None:
-    """Runs one sidecar until a signal or the extension ends it. Raises StartFailed if it can't start to listen."""
-    stopped = asyncio.Event()
-    running: list[Sidecar] = []
-
-    def reload() -> None:
-        for running_sidecar in running:
-            running_sidecar.reload(environ)
-
-    try:
-        signals = Signals()
-    except OSError as error:
-        raise StartFailed from error
-    for number in STOP_SIGNALS:
-        signals.on(number, stopped.set)
-    # handled from before the configuration is read: the file may be replaced meanwhile, and the signal must not be lost
-    signals.on(signal.SIGHUP, reload)
-    try:
-        sidecar = Sidecar(load(environ))
-        running.append(sidecar)
-        await sidecar.start(reuse_port)
-    except (OSError, ConfigError) as error:
-        for number in STOP_SIGNALS:
-            signal.signal(number, signal.SIG_DFL)  # until the next start, the process may simply be killed
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-        signals.close()
-        raise StartFailed from error
-    gc.collect()
-    gc.freeze()  # objects created at the start stay alive, so the collector need not scan them again
-    gc.set_threshold(GC_YOUNG_THRESHOLD, *gc.get_threshold()[1:])
-    async with extension(sidecar, stopped.set) if extension is not None else nullcontext():
-        await stopped.wait()
-        await sidecar.stop()
-    for number in (*STOP_SIGNALS, signal.SIGHUP):
-        signal.signal(number, signal.SIG_IGN)  # further signals must not disturb the orderly end
-    signals.close()
--- a/ironscale/record/extension.py
+++ b/ironscale/record/extension.py
@@ -8,7 +8,8 @@
 
 from ironscale.interface import Settings
 from ironscale.net.config import ConfigError
-from ironscale.net.sidecar import Extension, Sidecar
+from ironscale.net.process import Extension
+from ironscale.net.sidecar import Sidecar
 from ironscale.operator_file import OperatorFileError, StoresConfig
 from ironscale.record.journal import Journal, JournalError
 from ironscale.record.recorder import Recorder
--- a/ironscale/record/store_dispatcher.py
+++ b/ironscale/record/store_dispatcher.py
@@ -18,7 +18,8 @@
 from ironscale import interface as api
 from ironscale.balance import Balancer
 from ironscale.net.event_dispatcher import EventDispatcher
-from ironscale.net.sidecar import Request, Sidecar
+from ironscale.net.request import Request
+from ironscale.net.sidecar import Sidecar
 from ironscale.net.timers import Timer
 from ironscale.net.upstream_connection import Answer
 from ironscale.record import model, routes
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -21,8 +21,9 @@
 from ironscale.net import client, server, upstream, upstream_connection
 from ironscale.net.exchange import Exchange
 from ironscale.net.memory_budget import MAX_READ_BYTES
+from ironscale.net.request import parse_load_report
 from ironscale.net.request_checks import parse_remaining_us
-from ironscale.net.sidecar import ANSWER_MARGIN_US, parse_load_report
+from ironscale.net.sidecar import ANSWER_MARGIN_US
 from ironscale.net.timers import Clock
 from ironscale.standins.discovery import FakeDiscovery, listing
 from ironscale.standins.http import TURNED_AWAY, Message, ok, read_message
