Tests: the two scripted agents share their server

Both accepted connections, decoded frames and recorded messages in lines of their own (duplicates: two runs of seven lines).

--- a/tests/control/scripted_agents.py
+++ b/tests/control/scripted_agents.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from typing import Any
+from typing import Any, Self
 
 from ironscale.control.frames import FrameDecoder, encode_frame
 from ironscale.control.messages import (
@@ -33,23 +33,22 @@
 LABELS = Labels("app-0", "app", "a", "north")
 
 
-class ScriptedAgent:
-    """A fake agent: records the messages that it receives and sends what the test tells it to."""
+class ScriptedServer:
+    """Accepts connections of instances and records the messages that it receives."""
 
-    def __init__(self, greet: Message | bytes | None = WELCOME) -> None:
-        self.greeting = greet
+    def __init__(self) -> None:
         self.received: list[Message] = []
-        self.writers: list[asyncio.StreamWriter] = []
+        self.open: list[asyncio.StreamWriter] = []
         self.server: asyncio.Server | None = None
         self.port = 0
 
-    async def start(self, port: int = 0) -> ScriptedAgent:
+    async def start(self, port: int = 0) -> Self:
         self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.append(writer)
+        self.open.append(writer)
         decoder = FrameDecoder()
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
@@ -57,12 +56,38 @@
                 while (raw := decoder.next_message()) is not None:
                     message = parse_message(raw, FROM_INSTANCE)
                     self.received.append(message)
-                    if isinstance(message, Hello) and self.greeting is not None:
-                        self.send(self.greeting)
-                    if isinstance(message, Heartbeat) and isinstance(self.greeting, Welcome):
-                        self.send(LeaseRenewal(message.seq))
+                    self.on_message(message, writer)
+        self.open.remove(writer)
         writer.close()
 
+    def on_message(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Handles a message after it was recorded."""
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+
+
+class ScriptedAgent(ScriptedServer):
+    """A fake agent: sends what the test tells it to, to the instance that connected last."""
+
+    def __init__(self, greet: Message | bytes | None = WELCOME) -> None:
+        super().__init__()
+        self.greeting = greet
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        await super().on_connection(reader, writer)
+
+    def on_message(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if isinstance(message, Hello) and self.greeting is not None:
+            self.send(self.greeting)
+        if isinstance(message, Heartbeat) and isinstance(self.greeting, Welcome):
+            self.send(LeaseRenewal(message.seq))
+
     def send(self, message: Message | bytes) -> None:
         self.writers[-1].write(message if isinstance(message, bytes) else encode_frame(serialize_message(message)))
 
@@ -78,31 +103,18 @@
         await until(lambda: len(self.results()) > before)
         return self.results()[-1]
 
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
 
-class ScriptedVersionAgent:
+class ScriptedVersionAgent(ScriptedServer):
     """A fake agent that serves a version log. `fresh`: it reaches its database."""
 
     def __init__(self, log: list[Entry], lineage: str = "L") -> None:
+        super().__init__()
         self.log, self.lineage = log, lineage
         self.fresh = True
         self.silent = False
         self.denial: Denied | None = None
         self.sends_wrong_digest = False
-        self.received: list[Message] = []
-        self.writers: dict[asyncio.StreamWriter, int] = {}
-        self.server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self) -> ScriptedVersionAgent:
-        self.server = await asyncio.start_server(self.on_connection, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
+        self.writers: dict[asyncio.StreamWriter, int] = {}  # followers, with the position that each was sent
 
     def place(self, zone: str = "") -> AgentEndpoint:
         return AgentEndpoint("127.0.0.1", self.port, zone)
@@ -123,23 +135,19 @@
         return 0 if self.fresh else 60_000
 
     async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        decoder = FrameDecoder()
-        with contextlib.suppress(ConnectionError):
-            while data := await reader.read(65536):
-                decoder.feed(data)
-                while (raw := decoder.next_message()) is not None:
-                    message = parse_message(raw, FROM_INSTANCE)
-                    self.received.append(message)
-                    if isinstance(message, FollowRequest) and not self.silent:
-                        if self.denial is not None:
-                            writer.write(encode_frame(serialize_message(self.denial)))
-                            continue
-                        self.writers[writer] = message.position
-                        update = self.update(message.position, message.lineage)
-                        if update is not None:
-                            writer.write(encode_frame(serialize_message(update)))
+        await super().on_connection(reader, writer)
         self.writers.pop(writer, None)
-        writer.close()
+
+    def on_message(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if not isinstance(message, FollowRequest) or self.silent:
+            return
+        if self.denial is not None:
+            writer.write(encode_frame(serialize_message(self.denial)))
+            return
+        self.writers[writer] = message.position
+        update = self.update(message.position, message.lineage)
+        if update is not None:
+            writer.write(encode_frame(serialize_message(update)))
 
     def publish(self, overlay: Any) -> None:
         self.log.append(Entry(len(self.log) + 1, ALL, overlay))
@@ -154,9 +162,3 @@
 
     def running_reports(self) -> list[RunningReport]:
         return [message for message in self.received if isinstance(message, RunningReport)]
-
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
