A supervised process keeps a rolled-out discovery over SIGHUP and restarts: test

The plays of test_discovery_in_force start the process as a supervisor does; this one has the real agent: GW_DISCOVERY in the service's environment, a discovery rolled out, SIGHUP, a restart, a kill, and the way back.

--- a/tests/agent/test_supervisor.py
+++ b/tests/agent/test_supervisor.py
@@ -147,6 +147,35 @@
     run(test)
 
 
+# Guards against a supervised process that goes back to its environment's discovery after SIGHUP or a restart.
+def test_a_rolled_out_discovery_outlives_a_reload_and_the_process(tmp_path: Path) -> None:
+    async def test() -> None:
+        own, rolled_out = await ListedDiscovery().start(), await ListedDiscovery().start()
+        environment = {"GW_DISCOVERY": f"127.0.0.1:{own.port}"}
+        async with (world(tmp_path) as (_, config),
+                    supervised(tmp_path, config, environment=environment) as s):
+            await until(lambda: ready(s, "app-0") and own.watches)
+            overlay = {"discovery": f"127.0.0.1:{rolled_out.port}"}
+            ident = await s.begin(names=["app-0"], overlay=overlay, expect=0)
+            assert (await s.end(ident))[0].phase is Phase.SUCCEEDED
+            await until(lambda: rolled_out.watches and not own.watches)
+            calls = own.calls
+            first = s.agent.fleet.members["app-0"].row
+            os.kill(first.pid, signal.SIGHUP)
+            op, _ = await s.end(await s.begin(Kind.RESTART, ["app-0"]))
+            assert op.phase is Phase.SUCCEEDED
+            second = s.agent.fleet.members["app-0"].row
+            await until(lambda: rolled_out.watches)
+            os.kill(second.pid, signal.SIGKILL)
+            await until(lambda: s.agent.fleet.members["app-0"].row.boot != second.boot and ready(s, "app-0"))
+            await until(lambda: rolled_out.watches)
+            assert own.calls == calls and not own.watches
+            await s.end(await s.begin(names=["app-0"], overlay={}, expect=1))
+            await until(lambda: own.watches and not rolled_out.watches)
+
+    run(test)
+
+
 def test_instance_whose_generation_is_not_recorded_starts_with_its_base_configuration(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
