Requests in part share a fifth of the time, however small their pieces are

Pieces of 0.17 ms of 416 connections took the whole processor, turns of the event loop 80 to 100 ms, and requests that were read at one moment found no slot. Memory is excluded: no usual request was refused for it, and 128 MB change nothing.

Change: parse_pacing.py (pure) adds up the times of all requests in part and pays them off at 0.2 of the time; beyond a burst of 5 ms, one that took over 50 us in all of its pieces waits its turn. A client alone waits no longer. The rig of a_small_piece..., whose clock began at 0, now begins at the server's time and asks for no debt as well.

--- a/ironscale/net/client.py
+++ b/ironscale/net/client.py
@@ -19,14 +19,12 @@
 from ironscale.net.http_message import MAX_BODY_BYTES
 from ironscale.net.lifecycle import Event, Ledger
 from ironscale.net.memory_budget import MemoryBudget
+from ironscale.net.parse_pacing import ParsePacing, RequestPacing
 from ironscale.net.request_parser import ParsedRequest, RequestParser
 from ironscale.net.stream import Stream, Unread, peek, since_last_byte_us
 
 MAX_UNREAD_ANSWER_BYTES = 16 * MAX_BODY_BYTES  # past it the connection of a client that reads no answers is aborted
 MIN_READ_DELAY_US = 20_000  # shorter delays are ignored: the kernel's figure is only good to some milliseconds
-MIN_PACED_US = 200  # parsing a piece of a usual request takes some 20 us
-MAX_US_PER_BYTE = 0.5  # longer, the process was held up and not by the bytes
-PACED_SHARE = 0.2  # of the time, for all clients together whose pieces take longer
 MAX_PROBES_IN_CROWD = 1  # readiness probes on a connection without another request
 RETRY_AFTER = ((b"Retry-After", b"0.200"),)  # seconds; told to clients that are refused for want of memory
 UNREAD_ANSWER_TIMEOUT_S = 5.0  # how long a closing connection may take to send its answer; longer than any client waits
@@ -68,6 +66,7 @@
     unread_lines: logs.LineBudget
     end_poller: EndPoller
     memory: MemoryBudget
+    parse_pacing: ParsePacing
 
     def wants_close(self, connection: ClientConnection) -> bool:
         """Whether the connection should be closed after its next answer."""
@@ -78,9 +77,6 @@
     def received(self, connection: ClientConnection) -> None:
         """The connection has received bytes."""
 
-    def in_part_count(self) -> int:
-        """How many connections are in the middle of a request."""
-
     def charge(self, connection: ClientConnection) -> None:
         """The memory that the connection holds may have changed."""
 
@@ -104,7 +100,8 @@
         self.has_had_request = False  # readiness probes don't count
         self.probes = 0  # readiness probes so far
         self.finishing = False  # no more requests are read; the connection closes once the open ones are answered
-        self.is_paced = False  # reading is paused for the time that its last piece took to parse
+        self.pacing = RequestPacing()
+        self.is_paced = False  # reading is paused until the time that its pieces took to parse is paid off
         self.reading_paused = False  # if so, the event loop does not report the client's end
         # When it fell silent or idle, received its last bytes or became quiet, and was last answered.
         self.quiet_since_us = self.last_byte_us = self.last_answer_us = server.now_us()
@@ -149,25 +146,28 @@
         self.server.received(self)
 
     def parse(self) -> None:
-        begun_us, unparsed_bytes = self.server.now_us(), self.parser.unparsed_size()
         while self.may_parse():
             self.parse_next()
             self.begin_queued()
-            parsed_bytes = unparsed_bytes - self.parser.unparsed_size()
-            self.pace(min(self.server.now_us() - begun_us, int(parsed_bytes * MAX_US_PER_BYTE)))
         self.update_reading()
         self.server.reclassify(self)
 
-    def pace(self, spent_us: int) -> None:
-        """Pauses a request in part whose bytes take long to parse, so that all such clients together take a part of the
-        time only: the pause is in proportion to the time and to their number."""
-        if spent_us >= MIN_PACED_US and self.has_partial_request and not self.is_paced:
+    def pace(self, spent_us: int, parsed_bytes: int) -> None:
+        """Counts the time that a piece took to parse. While all requests in part together take more than their share,
+        one that takes long waits until its pieces are paid off."""
+        if not self.has_partial_request:
+            self.pacing.reset()
+            return
+        now_us, shared = self.server.now_us(), self.server.parse_pacing
+        shared.spend(now_us, self.pacing.spend(spent_us, parsed_bytes))
+        pause_us = shared.pause_us(now_us)
+        if pause_us and self.pacing.is_due():
             self.is_paced = True
-            pause_s = spent_us / 1e6 * max(1, self.server.in_part_count()) / PACED_SHARE
-            asyncio.get_running_loop().call_later(pause_s, self.end_pace)
+            asyncio.get_running_loop().call_later(pause_us / 1e6, self.end_pace)
 
     def end_pace(self) -> None:
         self.is_paced = False
+        self.pacing.reset()
         if self.transport is not None:
             self.parse()
             self.server.received(self)
@@ -192,10 +192,14 @@
 
     def parse_next(self) -> None:
         """Queues the next request once it is complete."""
+        begun_us, unparsed_bytes = self.server.now_us(), self.parser.unparsed_size()
         failure = self.parser.parse_next()
+        spent_us, parsed_bytes = self.server.now_us() - begun_us, unparsed_bytes - self.parser.unparsed_size()
         self.pipelined.extend(map(self.new_exchange, self.parser.take_complete()))
         if failure is not None:
             self.reject(failure.value)
+        else:
+            self.pace(spent_us, parsed_bytes)
 
     def new_exchange(self, request: ParsedRequest) -> Exchange:
         return Exchange(self, request, self.arrived_us)
--- a/ironscale/net/server.py
+++ b/ironscale/net/server.py
@@ -16,6 +16,7 @@
 from ironscale.net.listener_shutdown import BACKLOG, ListenerShutdown
 from ironscale.net.memory import read_memory
 from ironscale.net.memory_budget import MemoryBudget, plan_memory
+from ironscale.net.parse_pacing import ParsePacing
 from ironscale.net.periodic import Periodic
 from ironscale.net.quiet_connections import MIN_IDLE_S, MIN_SILENCE_S, QuietConnections
 
@@ -64,6 +65,7 @@
         self.used_at_start_bytes = read_memory().resident_bytes  # measured again as it starts to listen
         self.memory = MemoryBudget(plan_memory(memory_mb, self.used_at_start_bytes, max_connections))
         self.max_connections = self.memory.plan.max_connections
+        self.parse_pacing = ParsePacing()
         self.now_us = now_us
         self.unread_lines = logs.LineBudget(now_us, UNREAD_LINES_PER_S, MAX_UNREAD_BURST)
         self.loop = asyncio.get_running_loop()
@@ -167,9 +169,6 @@
         if self.memory.is_exceeded():
             self.free_memory()
 
-    def in_part_count(self) -> int:
-        return self.quiet.count(Phase.PARTIAL_REQUEST)
-
     def charge(self, connection: ClientConnection) -> None:
         if connection in self.connections:
             held_bytes = connection.held_bytes()
--- a/tests/ends/test_paced.py
+++ b/tests/ends/test_paced.py
@@ -3,23 +3,44 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from collections.abc import Callable
 
 import pytest
 
 from ironscale.net import client as module
+from ironscale.net import parse_pacing
+from ironscale.net.request_parser import ParseFailure, RequestParser
 from ironscale.standins.http import ok, read_message
 from ironscale.standins.upstream import Peer, reply
 from tests.ends.test_clients import connect, connection_of
 from tests.sockets import Scene, run, until
 
 PROBE = b"GET /health/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+CHUNKED_HEAD = (b"POST /api HTTP/1.1\r\nHost: s\r\nX-Txn: t1\r\nX-Lane: pay\r\nX-Remaining: 2000m\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n")
+SMALL_CHUNKS = b"2\r\nxy\r\n" * 50  # parsed in one step
+
+
+class ParserClock:
+    """A clock that each step of a parser moves on by the same time."""
+
+    def __init__(self, now_us: int, step_us: int) -> None:
+        self.now_us, self.step_us = now_us, step_us
+        self.parse: Callable[[RequestParser], ParseFailure | None] = RequestParser.parse_next
+
+    def parse_next(self, parser: RequestParser) -> ParseFailure | None:
+        self.now_us += self.step_us
+        return self.parse(parser)
 
 
 async def paced_scene(monkeypatch: pytest.MonkeyPatch, share: float) -> Scene:
     """A scene in which every piece of a request counts as one that took long."""
-    monkeypatch.setattr(module, "MIN_PACED_US", 0)
-    monkeypatch.setattr(module, "MAX_US_PER_BYTE", 1e6)
-    monkeypatch.setattr(module, "PACED_SHARE", share)
+    monkeypatch.setattr(parse_pacing, "UNPACED_US", -1)
+    monkeypatch.setattr(parse_pacing, "BURST_US", 0)
+    monkeypatch.setattr(parse_pacing, "MAX_PAUSE_US", 10**15)
+    monkeypatch.setattr(parse_pacing, "MAX_US_PER_BYTE", 1e6)
+    monkeypatch.setattr(parse_pacing, "PARSING_SHARE", share)
     return await Scene().start((await Peer(reply(ok())).start()).entry("s-1"))
 
 
@@ -75,9 +96,52 @@
         client = connect(scene, scene.request("pay", b"x" * 100)[:-50])
         await until(lambda: scene.sidecar.server.connections and connection_of(scene, client).has_partial_request)
         connection = connection_of(scene, client)
-        monkeypatch.setattr(scene.sidecar.server, "now_us", iter(range(0, 10**9, 200_000)).__next__)
+        server = scene.sidecar.server
+        monkeypatch.setattr(server, "now_us", itertools.count(server.now_us(), 200_000).__next__)
         connection.data_received(b"x" * 10)
-        assert not connection.is_paced
+        assert not connection.is_paced and not server.parse_pacing.pause_us(server.now_us())
+        client.close()
+
+    run(test)
+
+
+# Guards against a crowd that takes all the time, as each of its pieces alone is too short to be followed by a pause.
+@pytest.mark.parametrize("piece_us", [5, 30, 150])
+def test_small_pieces_of_many_clients_are_followed_by_pauses(monkeypatch: pytest.MonkeyPatch, piece_us: int) -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        server = scene.sidecar.server
+        clients = [connect(scene, CHUNKED_HEAD) for _ in range(40)]
+        await until(lambda: [one.has_partial_request for one in server.connections].count(True) == len(clients))
+        clock = ParserClock(server.now_us(), piece_us)
+        monkeypatch.setattr(server, "now_us", lambda: clock.now_us)
+        monkeypatch.setattr(RequestParser, "parse_next", lambda parser: clock.parse_next(parser))
+        for _ in range(100):
+            for connection in server.connections:
+                if not connection.is_paced:
+                    connection.data_received(SMALL_CHUNKS)
+        assert all(connection.is_paced for connection in server.connections)
+        for client in clients:
+            client.close()
+
+    run(test)
+
+
+# Guards against a pause for a client that is alone, or whose request takes no longer than others.
+def test_a_single_client_and_usual_pieces_beside_a_crowd_are_not_followed_by_pauses() -> None:
+    async def test() -> None:
+        scene = await Scene().start()
+        server = scene.sidecar.server
+        client = connect(scene, CHUNKED_HEAD)
+        await until(lambda: server.connections and connection_of(scene, client).has_partial_request)
+        connection = connection_of(scene, client)
+        for _ in range(50):
+            connection.pace(50, 4_000)
+        assert not connection.is_paced and connection.pacing.unpaced_us > parse_pacing.UNPACED_US
+        connection.pacing.reset()
+        server.parse_pacing.spend(server.now_us(), 1e6)
+        connection.pace(20, 4_000)
+        assert server.parse_pacing.pause_us(server.now_us()) and not connection.is_paced
         client.close()
 
     run(test)
--- a/tests/faults/crowd.py
+++ b/tests/faults/crowd.py
@@ -86,6 +86,7 @@
     "slow": Behaviour(half_body, slowly=True),
     "half-a-body": Behaviour(half_body),
     "small-chunks": Behaviour(small_chunks),
+    "small-chunks-slowly": Behaviour(small_chunks, slowly=True),
     "short-fields": Behaviour(short_fields),
     "endless-head": Behaviour(endless_head),
     "long-field": Behaviour(long_field),
