What older lists of discovery take out of use stays out, in any order of lists and changes

'gone' was dropped; a former drain and its end, told by a lagging replica, ended the present drain; a change that reached our generation counted as a catch-up, also where a new numbering had passed ours, so that what its whole list left out stayed in use; one that a change had named again was left out.

Change: older_lists.py (pure) decides: an upstream is used only if neither list has taken it out. A change that reaches our generation makes the sidecar ask for the whole list.

--- a/ironscale/net/discovery.py
+++ b/ironscale/net/discovery.py
@@ -6,7 +6,6 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any, cast
 
 import httptools
@@ -15,6 +14,7 @@
 from ironscale.net import discovery_schedule
 from ironscale.net.jsonstream import BlankLine, JsonStream
 from ironscale.net.listing import Listing, ListParser, Member
+from ironscale.net.older_lists import OlderLists
 
 LIST_PATH = "/registry/instances"
 CONNECT_TIMEOUT_S = 2.0
@@ -57,6 +57,7 @@
         self.move_timer: asyncio.TimerHandle | None = None
         self.fetches: set[_Call] = set()
         self.members: dict[str, Member] = {}  # the latest list, by name
+        self.wants_whole_list = False  # changes alone would not show what has become of upstreams
         self.lagging_since_s: float | None = None  # since when lists have been older than ours, over all calls
         self.lag_timers: list[asyncio.TimerHandle] = []
         self.configure(first_data_timeout_s, is_shared, drain_grace_s)
@@ -97,7 +98,8 @@
         self.next_call_timer = None if at_s is None else asyncio.get_running_loop().call_at(at_s, self.open_watch)
 
     def new_watch_call(self, max_first_data_s: float = math.inf) -> _Call:
-        return _Call(self, f"{LIST_PATH}?watch=1&after={self.generation}", max_first_data_s)
+        after = 0 if self.wants_whole_list else self.generation
+        return _Call(self, f"{LIST_PATH}?watch=1&after={after}", max_first_data_s)
 
     def unsubscribe(self) -> None:
         self.cancel_successor()
@@ -147,10 +149,10 @@
         """Handles one list or heartbeat that a call has received."""
         if not isinstance(value, BlankLine):
             listing = self.parser.parse(value)
-        elif call.has_answered and call.lagging_since_s is None:
+        elif call.has_answered and not call.is_lagging():
             return
         else:  # a heartbeat: nothing has changed since our list
-            listing = Listing(self.generation if call.lagging_since_s is None else -1, False)
+            listing = Listing(-1 if call.is_lagging() else self.generation, False)
         is_first = not call.has_answered
         call.has_answered, self.silent_calls = True, 0
         if call is self.successor or call in self.late_calls:
@@ -164,24 +166,33 @@
             self.handle_first_data()
         if call is not self.watch and (not listing.full or listing.generation < self.generation):
             return  # a fetched list that is older than what the watch has delivered
-        if listing.generation < self.generation:
-            # A discovery replica that lags behind the previous one would make drained upstreams ready again.
-            if not self.is_lag_tolerated(call, listing):
-                self.accept_restart(call)
-                return
-            # If discovery has restarted its numbering instead, the drains in its lists are valid, so they are applied
-            # at once. If they turn out to be outdated, the upstream is left out only until its next update.
-            drains = [m for m in listing.members
-                      if m.upstream.state is UpstreamState.DRAINING or m.name in call.drained_while_lagging]
-            call.drained_while_lagging.update(member.name for member in drains)
-            listing = Listing(self.generation, False, drains)
-        else:
-            call.lagging_since_s = None
-            self.end_lag()
-            self.record_members(listing)
+        if listing.generation < self.generation or (call.is_lagging() and not listing.full):
+            self.handle_older_list(call, listing)
+            return
+        call.lagging_since_s = None
+        self.end_lag()
+        self.record_members(listing)
         self.generation = listing.generation
         self.on_list(ListKind.FULL if listing.full else ListKind.DELTA, listing)
 
+    def handle_older_list(self, call: _Call, listing: Listing) -> None:
+        """Handles a list that is older than ours, or a change that follows such lists. A discovery replica that lags
+        would make drained upstreams ready again; if discovery has restarted its numbering, what its lists take out of
+        use is valid."""
+        if listing.generation >= self.generation:
+            # the replica has caught up, or a new numbering has passed ours: a whole list is right in both cases
+            self.report_changes(call.older_lists.apply(listing, self.members))
+            self.wants_whole_list = True
+            call.finish()
+        elif self.is_lag_tolerated(call, listing):
+            self.report_changes(call.older_lists.apply(listing, self.members))
+        else:
+            self.accept_restart(call)
+
+    def report_changes(self, members: list[Member]) -> None:
+        """Reports what changes while our own list stays the one that is believed."""
+        self.on_list(ListKind.DELTA, Listing(self.generation, False, members))
+
     def handle_first_data(self) -> None:
         """The watch has received its first data: cancels the calls that were begun to replace it."""
         self.calls_begun = 0
@@ -194,6 +205,7 @@
         """Keeps who is on the latest list, for when a later one leaves somebody out."""
         if listing.full:
             self.members = {}
+            self.wants_whole_list = False
         for member in listing.members:
             self.members[member.name] = member
             if member.upstream.state is UpstreamState.GONE:
@@ -203,25 +215,21 @@
         """Whether discovery may still be lagging, rather than be a new process that has restarted its numbering."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        if call.lagging_since_s is None:
+        if not call.is_lagging():
             call.lagging_since_s = now_s
         if self.lagging_since_s is None:
             self.lagging_since_s = now_s
             self.lag_timers.append(loop.call_later(MAX_LAG_S, self.accept_restart_of_watch))
         if listing.full and self.unnamed_lag_s < MAX_LAG_S:
-            names = {member.name for member in listing.members}
-            self.lag_timers.append(loop.call_later(self.unnamed_lag_s, self.leave_out_unnamed, names))
+            self.lag_timers.append(loop.call_later(self.unnamed_lag_s, self.leave_out_unnamed, call.older_lists))
         return now_s - self.lagging_since_s < MAX_LAG_S
 
-    def leave_out_unnamed(self, names: set[str]) -> None:
-        """Stops sending to upstreams that an older whole list doesn't name: if discovery has restarted its numbering
-        they are gone, and nothing may be sent to them once the grace of a drain is over. Otherwise they are left out
-        only until their next update."""
-        unnamed = [replace(member, upstream=replace(member.upstream, state=UpstreamState.DRAINING))
-                   for member in self.members.values()
-                   if member.name not in names and member.upstream.state is UpstreamState.READY]
+    def leave_out_unnamed(self, older_lists: OlderLists) -> None:
+        """Stops sending to upstreams that an older whole list, and the changes since, don't name: if discovery has
+        restarted its numbering they are gone, and nothing may be sent to them once the grace of a drain is over."""
+        unnamed = older_lists.unnamed(self.members)
         if unnamed:
-            self.on_list(ListKind.DELTA, Listing(self.generation, False, unnamed))
+            self.report_changes(unnamed)
 
     def accept_restart(self, call: _Call) -> None:
         """Discovery has restarted its numbering: makes the next watch begin with the full list."""
@@ -230,7 +238,7 @@
         call.finish()
 
     def accept_restart_of_watch(self) -> None:
-        if self.watch is not None and self.watch.lagging_since_s is not None:
+        if self.watch is not None and self.watch.is_lagging():
             self.accept_restart(self.watch)
 
     def end_lag(self) -> None:
@@ -293,7 +301,7 @@
         self.is_interim = False  # the answer being read is not the final one
         self.interim_answers = 0
         self.lagging_since_s: float | None = None  # since when its lists have been older than ours, if they are
-        self.drained_while_lagging: set[str] = set()  # names of upstreams whose drain such a list reported
+        self.older_lists = OlderLists()  # what it has told meanwhile
         self.is_closed = False
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -305,6 +313,10 @@
         self.silence_timer = loop.call_later(min(discovery.current_timeout_s(), max_first_data_s), self.handle_silence)
         self.task = loop.create_task(self.connect())
 
+    def is_lagging(self) -> bool:
+        """Whether its lists have been older than ours."""
+        return self.lagging_since_s is not None
+
     async def connect(self) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/tests/control/test_off.py
+++ b/tests/control/test_off.py
@@ -29,12 +29,13 @@
         "ironscale.net.end_poller", "ironscale.net.errors", "ironscale.net.event_dispatcher",
         "ironscale.net.exchange", "ironscale.net.http_message", "ironscale.net.jsonstream", "ironscale.net.lifecycle",
         "ironscale.net.listener_shutdown", "ironscale.net.listing", "ironscale.net.memory",
-        "ironscale.net.memory_budget", "ironscale.net.parse_pacing", "ironscale.net.periodic", "ironscale.net.process",
-        "ironscale.net.quiet_connections", "ironscale.net.recent_ids", "ironscale.net.request",
-        "ironscale.net.request_checks", "ironscale.net.request_log", "ironscale.net.request_parser",
-        "ironscale.net.server", "ironscale.net.sidecar", "ironscale.net.signals", "ironscale.net.socket_connect",
-        "ironscale.net.start_times", "ironscale.net.stream", "ironscale.net.timers", "ironscale.net.upstream",
-        "ironscale.net.upstream_connection", "ironscale.settings", "ironscale.sum_tree"]
+        "ironscale.net.memory_budget", "ironscale.net.older_lists", "ironscale.net.parse_pacing",
+        "ironscale.net.periodic", "ironscale.net.process", "ironscale.net.quiet_connections",
+        "ironscale.net.recent_ids", "ironscale.net.request", "ironscale.net.request_checks",
+        "ironscale.net.request_log", "ironscale.net.request_parser", "ironscale.net.server", "ironscale.net.sidecar",
+        "ironscale.net.signals", "ironscale.net.socket_connect", "ironscale.net.start_times", "ironscale.net.stream",
+        "ironscale.net.timers", "ironscale.net.upstream", "ironscale.net.upstream_connection", "ironscale.settings",
+        "ironscale.sum_tree"]
 
 
 def test_the_control_extension_needs_no_extra_packages() -> None:
