Tests of a resumed agent and of a stepped clock say why they fail

The signal to an agent that has ended now fails with its exit status and log, where it was a ProcessLookupError; a first answer of 502 fails with the sidecar's log. No check is changed.

--- a/tests/agent/test_leading.py
+++ b/tests/agent/test_leading.py
@@ -58,6 +58,12 @@
     def log(self, number: int) -> str:
         return (self.folder / f"{number}.log").read_text()
 
+    def resume(self, number: int) -> None:
+        """Resumes a suspended agent, which must not have ended meanwhile."""
+        process = self.processes[number]
+        assert process.returncode is None, (process.returncode, self.log(number)[-3000:])
+        os.kill(process.pid, signal.SIGCONT)
+
     def dial(self, count: int) -> None:
         token = next(read_secret(path) for path in self.folder.glob("a*/instance.token"))
         for n in range(count):
@@ -171,7 +177,6 @@
     """The leader is killed, or suspended past its term and resumed once another leads; then it must do nothing more."""
     async def test() -> None:
         async with agents(tmp_path, 2, fatal=fatal, how=how) as found:
-            first = found.processes[0]
             applying = asyncio.create_task(found.apply("k"))
             while how not in found.log(0) and "no longer leads" not in found.log(0):
                 await asyncio.sleep(0.01)
@@ -182,12 +187,12 @@
                 except TimeoutError:
                     # Suspended during a commit it holds SQLite's lock: none can take over until it resumes or ends.
                     assert how == "STOP" and "SQLITE_BUSY" in found.log(1), found.log(1)
-                    os.kill(first.pid, signal.SIGCONT)
+                    found.resume(0)
                     struck = False
             ident = await applying
             op = await found.until_ended(ident, but=0 if struck else -1)
             if struck and how == "STOP":
-                os.kill(first.pid, signal.SIGCONT)
+                found.resume(0)
                 while "no longer leads" not in found.log(0) and "stands by for the agent" not in found.log(0):
                     await asyncio.sleep(0.01)
                 told = await found.ask(1, FLEET_QUERY)
--- a/tests/faults/test_store.py
+++ b/tests/faults/test_store.py
@@ -131,7 +131,7 @@
         first = await sidecar.clients.call("mark")
         sidecar.shim.step_wall_clock(seconds)
         again = await sidecar.clients.call("mark")  # well within the memory span of its class, 1.2 s
-        assert (first.status, again.status) == (200, 200) and first.body == again.body
+        assert (first.status, again.status) == (200, 200) and first.body == again.body, sidecar.log()[-3000:]
         await assert_clean_exit(sidecar)
         assert rows(sidecar).total() == 1
 
