The load generator's retry counts from the end that is recorded for the answer

Cause: the clock was read for the retry, again for its bound and again for the record of the end, so a client that got no processor in between sent its retry early by that time, as told by its own record. Change: one reading for all three. Measured: the new test, whose clock moves 5 ms a reading, gives 194.98 ms before and 200 after.

--- a/ironscale/load/client.py
+++ b/ironscale/load/client.py
@@ -357,7 +357,7 @@
     # Back
 
     def answered(self, connection: Connection) -> None:
-        tried = connection.current
+        tried, done_us = connection.current, self.now_us()
         assert tried is not None
         ours = True
         if self.spec.body_names_request:
@@ -372,13 +372,13 @@
             end in REFUSALS
             and after_us is not None
             and tried.number < self.spec.retries
-            and self.now_us() + after_us < self.spec.duration_us
+            and done_us + after_us < self.spec.duration_us
             and not self.stopping
         )
         if retry and after_us is not None:  # before this one ends: the run goes on for it
-            again = self.begin(tried.at, tried.index, tried.number + 1, self.now_us() + after_us)
+            again = self.begin(tried.at, tried.index, tried.number + 1, done_us + after_us)
             self.later(again.sched_us, lambda: self.act(again))
-        self.finish(tried, end, connection.status)
+        self.finish(tried, end, connection.status, done_us)
         if not connection.dropped:
             self.free(connection)
         self.serve_waiting()
@@ -417,7 +417,8 @@
             connection.drop()  # a later answer would be taken for the next request's
             self.serve_waiting()
 
-    def finish(self, tried: Try, end: End, status: int = 0) -> None:
+    def finish(self, tried: Try, end: End, status: int = 0, done_us: int | None = None) -> None:
+        """Records how a try ended: at `done_us`, or now."""
         if tried.ended:
             return
         tried.ended, tried.connection = True, None
@@ -431,7 +432,7 @@
                 tried.sched_us,
                 tried.acted_us,
                 tried.sent_us,
-                self.now_us(),
+                self.now_us() if done_us is None else done_us,
                 tried.resent,
             )
         )
--- a/tests/load/test_client.py
+++ b/tests/load/test_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import itertools
 import socket
 import struct
 import time
@@ -271,6 +272,20 @@
     run(test)
 
 
+# Guards against a retry that comes early by the time for which the client was held up as it handled the answer.
+def test_a_retry_counts_from_the_end_that_is_recorded(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        reads = itertools.count()
+        plain = c.Client.now_us
+        monkeypatch.setattr(c.Client, "now_us", lambda client: plain(client) + 5_000 * next(reads))
+        peer = await Peer(reply(b"HTTP/1.1 503 No\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n")).start()
+        first, second = await play(spec(peer.port, retries=1), part(0))
+        assert second.sched_us - first.done_us == 200_000
+        await peer.stop()
+
+    run(test)
+
+
 def test_retries_end_with_what_was_granted() -> None:
     async def test() -> None:
         peer = await Peer(reply(b"HTTP/1.1 503 No\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n")).start()
