A reader that stays no longer delays each write of a SQLite store by 0.25 s

What callers would see: while a long read of the store goes on, past 32,000 pages of the write-ahead log each write waits 0.25 s for a checkpoint that can't come. Change: after an attempt in vain the next one comes when the wait is 0.05 of the time.

--- a/ironscale/record/database.py
+++ b/ironscale/record/database.py
@@ -26,6 +26,8 @@
 CHECKPOINT_PAGES = 1_000  # size of the write-ahead log from which the checkpoint thread copies it into the database
 # beyond this the writer itself waits for a checkpoint, so that the log cannot grow without bound
 MAX_WAL_PAGES = 32_000
+# of the time, that the writer waits in vain: a reader may stay as long as the backup of a large store takes
+MAX_VAIN_WAIT_SHARE = 0.05
 
 
 # Errors raised by a VFS written in Python have no result code, only a class.
@@ -211,6 +213,7 @@
         self.wal_pages = 0
         self.commits = self.written = 0
         self.longest_checkpoint_s = 0.0  # the longest time that the writer itself waited for a checkpoint
+        self.next_restart_s = 0.0  # of the log, at the earliest
         self.checkpoint_requested = threading.Event()
         self.checkpoint_lock = threading.Lock()  # held by the writer or the checkpoint thread while it checkpoints
         self.checkpoint_thread = threading.Thread(target=self._run_checkpoints, name="record-checkpoints", daemon=True)
@@ -281,28 +284,33 @@
             self.checkpoint_requested.set()
         if self.wal_pages >= self.max_wal_pages and self.connection is not None:
             began = time.monotonic()
-            self._restart_wal(self.connection)
-            self.wal_pages = 0
-            self.longest_checkpoint_s = max(self.longest_checkpoint_s, time.monotonic() - began)
+            if began < self.next_restart_s:
+                return
+            has_restarted = self._restart_wal(self.connection)
+            waited_s = time.monotonic() - began
+            self.longest_checkpoint_s = max(self.longest_checkpoint_s, waited_s)
+            if has_restarted:
+                self.wal_pages = 0
+            else:
+                self.next_restart_s = time.monotonic() + waited_s / MAX_VAIN_WAIT_SHARE
 
-    def _restart_wal(self, connection: apsw.Connection) -> None:
-        """Checkpoints the whole log, so that the next write starts at its beginning.
+    def _restart_wal(self, connection: apsw.Connection) -> bool:
+        """Checkpoints the whole log, so that the next write starts at its beginning; returns whether it does.
 
         While another checkpoint runs, SQLite fails with SQLITE_BUSY at once, without the busy timeout. A checkpoint of
-        this process is waited for to its end, one of another process or a reader for the busy timeout; after that it is
-        retried after the next commit."""
+        this process is waited for to its end, one of another process or a reader for the busy timeout."""
         with self.checkpoint_lock:
             deadline_s = time.monotonic() + self.factory.busy_ms / 1000
             while True:
                 try:
                     connection.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_RESTART)
-                    return
+                    return True
                 except apsw.BusyError:
                     if time.monotonic() >= deadline_s:
-                        return
+                        return False
                     time.sleep(0.005)
                 except apsw.Error:
-                    return  # the next commit meets the same error and reports it
+                    return False  # the next commit meets the same error and reports it
 
     def _run_checkpoints(self) -> None:
         """Checkpoints the log on a connection of its own: a passive checkpoint does not block the writer.
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -387,6 +387,31 @@
     slow.unregister()
 
 
+# Guards against writes that each wait for a reader that stays, once the log is past its bound.
+def test_a_reader_that_stays_delays_few_writes_and_the_log_restarts_after_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db", checkpoint_pages=10, max_wal_pages=100)
+        await store.write(entry())
+        staying = ConnectionFactory(store.path).open(create=False)
+        staying.execute("BEGIN")
+        staying.execute("SELECT count(*) FROM records").fetchall()
+        attempts: list[bool] = []
+        restart = store.writer._restart_wal
+        store.writer._restart_wal = lambda held: attempts.append(restart(held)) or attempts[-1]  # type: ignore
+        for _ in range(60):
+            await store.write(entry(body=bytes(30_000)))
+        assert attempts and not any(attempts) and len(attempts) <= 3
+        staying.close(True)
+        store.writer.next_restart_s = 0.0
+        for _ in range(3):
+            await store.write(entry(body=bytes(30_000)))
+        assert attempts[-1] and store.writer.wal_pages < 100
+        await store.close()
+        assert verify(store.path)[1] == []
+
+    run(test())
+
+
 def test_a_backup_during_writes_is_complete_and_can_be_restored(tmp_path: Path) -> None:
     async def test() -> None:
         store = SqliteStore(tmp_path / "r.db")
