A backup of a SQLite store is made in one read transaction, so that it ends

Measured: the new test writes between any two steps; before, 2,014 pages left, then 2,022; now they only go down, and copy and store are whole.

--- a/ironscale/record/sqlite.py
+++ b/ironscale/record/sqlite.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -177,6 +178,13 @@
     return faults
 
 
+def begin_snapshot(connection: apsw.Connection) -> None:
+    """Begins a read transaction, in which the store stays as it is now. A copy that is made of it in steps would begin
+    anew after each write of another connection."""
+    connection.execute("BEGIN")
+    connection.execute("SELECT count(*) FROM sqlite_schema").fetchall()  # the first read takes the snapshot
+
+
 def backup(path: Path, to: Path, progress: Callable[[int, int], None] = lambda left, pages: None) -> int:
     """Makes a consistent copy while sidecars write. It appears under its name only when it is complete.
 
@@ -193,12 +201,13 @@
     try:
         target = ConnectionFactory(partial).open()
         try:
+            begin_snapshot(source)
             with target.backup("main", source, "main") as copying:
                 while not copying.done:
                     try:
                         copying.step(PAGE_ROWS)
                     except (apsw.BusyError, apsw.LockedError):
-                        continue  # a commit came in between; SQLite continues or restarts the copy
+                        continue  # the copy's own file is locked for a moment
                     progress(copying.remaining, copying.page_count)
                 pages = copying.page_count
             database.set_persistent_wal(target, False)
@@ -212,5 +221,7 @@
     except apsw.Error as error:
         raise StoreFailure(WriteOutcome.NEVER_RAN, Cause.BROKEN, f"{to}: the copy was not made: {error}") from error
     finally:
+        with contextlib.suppress(apsw.Error):
+            source.execute("ROLLBACK")  # of the read transaction; without it the log could not be removed
         database.close_and_remove_wal(source)
         partial.unlink(missing_ok=True)
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -450,6 +450,29 @@
     run(test())
 
 
+# Guards against a backup that begins anew after each write, and so never ends.
+def test_a_backup_ends_though_a_write_comes_between_any_two_steps(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = SqliteStore(tmp_path / "r.db")
+        for _ in range(400):
+            await store.write(entry(body=bytes(30_000)))
+        loop = asyncio.get_running_loop()
+        left: list[int] = []
+
+        def write_one(left_pages: int, pages: int) -> None:
+            left.append(left_pages)
+            assert len(left) == 1 or left[-1] < left[-2], left
+            asyncio.run_coroutine_threadsafe(store.write(entry(body=bytes(30_000))), loop).result()
+
+        await loop.run_in_executor(None, lambda: backup(store.path, tmp_path / "copy.db", write_one))
+        assert len(left) >= 3 and left[-1] == 0
+        assert verify(tmp_path / "copy.db") == (400, [])  # as it was at one moment
+        await store.close()
+        assert verify(store.path) == (400 + len(left), [])
+
+    run(test())
+
+
 @pytest.mark.parametrize(("sql", "text"), [
     ("UPDATE records SET body = x'00'", "fingerprint"), ("UPDATE records SET slot = NULL", "lost its slot"),
     ("UPDATE records SET until_ms = 5", "remembered until"),
