A store of record writes a keyed request once, however late its last attempt arrives

Change: the row of the same request, class, tenant and key never expires for attempts of that request, and its answer goes before that of whoever holds the key by then. One statement, both stores. Another request may use the key anew after its memory, as before.

--- a/ironscale/record/postgres.py
+++ b/ironscale/record/postgres.py
@@ -29,7 +29,7 @@
     WriteResult,
     result_for_existing_row,
 )
-from ironscale.record.sql import SCHEMA, Dialect, schema_migration
+from ironscale.record.sql import SCHEMA, Dialect, conflicting_rows_values, schema_migration
 
 T = TypeVar("T")
 # psycopg would print warnings to standard error; failures are logged here instead, without secrets.
@@ -294,7 +294,7 @@
             if await transaction.execute(SQL.write, values):
                 await transaction.commit()
                 return WriteResult(Verdict.WRITTEN, entry.answer)
-            found = await transaction.execute(SQL.conflicting_rows, (entry.attempt, entry.slot))
+            found = await transaction.execute(SQL.conflicting_rows, conflicting_rows_values(entry))
             live_rows = [
                 (attempt, state, text, answer) for attempt, state, text, answer, expired in found if not expired
             ]
--- a/ironscale/record/sql.py
+++ b/ironscale/record/sql.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Generator, Sequence
 from typing import Any
 
-from ironscale.record.model import Cause, Row, StoreFailure, WriteOutcome
+from ironscale.record.model import Cause, Entry, Row, StoreFailure, WriteOutcome
 
 COLUMNS = ("attempt", "state", "request", "kind", "tenant", "key", "effect", "target", "body", "fingerprint", "answer",
            "at_ms", "until_ms", "slot")
@@ -37,10 +37,12 @@
 # (attempt, request, kind, tenant, key, effect, target, body, fingerprint, answer, memory, memory, slot)
 _WRITE = (_INSERT + "VALUES (%s, 'written', %s, %s, %s, %s, %s, %s, %s, %s, %s, {NOW},"
           " CASE WHEN %s = 0 THEN 0 ELSE {NOW} + %s END, %s) ON CONFLICT DO NOTHING RETURNING attempt")
-# (attempt, slot)
+# (request, kind, tenant, key): the record of this very request, which stays its own when its key may be used anew
+_OWN = "(request = %s AND kind = %s AND tenant = %s AND key = %s)"
+# (request, kind, tenant, key, attempt, slot, and the first four twice more)
 _CONFLICTING_ROWS = ("SELECT attempt, state, fingerprint, answer,"
-               " CASE WHEN until_ms > 0 AND until_ms <= {NOW} THEN 1 ELSE 0 END FROM records"
-               " WHERE attempt = %s OR slot = %s ORDER BY state DESC")
+               f" CASE WHEN until_ms > 0 AND until_ms <= {{NOW}} AND NOT {_OWN} THEN 1 ELSE 0 END FROM records"
+               f" WHERE attempt = %s OR slot = %s OR {_OWN} ORDER BY state DESC, CASE WHEN {_OWN} THEN 0 ELSE 1 END")
 # (slot)
 _FREE_SLOT = "UPDATE records SET slot = NULL WHERE slot = %s AND until_ms > 0 AND until_ms <= {NOW}"
 # (attempt): inserts the void marker. It conflicts with a record of the attempt, as both have the same primary key.
@@ -116,6 +118,12 @@
         ]
 
 
+def conflicting_rows_values(entry: Entry) -> tuple[object, ...]:
+    """The values of `Dialect.conflicting_rows`."""
+    own = (entry.request, entry.kind, entry.tenant, entry.key)
+    return (*own, entry.attempt, entry.slot, *own, *own)
+
+
 def row(values: tuple[object, ...]) -> Row:
     """A Row from values in the order of COLUMNS."""
     plain = [bytes(v) if isinstance(v, memoryview) else v for v in values]
--- a/ironscale/record/sqlite.py
+++ b/ironscale/record/sqlite.py
@@ -30,7 +30,7 @@
     fingerprint,
     result_for_existing_row,
 )
-from ironscale.record.sql import SCHEMA, Dialect, row
+from ironscale.record.sql import SCHEMA, Dialect, conflicting_rows_values, row
 from ironscale.record.worker import MAX_QUEUED_JOBS, NO_DEADLINE
 from ironscale.threads import run_in_thread
 
@@ -70,7 +70,7 @@
         for _ in range(MAX_SLOT_TRIES):
             if transaction.execute(SQL.write, values):
                 return WriteResult(Verdict.WRITTEN, entry.answer)
-            found = transaction.execute(SQL.conflicting_rows, (entry.attempt, entry.slot))
+            found = transaction.execute(SQL.conflicting_rows, conflicting_rows_values(entry))
             live_rows = [
                 (attempt, state, text, answer) for attempt, state, text, answer, expired in found if not expired
             ]
