No process of a replacement is in nobody's record when its agent ends

Change: SupervisedInstance.others holds every further process from before its start to its end. The state file names them, stop_all and release_all count them; the next agent ends them in order, and keeps one where the instance has no other.

--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -91,16 +91,29 @@
     base: dict[str, Any]
     backoff: RestartBackoff = field(default_factory=RestartBackoff)
     process: SupervisedProcess | None = None
+    # Its further processes by boot id, which begin beside `process` or are to end; None before the start.
+    others: dict[str, SupervisedProcess | None] = field(default_factory=dict)
     stopped: bool = False  # an operator stopped it: not to be started
     crash_loop: str = ""  # why it is not restarted any more; empty while it is
     wake: asyncio.Event = field(default_factory=asyncio.Event)  # set to start it now
     replacing: bool = False
 
+    def running(self) -> list[SupervisedProcess]:
+        """All its processes."""
+        return [run for run in (self.process, *self.others.values()) if run is not None]
+
     def is_awaited(self) -> bool:
         """Whether a process of this instance is running or about to be started."""
         return self.replacing or not (self.stopped or self.crash_loop)
 
 
+def find_by_boot(boot: str) -> SupervisedProcess | None:
+    """The process of this boot id, if it runs."""
+    pid = find_process_with_variable("GW_BOOT", boot)
+    ticks = start_ticks(pid) if pid is not None else None
+    return SupervisedProcess(pid, ticks, boot, None) if pid is not None and ticks is not None else None
+
+
 class Supervisor:
     def __init__(self, services: tuple[ServiceConfig, ...], data: Path, agent: tuple[str, int], token_file: Path,
                  fleet: Fleet, overlay: Callable[[int], dict[str, Any] | None], log: Callable[[str], None]) -> None:
@@ -151,33 +164,68 @@
         return self.folder / f"{member.name}.state"
 
     def write_state(self, member: SupervisedInstance, boot: str = "") -> None:
-        """Writes the file that the next agent needs to take the process over. `boot`: id of a process that is about to
-        be started, written beforehand, so that the next agent finds it even if this one is killed right after the
-        start."""
+        """Writes the file that the next agent needs to take over all processes of the instance. `boot`: id of a process
+        that is about to be started, written beforehand, so that the next agent finds it even if this one is killed
+        right after the start."""
         run = member.process
         state = {"pid": run.pid, "ticks": run.ticks, "boot": run.boot} if run else {"boot": boot} if boot else {}
         path = self.state_file(member)
         temporary = path.with_suffix(".new")
-        temporary.write_text(json.dumps({**state, "held": member.stopped}), encoding="ascii")
+        state |= {"held": member.stopped, "others": [*member.others]}
+        temporary.write_text(json.dumps(state), encoding="ascii")
         temporary.replace(path)
 
-    def take_over(self, member: SupervisedInstance) -> SupervisedProcess | None:
-        """The process that the former agent left running, if any."""
+    def read_state(self, member: SupervisedInstance) -> dict[str, Any]:
+        """What the former agent has written; empty if it can't be read."""
         try:
             state = json.loads(self.state_file(member).read_text(encoding="ascii"))
-            member.stopped = bool(state.get("held", False))
+        except (OSError, ValueError):
+            return {}
+        return state if isinstance(state, dict) else {}
+
+    def take_over(self, member: SupervisedInstance) -> SupervisedProcess | None:
+        """The process that the former agent left running, if any. Its further ones are ended, but for one where the
+        instance has no other."""
+        state = self.read_state(member)
+        member.stopped = bool(state.get("held", False))
+        process = self.find_current(state)
+        names = state.get("others", [])
+        for boot in names if isinstance(names, list) else []:
+            other = find_by_boot(str(boot))
+            if other is not None:
+                member.others[other.boot] = other
+        if process is None and member.others and not member.stopped:
+            _, process = member.others.popitem()
+        return process
+
+    @staticmethod
+    def find_current(state: dict[str, Any]) -> SupervisedProcess | None:
+        try:
             boot = str(state["boot"])
-            pid = int(state["pid"]) if "pid" in state else find_process_with_variable("GW_BOOT", boot)
-            if pid is None:
-                return None
-            ticks = int(state["ticks"]) if "ticks" in state else start_ticks(pid) or 0
-        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+            if "pid" not in state:
+                return find_by_boot(boot)
+            pid, ticks = int(state["pid"]), int(state["ticks"])
+        except (ValueError, KeyError, TypeError):
             return None
         return SupervisedProcess(pid, ticks, boot, None) if is_alive(pid, ticks) else None
 
+    async def end_other(self, member: SupervisedInstance, run: SupervisedProcess) -> None:
+        """Ends a process beside that of the instance; until then the state file names it."""
+        await run.stop(member.service.stop_s)
+        member.others.pop(run.boot, None)
+        self.write_state(member)
+
+    def end_others_of_former_agent(self, member: SupervisedInstance) -> None:
+        assert self.tasks is not None
+        for run in member.others.values():
+            if run is not None:
+                self.log(f"{member.name}: ends process {run.pid}, left by a replacement that the former agent began")
+                self.tasks.create_task(self.end_other(member, run))
+
     async def keep_running(self, member: SupervisedInstance) -> None:
         """Starts the instance, and restarts it whenever its process ends by itself."""
         member.process = self.take_over(member)
+        self.end_others_of_former_agent(member)
         while not self.is_stopping:
             if member.process is None:
                 if member.stopped or member.crash_loop:
@@ -235,8 +283,9 @@
                 "GW_ZONE": service.zone, "GW_OPERATOR": str(operator) if service.make_before_break else "",
             }
             environ.pop("GW_LISTEN", None)
-            if not replaces:
-                self.write_state(member, boot)
+            if replaces:
+                member.others[boot] = None
+            self.write_state(member, boot)
             log_path = self.logs / f"{name}.log"
             if log_path.exists() and log_path.stat().st_size > MAX_LOG_BYTES:
                 log_path.replace(log_path.with_suffix(".log.1"))
@@ -244,11 +293,14 @@
                 child = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], env=environ, stdout=log,
                                          stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         except OSError as error:
+            member.others.pop(boot, None)
             self.log(f"{name}: can't start: {error}")
             return None
         run = SupervisedProcess(child.pid, start_ticks(child.pid) or 0, boot, child)
-        member.process = run if not replaces else member.process
-        if not replaces:
+        if replaces:
+            member.others[boot] = run
+        else:
+            member.process = run
             self.write_state(member)
         return run
 
@@ -296,12 +348,14 @@
         while not self.is_ready(member.name, new.boot):
             if new.ended.done() or time.monotonic() > deadline_s or old.ended.done():
                 self.log(f"{member.name}: the successor did not become ready; the old process stays")
-                await new.stop(member.service.stop_s)
+                await self.end_other(member, new)
                 return
             await asyncio.sleep(0.02)
         member.process = new
+        del member.others[new.boot]
+        member.others[old.boot] = old
         self.write_state(member)
-        await old.stop(member.service.stop_s)
+        await self.end_other(member, old)
 
     def is_ready(self, name: str, boot: str) -> bool:
         member = self.fleet.members.get(name)
@@ -313,11 +367,11 @@
     async def stop_all(self) -> None:
         """Stops all processes: SIGTERM, then SIGKILL after their stop time; returns when none is left."""
         self.is_stopping = True
-        runs = [(m.process, m.service.stop_s) for m in self.members.values() if m.process is not None]
-        await asyncio.gather(*(run.stop(stop_s) for run, stop_s in runs))
+        await asyncio.gather(*(run.stop(member.service.stop_s) for member in self.members.values()
+                               for run in member.running()))
 
     def release_all(self) -> None:
         self.is_stopping = True
         for member in self.members.values():
-            if member.process is not None:
-                member.process.stop_watching()
+            for run in member.running():
+                run.stop_watching()
