--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -8,7 +8,6 @@
 import json
 import os
 import secrets
-import signal
 import subprocess
 import sys
 import time
@@ -18,69 +17,17 @@
 from typing import Any
 
 from ironscale.agent.fleet import Fleet
+from ironscale.agent.instance_state import InstanceState, read_state
 from ironscale.agent.model import OutgoingCommand
 from ironscale.agent.restarts import RestartBackoff
-from ironscale.control.processes import find_process_with_variable, is_alive, start_ticks
+from ironscale.agent.supervised_process import SupervisedProcess, find_process
+from ironscale.control.processes import start_ticks
 from ironscale.operator_file import OperatorFileError, ServiceConfig
 
 READY_TIMEOUT_S = 30.0  # a successor that is not ready by then is stopped, and the old process stays
 MAX_LOG_BYTES = 16 << 20  # a larger log is rotated when the instance starts
 
 
-class SupervisedProcess:
-    """One process, either a child of this agent or taken over from a former one."""
-
-    def __init__(self, pid: int, ticks: int, boot: str, child: subprocess.Popen[bytes] | None) -> None:
-        self.pid, self.ticks, self.boot, self.child = pid, ticks, boot, child
-        self.started_s = time.monotonic()
-        self.ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self.pidfd = -1
-        with contextlib.suppress(OSError):
-            self.pidfd = os.pidfd_open(pid)
-        if self.pidfd >= 0:
-            asyncio.get_running_loop().add_reader(self.pidfd, self.on_end)
-        else:
-            self.on_end()
-
-    def on_end(self) -> None:
-        """Called when the pidfd is readable: the process has ended. Only a child's exit code can be read."""
-        how = "its process has ended"
-        if self.child is not None:
-            code = self.child.poll()
-            if code is None:
-                return
-            how = f"exit {code}" if code >= 0 else f"signal {-code}"
-        if self.pidfd >= 0:
-            asyncio.get_running_loop().remove_reader(self.pidfd)
-            os.close(self.pidfd)
-            self.pidfd = -1
-        if not self.ended.done():
-            self.ended.set_result(how)
-
-    def kill(self, signal_number: int) -> None:
-        # The pid may have been reused by another process.
-        if not self.ended.done() and is_alive(self.pid, self.ticks):
-            with contextlib.suppress(ProcessLookupError):
-                os.kill(self.pid, signal_number)
-
-    async def stop(self, timeout_s: float) -> None:
-        """SIGTERM, then SIGKILL after `timeout_s`; returns when the process has ended."""
-        self.kill(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.shield(self.ended)
-        except TimeoutError:
-            self.kill(signal.SIGKILL)
-            await asyncio.shield(self.ended)
-
-    def stop_watching(self) -> None:
-        """Stops watching the process, which goes on running after the agent."""
-        if self.pidfd >= 0:
-            asyncio.get_running_loop().remove_reader(self.pidfd)
-            os.close(self.pidfd)
-            self.pidfd = -1
-
-
 @dataclass(slots=True)
 class SupervisedInstance:
     """One supervised instance."""
@@ -107,13 +54,6 @@
         return self.replacing or not (self.stopped or self.crash_loop)
 
 
-def find_by_boot(boot: str) -> SupervisedProcess | None:
-    """The process of this boot id, if it runs."""
-    pid = find_process_with_variable("GW_BOOT", boot)
-    ticks = start_ticks(pid) if pid is not None else None
-    return SupervisedProcess(pid, ticks, boot, None) if pid is not None and ticks is not None else None
-
-
 class Supervisor:
     def __init__(self, services: tuple[ServiceConfig, ...], data: Path, agent: tuple[str, int], token_file: Path,
                  fleet: Fleet, overlay: Callable[[int], dict[str, Any] | None], log: Callable[[str], None]) -> None:
@@ -164,51 +104,29 @@
         return self.folder / f"{member.name}.state"
 
     def write_state(self, member: SupervisedInstance, boot: str = "") -> None:
-        """Writes the file that the next agent needs to take over all processes of the instance. `boot`: id of a process
-        that is about to be started, written beforehand, so that the next agent finds it even if this one is killed
-        right after the start."""
-        run = member.process
-        state = {"pid": run.pid, "ticks": run.ticks, "boot": run.boot} if run else {"boot": boot} if boot else {}
-        path = self.state_file(member)
-        temporary = path.with_suffix(".new")
-        state |= {"held": member.stopped, "others": [*member.others]}
-        temporary.write_text(json.dumps(state), encoding="ascii")
-        temporary.replace(path)
-
-    def read_state(self, member: SupervisedInstance) -> dict[str, Any]:
-        """What the former agent has written; empty if it can't be read."""
-        try:
-            state = json.loads(self.state_file(member).read_text(encoding="ascii"))
-        except (OSError, ValueError):
-            return {}
-        return state if isinstance(state, dict) else {}
+        """Writes what the next agent needs to take over all processes of the instance. `boot`: id of a process that is
+        about to be started, written beforehand, so that the next agent finds it even if this one is killed right after
+        the start."""
+        run, others = member.process, tuple(member.others)
+        state = InstanceState(boot, 0, 0, member.stopped, others)
+        if run is not None:
+            state = InstanceState(run.boot, run.pid, run.ticks, member.stopped, others)
+        state.write(self.state_file(member))
 
     def take_over(self, member: SupervisedInstance) -> SupervisedProcess | None:
         """The process that the former agent left running, if any. Its further ones are ended, but for one where the
         instance has no other."""
-        state = self.read_state(member)
-        member.stopped = bool(state.get("held", False))
-        process = self.find_current(state)
-        names = state.get("others", [])
-        for boot in names if isinstance(names, list) else []:
-            other = find_by_boot(str(boot))
+        state = read_state(self.state_file(member))
+        member.stopped = state.is_stopped
+        process = find_process(state.boot, state.pid, state.ticks)
+        for boot in state.others:
+            other = find_process(boot)
             if other is not None:
-                member.others[other.boot] = other
+                member.others[boot] = other
         if process is None and member.others and not member.stopped:
             _, process = member.others.popitem()
         return process
 
-    @staticmethod
-    def find_current(state: dict[str, Any]) -> SupervisedProcess | None:
-        try:
-            boot = str(state["boot"])
-            if "pid" not in state:
-                return find_by_boot(boot)
-            pid, ticks = int(state["pid"]), int(state["ticks"])
-        except (ValueError, KeyError, TypeError):
-            return None
-        return SupervisedProcess(pid, ticks, boot, None) if is_alive(pid, ticks) else None
-
     async def end_other(self, member: SupervisedInstance, run: SupervisedProcess) -> None:
         """Ends a process beside that of the instance; until then the state file names it."""
         await run.stop(member.service.stop_s)
--- a/tests/agent/test_replacement_cut_off.py
+++ b/tests/agent/test_replacement_cut_off.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from ironscale.agent.supervisor import SupervisedProcess, Supervisor
+from ironscale.agent.supervised_process import SupervisedProcess
+from ironscale.agent.supervisor import Supervisor
 from ironscale.control.processes import start_ticks
 from ironscale.operator_file import ServiceConfig
 from tests.agent.agent_harness import AgentScene, run, scene, until
