--- a/ironscale/load/worker.py
+++ b/ironscale/load/worker.py
@@ -105,7 +105,9 @@
         self.held = bytearray()
 
     def frame(self, letter: bytes, data: bytes) -> None:
-        self.transport.write(FRAME.pack(letter, len(data)) + data)
+        """Writes a frame; it is dropped where the parent has ended, or has closed its side after a signal."""
+        if not self.transport.is_closing():
+            self.transport.write(FRAME.pack(letter, len(data)) + data)
 
     def sample(self, sample: Sample) -> None:
         self.held += RECORD.pack(*sample)
