--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,7 +32,7 @@
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     known_failures = {entry.test for entry in known_red.read()}
     # A test that is selected by its id is run even if it is a known failure.
-    selected_ids = {argument.partition(" ")[0] for argument in config.args}
+    selected_ids = set(config.args)
     deselected = [item for item in items if item.nodeid in known_failures and item.nodeid not in selected_ids]
     config.hook.pytest_deselected(items=deselected)
     items[:] = [item for item in items if item not in deselected]
