Targets of a wave that are out already count before its first command

Cause: a dead target was counted only as its own position came. Change: the targets of a wave without a lease are judged first. Targets of later waves still count as their wave comes.

--- a/ironscale/agent/planner.py
+++ b/ironscale/agent/planner.py
@@ -240,6 +240,11 @@
     return not problem
 
 
+def _is_restartable(op: Operation, seen: Observation) -> bool:
+    """Whether the operation restarts it: a supervised process can be restarted even if it has ended or is silent."""
+    return seen.supervised and op.kind is Kind.RESTART
+
+
 def _start_targets(op: Operation, targets: list[Target], fleet: FleetView, now_ms: int, plan: Plan,
                    check_permit: PermitCheck, check_gate: GateCheck) -> None:
     """Starts targets wave by wave, with no more unavailable at a time than the policy allows."""
@@ -259,18 +264,19 @@
             if text:
                 plan.waits_for, plan.is_soaking = text, True
                 return
-        for index in wave:
-            target = targets[index]
-            if target.state is not State.NOT_STARTED:
+        waiting = [index for index in wave if targets[index].state is State.NOT_STARTED]
+        for index in waiting:  # all that are out already count before the first command
+            target, seen = targets[index], fleet.get(targets[index].name)
+            if seen is None:
+                targets[index] = replace(target, state=State.NO_ANSWER, detail="not known")
+            elif not (seen.leased or _is_restartable(op, seen)):
+                targets[index] = _judge_without_lease(target, seen)
+            unavailable += targets[index].state in UNAVAILABLE
+        for index in waiting:
+            target, seen = targets[index], fleet.get(targets[index].name)
+            if target.state is not State.NOT_STARTED or seen is None or unavailable >= limit:
                 continue
-            seen = fleet.get(target.name)
-            # A supervised process can be restarted even if it has ended or is silent.
-            restartable = seen is not None and seen.supervised and op.kind is Kind.RESTART
-            if seen is None or not (seen.leased or restartable):
-                targets[index] = _judge_without_lease(target, seen) if seen is not None else replace(
-                    target, state=State.NO_ANSWER, detail="not known")
-                unavailable += 1
-            elif (seen.connected or restartable) and unavailable < limit and _is_permitted(target, plan, check_permit):
+            if (seen.connected or _is_restartable(op, seen)) and _is_permitted(target, plan, check_permit):
                 targets[index] = _plan_command(op, target, seen, now_ms, plan)
                 unavailable += targets[index].state in UNAVAILABLE
         if any(targets[index].state in (State.NOT_STARTED, State.UNDER_WAY) for index in wave):
--- a/tests/agent/test_planner.py
+++ b/tests/agent/test_planner.py
@@ -247,6 +247,19 @@
     assert [send.boot for send in run.step()] == ["i0-2"]
 
 
+# Guards against a command while the policy's number is out already, as the target that is out comes after it.
+@pytest.mark.parametrize("dead", range(3))
+@pytest.mark.parametrize("ended", ["signal 9", ""])
+def test_a_dead_target_counts_before_the_first_command_wherever_it_stands(dead: int, ended: str) -> None:
+    run = PlannerRun(operation(max_unavailable=1), 3)
+    run.show(f"i{dead}", connected=False, leased=False, ended=ended)
+    assert not run.step()
+    assert run.op.phase is not Phase.RUNNING
+    allowed = PlannerRun(operation(max_unavailable=2), 3)
+    allowed.show(f"i{dead}", connected=False, leased=False, ended=ended)
+    assert len(allowed.step()) == 1
+
+
 def test_waves_run_in_order_within_max_unavailable() -> None:
     run = PlannerRun(operation(wave=2, max_unavailable=1), 4)
     order = []
@@ -553,6 +566,8 @@
                 process.reachable = True
                 self.resend(name)
         for _ in range(60):
+            if self.run_.op.phase is Phase.PAUSED:  # by a failure that is only seen now
+                self.run_.op = replace(self.run_.op, phase=Phase.ABORTING)
             if self.run_.op.phase not in OPEN_PHASES:
                 break
             self.look()
