The next agent goes on with a replacement that the former one began

Cause: the successor may have registered before it was ended, and its end counted as the instance's. Change: the state file says which further process is the successor; the next agent waits until it is ready and ends the old one. All others are ended, as before.

--- a/ironscale/agent/instance_state.py
+++ b/ironscale/agent/instance_state.py
@@ -16,6 +16,7 @@
     ticks: int = 0  # when it was started, which tells it from a later process of the same pid
     is_stopped: bool = False  # an operator stopped the instance
     others: tuple[str, ...] = ()  # boot ids of processes that begin beside it or are to end
+    successor: str = ""  # which of them is to replace it once it is ready
 
     def write(self, path: Path) -> None:
         """Replaces the file. Raises OSError."""
@@ -23,7 +24,8 @@
         if self.pid:
             process |= {"pid": self.pid, "ticks": self.ticks}
         temporary = path.with_suffix(".new")
-        temporary.write_text(json.dumps({**process, "held": self.is_stopped, "others": self.others}), encoding="ascii")
+        process |= {"held": self.is_stopped, "others": self.others, "successor": self.successor}
+        temporary.write_text(json.dumps(process), encoding="ascii")
         temporary.replace(path)
 
 
@@ -39,6 +41,6 @@
     names = tuple(str(boot) for boot in others) if isinstance(others, list) else ()
     try:
         return InstanceState(str(state.get("boot", "")), int(state.get("pid", 0)), int(state.get("ticks", 0)),
-                             is_stopped, names)
+                             is_stopped, names, str(state.get("successor", "")))
     except (ValueError, TypeError):
         return InstanceState(is_stopped=is_stopped, others=names)
--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -40,6 +40,7 @@
     process: SupervisedProcess | None = None
     # Its further processes by boot id, which begin beside `process` or are to end; None before the start.
     others: dict[str, SupervisedProcess | None] = field(default_factory=dict)
+    successor: str = ""  # which of them is to replace `process` once it is ready
     stopped: bool = False  # an operator stopped it: not to be started
     crash_loop: str = ""  # why it is not restarted any more; empty while it is
     wake: asyncio.Event = field(default_factory=asyncio.Event)  # set to start it now
@@ -107,15 +108,14 @@
         """Writes what the next agent needs to take over all processes of the instance. `boot`: id of a process that is
         about to be started, written beforehand, so that the next agent finds it even if this one is killed right after
         the start."""
-        run, others = member.process, tuple(member.others)
-        state = InstanceState(boot, 0, 0, member.stopped, others)
+        run = member.process
+        state = InstanceState(boot, 0, 0, member.stopped, tuple(member.others), member.successor)
         if run is not None:
-            state = InstanceState(run.boot, run.pid, run.ticks, member.stopped, others)
+            state = replace(state, boot=run.boot, pid=run.pid, ticks=run.ticks)
         state.write(self.state_file(member))
 
     def take_over(self, member: SupervisedInstance) -> SupervisedProcess | None:
-        """The process that the former agent left running, if any. Its further ones are ended, but for one where the
-        instance has no other."""
+        """The process that the former agent left running, if any; one of its further ones where there is no other."""
         state = read_state(self.state_file(member))
         member.stopped = state.is_stopped
         process = find_process(state.boot, state.pid, state.ticks)
@@ -125,6 +125,8 @@
                 member.others[boot] = other
         if process is None and member.others and not member.stopped:
             _, process = member.others.popitem()
+        elif process is not None and state.successor in member.others and not member.stopped:
+            member.successor = state.successor
         return process
 
     async def end_other(self, member: SupervisedInstance, run: SupervisedProcess) -> None:
@@ -133,17 +135,32 @@
         member.others.pop(run.boot, None)
         self.write_state(member)
 
-    def end_others_of_former_agent(self, member: SupervisedInstance) -> None:
+    def settle_others(self, member: SupervisedInstance) -> None:
+        """Goes on with a replacement that the former agent began, and ends all other further processes."""
         assert self.tasks is not None
         for run in member.others.values():
-            if run is not None:
+            if run is None:
+                continue
+            if run.boot == member.successor and member.process is not None:
+                self.log(f"{member.name}: goes on with process {run.pid}, by which the former agent was replacing "
+                         f"process {member.process.pid}")
+                member.replacing = True
+                self.tasks.create_task(self.resume_replacement(member, member.process, run))
+            else:
                 self.log(f"{member.name}: ends process {run.pid}, left by a replacement that the former agent began")
                 self.tasks.create_task(self.end_other(member, run))
 
+    async def resume_replacement(self, member: SupervisedInstance, old: SupervisedProcess, new: SupervisedProcess
+                                 ) -> None:
+        try:
+            await self.finish_replacement(member, old, new)
+        finally:
+            self.end_replacing(member)
+
     async def keep_running(self, member: SupervisedInstance) -> None:
         """Starts the instance, and restarts it whenever its process ends by itself."""
         member.process = self.take_over(member)
-        self.end_others_of_former_agent(member)
+        self.settle_others(member)
         while not self.is_stopping:
             if member.process is None:
                 if member.stopped or member.crash_loop:
@@ -202,7 +219,7 @@
             }
             environ.pop("GW_LISTEN", None)
             if replaces:
-                member.others[boot] = None
+                member.others[boot], member.successor = None, boot
             self.write_state(member, boot)
             log_path = self.logs / f"{name}.log"
             if log_path.exists() and log_path.stat().st_size > MAX_LOG_BYTES:
@@ -212,6 +229,7 @@
                                          stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
         except OSError as error:
             member.others.pop(boot, None)
+            member.successor = ""
             self.log(f"{name}: can't start: {error}")
             return None
         run = SupervisedProcess(child.pid, start_ticks(child.pid) or 0, boot, child)
@@ -254,22 +272,30 @@
                 member.wake.set()  # `keep_running` starts the next process as soon as this one has ended
                 await old.stop(member.service.stop_s)
         finally:
-            member.replacing = False
-            self.fleet.mark_changed_if_known(member.name)
+            self.end_replacing(member)
+
+    def end_replacing(self, member: SupervisedInstance) -> None:
+        member.replacing = False
+        self.fleet.mark_changed_if_known(member.name)
 
     async def make_before_break(self, member: SupervisedInstance, old: SupervisedProcess) -> None:
         """Starts the successor first, and stops the old process once the successor is ready."""
         new = self.start(member, old.boot)
-        if new is None:
-            return
+        if new is not None:
+            await self.finish_replacement(member, old, new)
+
+    async def finish_replacement(self, member: SupervisedInstance, old: SupervisedProcess, new: SupervisedProcess
+                                 ) -> None:
+        """Waits until the successor is ready, and ends the old process; ends the successor if it doesn't become so."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
         while not self.is_ready(member.name, new.boot):
             if new.ended.done() or time.monotonic() > deadline_s or old.ended.done():
                 self.log(f"{member.name}: the successor did not become ready; the old process stays")
+                member.successor = ""
                 await self.end_other(member, new)
                 return
             await asyncio.sleep(0.02)
-        member.process = new
+        member.process, member.successor = new, ""
         del member.others[new.boot]
         member.others[old.boot] = old
         self.write_state(member)
--- a/tests/agent/test_instance_state.py
+++ b/tests/agent/test_instance_state.py
@@ -11,7 +11,7 @@
 
 @pytest.mark.parametrize("state", [
     InstanceState(), InstanceState("b1"), InstanceState("b1", 7, 9, True), InstanceState("", 0, 0, False, ("b2", "b3")),
-    InstanceState("b1", 7, 9, True, ("b2",))])
+    InstanceState("b1", 7, 9, True, ("b2",)), InstanceState("b1", 7, 9, False, ("b2", "b3"), "b3")])
 def test_what_is_written_is_read(tmp_path: Path, state: InstanceState) -> None:
     path = tmp_path / "app-0.state"
     state.write(path)
--- a/tests/agent/test_replacement_cut_off.py
+++ b/tests/agent/test_replacement_cut_off.py
@@ -96,9 +96,10 @@
                     async with site.agent() as s:
                         old = await site.begin_replacement(s)
                         await until_running(site.data, 2)
+                successor = next(iter(processes(site.data) - {old}))
                 if old_dies:
                     os.kill(old, signal.SIGKILL)
-                await one_process_is_known(site)
+                assert await one_process_is_known(site) == successor  # the next agent goes on with the replacement
 
     run(test)
 
@@ -122,8 +123,8 @@
     run(test)
 
 
-async def one_process_is_known(site: Site) -> None:
-    """The next agent: one process, which it knows, and none after `--stop-instances`."""
+async def one_process_is_known(site: Site) -> int:
+    """The next agent: one process, which it knows and which is returned, and none after `--stop-instances`."""
     async with site.agent() as s:
         supervisor = s.agent.supervisor
 
@@ -134,8 +135,11 @@
 
         await until_settled(is_settled)
         await until(lambda: ready(s, NAME))
+        pid = s.agent.fleet.members[NAME].row.pid
+        assert processes(site.data) == {pid}
         await supervisor.stop_all()
         assert not processes(site.data)
+        return pid
 
 
 # Guards against a successor that outlives the end of all instances.
@@ -169,7 +173,7 @@
                         old = await site.begin_replacement(s)
                         await until_running(site.data, 2)
                         named = json.loads(state.read_text())
-                        assert named["pid"] == old and len(named["others"]) == 1
+                        assert named["pid"] == old and named["others"] == [named["successor"]]
                 os.kill(old, signal.SIGKILL)
                 state.write_text(json.dumps({**named, "held": True}))
                 async with scene(site.data, services=(site.service,), lease_s=1.0, heartbeat_s=0.1,
