The test of a permit over a restart waits until its command runs

Cause, by reading and by a trial that suspends the holder at that moment: the test ended the agent as soon as the permit was held, and the holder asks once more before it runs anything; without an answer it runs nothing and says so (exit 5), as it should. Change: the test waits for a file that the command makes.

--- a/tests/cli/test_permit.py
+++ b/tests/cli/test_permit.py
@@ -72,13 +72,14 @@
 
 def test_an_agent_that_is_started_again_meanwhile_finds_the_permit_and_its_holder(tmp_path: Path) -> None:
     async def test() -> None:
-        gate, data = tmp_path / "go", tmp_path / "data"
+        gate, runs, data = tmp_path / "go", tmp_path / "runs", tmp_path / "data"
         async with scene(data, budgets=ONE) as s:
             await s.start_many(1)
             await until(lambda: all(sight.out == 0.0 for sight in s.engine.permits.ledger.observations.values()))
             holder = await permit_run(data, "--unit", "i0000", "--lease", "0.9", "--", "sh", "-c",
-                                      f"until [ -e {gate} ]; do sleep 0.02; done")
+                                      f"touch {runs}; until [ -e {gate} ]; do sleep 0.02; done")
             await until(lambda: any(p.phase is Phase.HELD for p in s.engine.permits.ledger.permits.values()))
+            await until(runs.exists)  # before, the holder asks once more, and runs nothing without an answer
         await asyncio.sleep(0.7)
         async with scene(data, budgets=ONE) as s:
             assert [p.phase for p in s.engine.permits.ledger.permits.values()] != []
