A state file that can't be written no longer ends the agent

What operators would see: with a full disk the agent ended in the middle of a replacement, or as a process ended, with all its work (ENOSPC in a task of its group). Change: save_state logs once and tries again until it succeeds, while this agent leads; a start is still not begun without its file. One step holds the replacement in the tests, where three stood.

--- a/ironscale/agent/supervisor.py
+++ b/ironscale/agent/supervisor.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +24,7 @@
 from ironscale.control.processes import start_ticks
 from ironscale.operator_file import OperatorFileError, ServiceConfig
 
+STATE_RETRY_S = 1.0
 READY_TIMEOUT_S = 30.0  # a successor that is not ready by then is stopped, and the old process stays
 MAX_LOG_BYTES = 16 << 20  # a larger log is rotated when the instance starts
 
@@ -45,6 +46,7 @@
     crash_loop: str = ""  # why it is not restarted any more; empty while it is
     wake: asyncio.Event = field(default_factory=asyncio.Event)  # set to start it now
     replacing: bool = False
+    is_state_unsaved: bool = False  # its state file is older than what has happened, and is tried again
 
     def running(self) -> list[SupervisedProcess]:
         """All its processes."""
@@ -109,11 +111,26 @@
         about to be started, written beforehand, so that the next agent finds it even if this one is killed right after
         the start."""
         run = member.process
-        state = InstanceState(boot, 0, 0, member.stopped, tuple(member.others), member.successor)
-        if run is not None:
-            state = replace(state, boot=run.boot, pid=run.pid, ticks=run.ticks)
+        boot, pid, ticks = (run.boot, run.pid, run.ticks) if run is not None else (boot, 0, 0)
+        state = InstanceState(boot, pid, ticks, member.stopped, tuple(member.others), member.successor)
         state.write(self.state_file(member))
 
+    def save_state(self, member: SupervisedInstance, is_retry: bool = False) -> None:
+        """Writes the state of what has happened already; tried again until it succeeds, as nothing can be taken back
+        and the next agent has to learn of it."""
+        if is_retry and self.is_stopping:
+            return  # the file may be the next agent's by now
+        try:
+            self.write_state(member)
+        except OSError as error:
+            if not member.is_state_unsaved:
+                self.log(f"{member.name}: its state can't be written, and is tried again: {error}")
+            if is_retry or not member.is_state_unsaved:
+                asyncio.get_running_loop().call_later(STATE_RETRY_S, self.save_state, member, True)
+            member.is_state_unsaved = True
+        else:
+            member.is_state_unsaved = False
+
     def take_over(self, member: SupervisedInstance) -> SupervisedProcess | None:
         """The process that the former agent left running, if any; one of its further ones where there is no other."""
         state = read_state(self.state_file(member))
@@ -133,7 +150,7 @@
         """Ends a process beside that of the instance; until then the state file names it."""
         await run.stop(member.service.stop_s)
         member.others.pop(run.boot, None)
-        self.write_state(member)
+        self.save_state(member)
 
     def settle_others(self, member: SupervisedInstance) -> None:
         """Goes on with a replacement that the former agent began, and ends all other further processes."""
@@ -176,7 +193,7 @@
                 continue  # already replaced by its successor
             self.fleet.process_ended(member.name, run.boot, how)
             member.process = None
-            self.write_state(member)
+            self.save_state(member)
             if member.stopped or member.wake.is_set() or self.is_stopping:
                 continue
             wait_s = member.backoff.on_end(time.monotonic(), time.monotonic() - run.started_s)
@@ -237,7 +254,7 @@
             member.others[boot] = run
         else:
             member.process = run
-            self.write_state(member)
+            self.save_state(member)
         return run
 
     # Called by operations
@@ -247,7 +264,7 @@
         member = self.members.get(name)
         if member is not None:
             member.stopped = True
-            self.write_state(member)
+            self.save_state(member)
 
     def restart_process(self, send: OutgoingCommand) -> None:
         """Replaces the process `send.boot`; does nothing if it has been replaced already."""
@@ -298,7 +315,7 @@
         member.process, member.successor = new, ""
         del member.others[new.boot]
         member.others[old.boot] = old
-        self.write_state(member)
+        self.save_state(member)
         await self.end_other(member, old)
 
     def is_ready(self, name: str, boot: str) -> bool:
--- a/tests/agent/test_replacement_cut_off.py
+++ b/tests/agent/test_replacement_cut_off.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import signal
@@ -12,6 +13,8 @@
 
 import pytest
 
+from ironscale.agent import supervisor
+from ironscale.agent.instance_state import InstanceState
 from ironscale.agent.supervised_process import SupervisedProcess
 from ironscale.agent.supervisor import Supervisor
 from ironscale.control.processes import start_ticks
@@ -74,6 +77,17 @@
         return pid
 
 
+@contextlib.asynccontextmanager
+async def held_replacement(site: Site, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[tuple[AgentScene, int]]:
+    """An agent whose replacement waits for ever for its successor, and the pid of the old process."""
+    with monkeypatch.context() as held:
+        held.setattr(Supervisor, "is_ready", lambda supervisor, name, boot: False)
+        async with site.agent() as s:
+            old = await site.begin_replacement(s)
+            await until_running(site.data, 2)
+            yield s, old
+
+
 async def never(process: SupervisedProcess, timeout_s: float) -> None:
     await asyncio.Event().wait()
 
@@ -86,24 +100,25 @@
 # Guards against a successor, or an old process, that serves on in nobody's record.
 @pytest.mark.parametrize("old_dies", [False, True], ids=["old-lives", "old-dies"])
 def test_an_agent_that_ends_before_its_successor_counts_leaves_one_process(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, old_dies: bool) -> None:
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], old_dies: bool) -> None:
     async def test() -> None:
         async with world(tmp_path) as (_, config):
             site = Site(tmp_path, config)
             with no_process_left(site.data):
-                with monkeypatch.context() as held:
-                    held.setattr(Supervisor, "is_ready", lambda supervisor, name, boot: False)
-                    async with site.agent() as s:
-                        old = await site.begin_replacement(s)
-                        await until_running(site.data, 2)
+                async with held_replacement(site, monkeypatch) as (_, old):
+                    pass  # it ends there
                 successor = next(iter(processes(site.data) - {old}))
                 if old_dies:
                     os.kill(old, signal.SIGKILL)
                 assert await one_process_is_known(site) == successor  # the next agent goes on with the replacement
+                if not old_dies:
+                    assert (f"goes on with process {successor}, by which the former agent was replacing process {old}"
+                            in capsys.readouterr().err)
 
     run(test)
 
 
+# Guards against an old process that serves on, as its agent ended between the two steps of its end.
 @pytest.mark.parametrize("stop", [never, only_signalled], ids=["before-the-signal", "after-the-signal"])
 def test_an_agent_that_ends_before_the_old_process_has_leaves_one_process(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, stop: object) -> None:
@@ -126,10 +141,8 @@
 async def one_process_is_known(site: Site) -> int:
     """The next agent: one process, which it knows and which is returned, and none after `--stop-instances`."""
     async with site.agent() as s:
-        supervisor = s.agent.supervisor
-
         def is_settled() -> bool:
-            member = supervisor.members[NAME]
+            member = s.agent.supervisor.members[NAME]
             return (member.process is not None and processes(site.data) == {member.process.pid}
                     and not member.replacing and not member.others)
 
@@ -137,22 +150,18 @@
         await until(lambda: ready(s, NAME))
         pid = s.agent.fleet.members[NAME].row.pid
         assert processes(site.data) == {pid}
-        await supervisor.stop_all()
+        await s.agent.supervisor.stop_all()
         assert not processes(site.data)
         return pid
 
 
 # Guards against a successor that outlives the end of all instances.
 def test_the_end_of_all_instances_ends_a_successor_too(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Supervisor, "is_ready", lambda supervisor, name, boot: False)
-
     async def test() -> None:
         async with world(tmp_path) as (_, config):
             site = Site(tmp_path, config)
             with no_process_left(site.data):
-                async with site.agent() as s:
-                    await site.begin_replacement(s)
-                    await until_running(site.data, 2)
+                async with held_replacement(site, monkeypatch) as (s, _):
                     await s.agent.supervisor.stop_all()
                     assert not processes(site.data)
 
@@ -167,13 +176,9 @@
             site = Site(tmp_path, config)
             state = site.data / "instances" / f"{NAME}.state"
             with no_process_left(site.data):
-                with monkeypatch.context() as held:
-                    held.setattr(Supervisor, "is_ready", lambda supervisor, name, boot: False)
-                    async with site.agent() as s:
-                        old = await site.begin_replacement(s)
-                        await until_running(site.data, 2)
-                        named = json.loads(state.read_text())
-                        assert named["pid"] == old and named["others"] == [named["successor"]]
+                async with held_replacement(site, monkeypatch) as (_, old):
+                    named = json.loads(state.read_text())
+                    assert named["pid"] == old and named["others"] == [named["successor"]]
                 os.kill(old, signal.SIGKILL)
                 state.write_text(json.dumps({**named, "held": True}))
                 async with scene(site.data, services=(site.service,), lease_s=1.0, heartbeat_s=0.1,
@@ -181,3 +186,38 @@
                     await until_running(site.data, 0)
 
     run(test)
+
+
+# Guards against an agent that ends, with all that it supervises, as a state file can't be written for a while.
+def test_a_replacement_goes_on_while_state_files_cannot_be_written(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    write, fails = InstanceState.write, [False]
+
+    def write_or_fail(state: InstanceState, path: Path) -> None:
+        if fails[0]:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        write(state, path)
+
+    monkeypatch.setattr(InstanceState, "write", write_or_fail)
+    monkeypatch.setattr(supervisor, "STATE_RETRY_S", 0.05)
+
+    async def test() -> None:
+        async with world(tmp_path) as (_, config):
+            site = Site(tmp_path, config)
+            state = site.data / "instances" / f"{NAME}.state"
+            with no_process_left(site.data):
+                async with site.agent() as s:
+                    old = await site.begin_replacement(s)
+                    await until_running(site.data, 2)
+                    fails[0] = True
+                    member = s.agent.supervisor.members[NAME]
+                    await until(lambda: member.process is not None and member.process.pid != old and not member.others)
+                    assert json.loads(state.read_text())["pid"] == old  # what the next agent would read until then
+                    fails[0] = False
+                    await until(lambda: member.process is not None
+                                and json.loads(state.read_text())["pid"] == member.process.pid)
+                    assert not member.is_state_unsaved
+                    await s.agent.supervisor.stop_all()
+
+    run(test)
+    assert capsys.readouterr().err.count("its state can't be written, and is tried again") == 1
