--- a/tests/agent/test_instance_state.py
+++ b/tests/agent/test_instance_state.py
@@ -9,6 +9,7 @@
 from ironscale.agent.instance_state import InstanceState, read_state
 
 
+# Guards against a process that the next agent does not learn of.
 @pytest.mark.parametrize("state", [
     InstanceState(), InstanceState("b1"), InstanceState("b1", 7, 9, True), InstanceState("", 0, 0, False, ("b2", "b3")),
     InstanceState("b1", 7, 9, True, ("b2",)), InstanceState("b1", 7, 9, False, ("b2", "b3"), "b3")])
@@ -26,6 +27,7 @@
     ('{"boot": "b1", "pid": 7, "ticks": 9, "held": false}', InstanceState("b1", 7, 9)),  # of a former version
     ('{"boot": "b1", "pid": null}', InstanceState()),
 ])
+# Guards against a damaged part of the file that hides the others.
 def test_what_is_damaged_or_missing_reads_as_not_there(tmp_path: Path, text: str, state: InstanceState) -> None:
     path = tmp_path / "app-0.state"
     path.write_text(text)
--- a/tests/ends/test_lagging_lists.py
+++ b/tests/ends/test_lagging_lists.py
@@ -69,6 +69,7 @@
     run(test)
 
 
+# Guards against an upstream that stays out of use although the call that took it out has named it again.
 @pytest.mark.parametrize("lifecycle", ["draining", "gone", ""])
 def test_an_upstream_that_older_lists_take_out_and_name_again_is_used(lifecycle: str) -> None:
     async def test() -> None:
--- a/tests/test_parse_pacing.py
+++ b/tests/test_parse_pacing.py
@@ -47,6 +47,7 @@
             self.paused_until_us[number] = self.now_us + pause_us
 
 
+# Guards against a crowd that takes more than its share, by how small its pieces are or in which order they come.
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("max_piece_us", [2, 40, 150, 1_000])
 @pytest.mark.parametrize("clients", [1, 40, 400])
@@ -59,6 +60,7 @@
     assert crowd.spent_us <= PARSING_SHARE * crowd.now_us + free_us
 
 
+# Guards against pauses while nobody takes too much.
 def test_what_is_within_the_share_is_never_paused() -> None:
     shared = ParsePacing()
     for now_us in range(0, 10_000_000, 1_000):
@@ -66,6 +68,7 @@
         assert not shared.pause_us(now_us)
 
 
+# Guards against debts of clients that are gone, for which the others would wait without end.
 def test_debts_end_with_the_longest_pause() -> None:
     shared = ParsePacing()
     for _ in range(1_000):
@@ -74,12 +77,14 @@
     assert not shared.pause_us(MAX_PAUSE_US)
 
 
+# Guards against pauses that follow from a process that was held up.
 def test_time_that_the_bytes_do_not_account_for_is_not_counted() -> None:
     request = RequestPacing()
     assert request.spend(200_000, 10) == 10 * MAX_US_PER_BYTE
     assert not request.is_due()
 
 
+# Guards against a request that is never due, as each of its pieces alone is short.
 def test_a_request_is_due_by_the_sum_of_its_pieces() -> None:
     request = RequestPacing()
     for _ in range(UNPACED_US // 10):
