--- a/bench/cost.py
+++ b/bench/cost.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import json
 import shutil
 import statistics
@@ -28,6 +29,7 @@
 from ironscale.load.run import check_limits, started_sidecars, started_site
 from ironscale.load.scenario import Scenario, parse
 
+_runs = itertools.count(1)
 VIEW = KindSpec("view", "idempotent", 5_000_000, False)
 Address = tuple[str, int]
 
@@ -52,11 +54,16 @@
         await process.wait()
 
 
+def new_run() -> str:
+    """A name whose request ids no measurement before it has used: a sidecar remembers them."""
+    return f"m{next(_runs)}"
+
+
 async def cost_us(pid: int, address: Address, callers: int, seconds: float) -> float:
     """CPU a request, after as long a warm-up as half of the measurement. A request that is not served spoils it."""
-    await closed_loop(address, VIEW, callers, seconds / 2, "w", "t0")
+    await closed_loop(address, VIEW, callers, seconds / 2, new_run(), "t0")
     before_s = process_cpu_s(pid)
-    samples = await closed_loop(address, VIEW, callers, seconds, "m", "t0")
+    samples = await closed_loop(address, VIEW, callers, seconds, new_run(), "t0")
     used_s = process_cpu_s(pid) - before_s
     other = [s for s in samples if s.end != End.SERVED]
     if len(other) > len(samples) / 100:
@@ -110,7 +117,7 @@
         return
     process = await asyncio.create_subprocess_exec(
         tool, "record", "-r", "500", "-d", str(int(seconds)), "-o", file, "--native", "--pid", str(pid))
-    await closed_loop(address, VIEW, callers, seconds + 0.5, "f")
+    await closed_loop(address, VIEW, callers, seconds + 0.5, new_run())
     await process.wait()
 
 
