The soak tells a connection closed for the client's own silence from a lost request

Hypotheses: (a) the test process stood still between its connect and its first byte, and the sidecar closed the silent connection as a shutdown does, 0.25 s after a connect before SIGTERM and 1.0 s after a later one; then the kernel has an orderly close at just these times. (b) The sidecar closes or resets new connections too early; then the silence is shorter, or there is no orderly close. (c) The process was killed; then an end by SIGKILL is counted.

Change: clients keep when the peer's close arrived (the kernel's time), when they connected and when they first wrote. A connection that was closed in order after the whole silence that the shutdown grants (2 s while the sidecar serves), before anything was written, is no loss: its client connects again or finds nobody. A close that comes earlier, a reset, a close after the first byte and a request without an answer stay lost, as long as before.

Not covered, as before: a reset during the connect counts as not connected.

--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import signal
 import socket
 import struct
@@ -35,9 +36,12 @@
 DEADLINE_SLACK_S = 0.15  # tolerance for the remaining time that an attempt tells its upstream
 LATE_READ_ITERATIONS = 3  # iterations of the event loop in which it reads data that had arrived before a timer ran
 MEASUREMENT_SLACK_S = 0.1  # tolerance for delays of this process, in addition to its measured lag
+# How long a sidecar leaves a new connection open that has sent nothing: while it serves, and after SIGTERM.
+MIN_SILENCE_S, MIN_SILENCE_IN_SHUTDOWN_S = 2.0, 0.25
+KERNEL_TICK_S = 0.01  # resolution of the times in tcp_info
 # The first fields of the kernel's struct tcp_info, and the indexes of those that are used.
 TCP_INFO = struct.Struct("8B15I")
-RETRANSMITS, BACKOFF, UNACKED, SINCE_LAST_DATA_MS = 2, 4, 12, 19
+RETRANSMITS, BACKOFF, UNACKED, SINCE_LAST_DATA_MS, SINCE_LAST_ACK_MS = 2, 4, 12, 19, 20
 
 
 def tcp_info(transport: asyncio.Transport) -> tuple[int, ...]:
@@ -235,6 +239,9 @@
         self.used = False
         self.closed = False
         self.end_reason = "open"
+        self.connected_s = 0.0
+        self.first_write_s = math.inf
+        self.peer_closed_s = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -262,6 +269,26 @@
     def on_message_complete(self) -> None:
         self.finish(True)
 
+    def eof_received(self) -> None:
+        """Keeps when the peer's close arrived, by the kernel's time, because this process may be late to read it."""
+        self.peer_closed_s = time.monotonic() - tcp_info(self.transport)[SINCE_LAST_ACK_MS] / 1e3
+
+    def silence_s(self) -> float:
+        """How long the peer had waited for the first byte when it closed the connection; 0 if the first byte came
+        before, or if the connection did not end by an orderly close."""
+        if math.isinf(self.peer_closed_s) or self.first_write_s <= self.peer_closed_s:
+            return 0.0
+        return self.peer_closed_s - self.connected_s
+
+    def write_request(self, data: bytes) -> bool:
+        """Writes a request, or its first part; returns False if the connection has ended."""
+        self.body, self.answer_waiter = b"", asyncio.get_running_loop().create_future()
+        if self.closed or self.transport.is_closing():
+            return False
+        self.first_write_s = min(self.first_write_s, time.monotonic())
+        self.transport.write(data)
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
         self.end_reason = repr(exc) if exc is not None else "a close"
@@ -274,19 +301,17 @@
     async def send_part(self, data: bytes, pause_s: float) -> bool:
         """Writes the first part of a request and waits. Returns whether the rest may follow, as there is no answer
         yet."""
-        self.body, self.answer_waiter = b"", asyncio.get_running_loop().create_future()
-        if self.closed or self.transport.is_closing():
+        if not self.write_request(data):
             return False
-        self.transport.write(data)
+        assert self.answer_waiter is not None
         await asyncio.wait([self.answer_waiter], timeout=pause_s)
         return not (self.answer_waiter.done() or self.transport.is_closing())
 
     async def ask(self, data: bytes, limit_s: float) -> bool:
         """Sends a request. Returns whether a complete answer arrived; raises TimeoutError."""
-        self.body, self.answer_waiter = b"", asyncio.get_running_loop().create_future()
-        if self.closed or self.transport.is_closing():
+        if not self.write_request(data):
             return False
-        self.transport.write(data)
+        assert self.answer_waiter is not None
         try:
             async with asyncio.timeout(limit_s):
                 return await asyncio.shield(self.answer_waiter)
@@ -306,11 +331,30 @@
         self.ledger, self.port = ledger, port
         self.idle: list[ClientConnection] = []
         self.may_connect = True
+        self.stopping_since_s = math.inf  # when the sidecar was told to stop
         self.latest: deque[Call] = deque(maxlen=MAX_LATEST_CALLS)
 
     async def connect(self) -> ClientConnection:
-        _, protocol = await asyncio.get_running_loop().create_connection(ClientConnection, "127.0.0.1", self.port)
-        return protocol
+        loop, address = asyncio.get_running_loop(), ("127.0.0.1", self.port)
+        sock = socket.socket()
+        try:
+            sock.setblocking(False)
+            sock.connect_ex(address)
+            connected_s = time.monotonic()  # the handshake of a loopback connection is over within the call
+            await loop.sock_connect(sock, address)
+            _, connection = await loop.create_connection(ClientConnection, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+        connection.connected_s = connected_s
+        return connection
+
+    def closed_for_silence(self, connection: ClientConnection) -> bool:
+        """Whether the sidecar closed the connection because it had waited for the first byte as long as it has to. The
+        client, which has sent nothing, may send its request on another connection."""
+        stopping = self.stopping_since_s <= connection.peer_closed_s
+        min_s = MIN_SILENCE_IN_SHUTDOWN_S if stopping else MIN_SILENCE_S
+        return connection.silence_s() >= min_s - KERNEL_TICK_S
 
     def request(self, call: Call, left_s: float) -> bytes:
         key = f"Idempotency-Key: key-{call.txn}\r\n" if call.lane == "mark" else ""
@@ -346,7 +390,7 @@
         while self.idle and (connection is None or connection.closed):
             connection = self.idle.pop()
         call.sent_s = time.monotonic()
-        for _ in range(2):  # a request that crosses with the close of an idle connection is sent once more
+        for _ in range(2):  # a request that crosses with the close of its connection is sent once more
             if connection is None or connection.closed:
                 begun_s = time.monotonic()
                 try:
@@ -361,6 +405,8 @@
             if await self.send_on(connection, call, leave_after_s, crossed):
                 break
             connection = None
+        else:
+            call.failure = "closed before it was written"
         if connection is not None and keep and call.status and not connection.closed:
             self.idle.append(connection)
         elif connection is not None:
@@ -387,7 +433,7 @@
         if whole:
             call.status, call.body = connection.parser.get_status_code(), connection.body
             return True
-        if used and not call.arrivals:
+        if not call.arrivals and (used or self.closed_for_silence(connection)):
             call.ended_s = None
             return False
         call.connection_state = connection.describe_state()
@@ -429,6 +475,7 @@
         environment = {**self.shim.environment(), "GW_CONFIG": str(self.folder / "config.json")}
         if self.operator:
             environment["GW_OPERATOR"] = str(self.folder / "operator.toml")
+        self.clients.stopping_since_s = math.inf
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], cwd=ROOT, env=environment,
                                             stdout=log, stderr=log)
@@ -448,6 +495,8 @@
 
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
+        if number in (signal.SIGTERM, signal.SIGINT):
+            self.clients.stopping_since_s = min(self.clients.stopping_since_s, time.monotonic())
         self.process.send_signal(number)
 
     def exit_code(self) -> int | None:
