The soak's clients look for a close in the kernel before they write, not at two clocks

Now a client reads the connection's state (CLOSE_WAIT) before its first write, and a connection that was written to is never excused.

--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -41,7 +41,8 @@
 KERNEL_TICK_S = 0.01  # resolution of the times in tcp_info
 # The first fields of the kernel's struct tcp_info, and the indexes of those that are used.
 TCP_INFO = struct.Struct("8B15I")
-RETRANSMITS, BACKOFF, UNACKED, SINCE_LAST_DATA_MS, SINCE_LAST_ACK_MS = 2, 4, 12, 19, 20
+STATE, RETRANSMITS, BACKOFF, UNACKED, SINCE_LAST_DATA_MS, SINCE_LAST_ACK_MS = 0, 2, 4, 12, 19, 20
+CLOSE_WAIT = 8  # the state of a connection that the peer has closed
 
 
 def tcp_info(transport: asyncio.Transport) -> tuple[int, ...]:
@@ -240,7 +241,7 @@
         self.closed = False
         self.end_reason = "open"
         self.connected_s = 0.0
-        self.first_write_s = math.inf
+        self.has_written = False
         self.peer_closed_s = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -250,7 +251,7 @@
         """Describes how the connection ended or, while it is open, its TCP state in the kernel."""
         if self.closed:
             return f"its connection ended by {self.end_reason}"
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.ended_unwritten():
             return "its connection had ended before it was written"
         info = tcp_info(self.transport)
         return (f"open connection with {info[RETRANSMITS]} retransmits, backoff {info[BACKOFF]}, "
@@ -276,16 +277,25 @@
     def silence_s(self) -> float:
         """How long the peer had waited for the first byte when it closed the connection; 0 if the first byte came
         before, or if the connection did not end by an orderly close."""
-        if math.isinf(self.peer_closed_s) or self.first_write_s <= self.peer_closed_s:
+        if self.has_written or math.isinf(self.peer_closed_s):
             return 0.0
         return self.peer_closed_s - self.connected_s
 
+    def ended_unwritten(self) -> bool:
+        """Whether the connection has ended with nothing written. The kernel may know before the event loop does."""
+        if self.has_written:
+            return False
+        if not self.transport.is_closing() and tcp_info(self.transport)[STATE] == CLOSE_WAIT:
+            self.eof_received()
+            return True
+        return self.transport.is_closing()
+
     def write_request(self, data: bytes) -> bool:
         """Writes a request, or its first part; returns False if the connection has ended."""
         self.body, self.answer_waiter = b"", asyncio.get_running_loop().create_future()
-        if self.closed or self.transport.is_closing():
+        if self.closed or self.transport.is_closing() or self.ended_unwritten():
             return False
-        self.first_write_s = min(self.first_write_s, time.monotonic())
+        self.has_written = True
         self.transport.write(data)
         return True
 
