--- a/tests/faults/shim.py
+++ b/tests/faults/shim.py
@@ -73,3 +73,7 @@
     def injected(self) -> dict[Fault, int]:
         found = {kind: struct.unpack_from("I", self.shared, HITS_AT + 4 * kind)[0] for kind in Fault}
         return {kind: count for kind, count in found.items() if count}
+
+
+def always(*kinds: Fault) -> dict[Fault, int]:
+    return dict.fromkeys(kinds, 1000)
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -1,4 +1,4 @@
-"""A soak test: a few dozen real sidecars under random, overlapping faults, checked by the invariants of `site.Ledger`.
+"""A soak test: a few dozen real sidecars under random, overlapping faults, checked by the rules of `ledger.Ledger`.
 
 Each sidecar is started, serves, reloads and shuts down at its own times, with series of signals and a SIGKILL at the
 earliest moment that the service's rules allow. Meanwhile its system calls fail, its clock is stepped, upstreams
@@ -19,8 +19,9 @@
 from typing import Any
 
 from tests.faults.crowd import CROWDS, LEAST_MEMORY_MB, crowd, memory_of
+from tests.faults.ledger import LANES
 from tests.faults.shim import Fault
-from tests.faults.site import LANES, SidecarProcess, Site
+from tests.faults.site import SidecarProcess, Site
 from tests.faults.surplus import Lateness, SurplusUpstream, surplus_site
 
 KILL_AFTER_S = 0.7  # SIGKILL comes this long after SIGTERM, plus the longest deadline
--- a/tests/faults/surplus.py
+++ b/tests/faults/surplus.py
@@ -7,7 +7,10 @@
 import random
 import time
 
-from tests.faults.site import LANES, Clients, Ledger, Site, Upstream, UpstreamConnection
+from tests.faults.clients import Clients
+from tests.faults.ledger import LANES, Ledger
+from tests.faults.site import Site
+from tests.faults.upstream import Upstream, UpstreamConnection
 
 SERVICE_S = (0.01, 0.03)  # range of the time that a request runs
 TURN_AWAY_SHARE, COPY_SHARE = 0.2, 0.3
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from tests.faults.shim import Fault
-from tests.faults.site import SidecarProcess, Site, always, send_load
+from tests.faults.clients import send_load
+from tests.faults.shim import Fault, always
+from tests.faults.site import SidecarProcess, Site
 from tests.sockets import run
 
 
--- a/tests/faults/test_held_up_by_clients.py
+++ b/tests/faults/test_held_up_by_clients.py
@@ -7,7 +7,8 @@
 import itertools
 from pathlib import Path
 
-from tests.faults.site import Site, send_load
+from tests.faults.clients import send_load
+from tests.faults.site import Site
 from tests.faults.test_calls import play
 
 SECONDS, REQUESTS_PER_S = 3.0, 60.0
--- a/tests/faults/test_last_moment.py
+++ b/tests/faults/test_last_moment.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from tests.faults.shim import Fault
-from tests.faults.site import ClientConnection, SidecarProcess, Site, always
+from tests.faults.clients import ClientConnection
+from tests.faults.shim import Fault, always
+from tests.faults.site import SidecarProcess, Site
 from tests.faults.soak import KILL_AFTER_S
 from tests.faults.test_calls import play
 
--- a/tests/faults/test_memory.py
+++ b/tests/faults/test_memory.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from tests.faults.clients import send_load
 from tests.faults.crowd import CROWDS, LEAST_MEMORY_MB, SOCKETS, Behaviour, crowd, memory_of
-from tests.faults.site import SidecarProcess, Site, send_load
+from tests.faults.site import SidecarProcess, Site
 from tests.faults.test_calls import play
 
 SECONDS, REQUESTS_PER_S = 4.0, 40.0
--- a/tests/faults/test_repeated_ids.py
+++ b/tests/faults/test_repeated_ids.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tests.faults.site import LANES, Call, SidecarProcess, Site
+from tests.faults.ledger import LANES, Call
+from tests.faults.site import SidecarProcess, Site
 from tests.faults.test_calls import play
 
 LEAVE_AFTER_S = 0.4
--- a/tests/faults/test_replaced.py
+++ b/tests/faults/test_replaced.py
@@ -10,8 +10,10 @@
 
 import pytest
 
-from tests.faults.site import Site, Upstream, send_load
+from tests.faults.clients import send_load
+from tests.faults.site import Site
 from tests.faults.test_calls import play
+from tests.faults.upstream import Upstream
 
 SECONDS, REQUESTS_PER_S = 6.0, 100.0
 CELLS = 3
--- a/tests/faults/test_signals.py
+++ b/tests/faults/test_signals.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from tests.faults.shim import Fault
-from tests.faults.site import Site, always, send_load
+from tests.faults.clients import send_load
+from tests.faults.shim import Fault, always
+from tests.faults.site import Site
 from tests.faults.test_calls import assert_clean_exit, assert_no_violations, play
 
 
--- a/tests/faults/test_store.py
+++ b/tests/faults/test_store.py
@@ -11,8 +11,10 @@
 import pytest
 
 from ironscale.record.journal import read_all
+from tests.faults.clients import send_load
+from tests.faults.ledger import Call
 from tests.faults.shim import Fault
-from tests.faults.site import Call, SidecarProcess, Site, send_load
+from tests.faults.site import SidecarProcess, Site
 from tests.faults.test_calls import assert_clean_exit, play
 
 OPERATOR = """[store]
--- a/tests/faults/test_verdicts.py
+++ b/tests/faults/test_verdicts.py
@@ -13,7 +13,9 @@
 
 import pytest
 
-from tests.faults.site import Call, Clients, Ledger, Site
+from tests.faults.clients import Clients
+from tests.faults.ledger import Call, Ledger
+from tests.faults.site import Site
 from tests.sockets import run
 
 STALL_S = 0.6
