A connection closed in a shutdown is judged by that shutdown, though the next process runs

Hypotheses: (a) the sidecar closed it for its silence in a shutdown, and the verdict, reached after the test process had launched the next process, no longer knew of that shutdown (`launch` set the time of SIGTERM back); then the silence is 0.25 s or more and no SIGTERM is known. (b) It was reset, as the process was killed or closed its listener; then there is no orderly close. (c) The sidecar closes new connections too early; then the silence is shorter. The verdict now says which it was.

Change: each connection keeps the shutdown of the process that it leads to.

--- a/tests/faults/clients.py
+++ b/tests/faults/clients.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections import deque
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
@@ -30,6 +31,16 @@
 MIN_SILENCE_S, MIN_SILENCE_IN_SHUTDOWN_S = 2.0, 0.25
 
 
+@dataclass
+class Shutdown:
+    """The shutdown of one sidecar process."""
+
+    since_s: float = math.inf  # when it was told to stop
+
+    def describe(self) -> str:
+        return "" if math.isinf(self.since_s) else f", {time.monotonic() - self.since_s:.3f} s after SIGTERM"
+
+
 class ClientConnection(asyncio.Protocol):
     """A reusable connection of a client, with one request at a time."""
 
@@ -42,6 +53,7 @@
         self.closed = False
         self.end_reason = "open"
         self.connected_s = 0.0
+        self.shutdown = Shutdown()  # of the process that it leads to
         self.has_written = False
         self.peer_closed_s = math.inf
 
@@ -52,8 +64,11 @@
         """Describes how the connection ended or, while it is open, its TCP state in the kernel."""
         if self.closed:
             return f"its connection ended by {self.end_reason}"
-        if self.transport.is_closing() or self.ended_unwritten():
-            return "its connection had ended before it was written"
+        if self.ended_unwritten():
+            end = "reset" if math.isinf(self.peer_closed_s) else f"closed {self.silence_s():.3f} s after its connect"
+            return f"its connection had ended before it was written, {end}"
+        if self.transport.is_closing():
+            return "its connection was being closed"
         info = tcp_info(self.transport)
         return (f"open connection with {info[RETRANSMITS]} retransmits, backoff {info[BACKOFF]}, "
                 f"{info[UNACKED]} segments unacked")
@@ -142,11 +157,11 @@
         self.ledger, self.port = ledger, port
         self.idle: list[ClientConnection] = []
         self.may_connect = True
-        self.stopping_since_s = math.inf  # when the sidecar was told to stop
+        self.shutdown = Shutdown()  # of the process that runs now
         self.latest: deque[Call] = deque(maxlen=MAX_LATEST_CALLS)
 
     async def connect(self) -> ClientConnection:
-        loop, address = asyncio.get_running_loop(), ("127.0.0.1", self.port)
+        loop, address, shutdown = asyncio.get_running_loop(), ("127.0.0.1", self.port), self.shutdown
         sock = socket.socket()
         try:
             sock.setblocking(False)
@@ -157,13 +172,13 @@
         except BaseException:
             sock.close()
             raise
-        connection.connected_s = connected_s
+        connection.connected_s, connection.shutdown = connected_s, shutdown
         return connection
 
     def closed_for_silence(self, connection: ClientConnection) -> bool:
         """Whether the sidecar closed the connection because it had waited for the first byte as long as it has to. The
         client, which has sent nothing, may send its request on another connection."""
-        stopping = self.stopping_since_s <= connection.peer_closed_s
+        stopping = connection.shutdown.since_s <= connection.peer_closed_s
         min_s = MIN_SILENCE_IN_SHUTDOWN_S if stopping else MIN_SILENCE_S
         return connection.silence_s() >= min_s - KERNEL_TICK_S
 
@@ -235,7 +250,7 @@
                                          wait_s if leave_after_s is None else min(wait_s, leave_after_s))
         except TimeoutError:
             call.abandoned_s = time.monotonic()
-            call.connection_state = connection.describe_state()
+            call.connection_state = f"{connection.describe_state()}{connection.shutdown.describe()}"
             connection.transport.abort()
             if leave_after_s is None:
                 call.failure = f"lost: no answer {call.abandoned_s - due_s:.2f} s after its time"
@@ -247,7 +262,7 @@
         if not call.arrivals and (used or self.closed_for_silence(connection)):
             call.ended_s = None
             return False
-        call.connection_state = connection.describe_state()
+        call.connection_state = f"{connection.describe_state()}{connection.shutdown.describe()}"
         call.failure = f"lost: closed after {call.ended_s - call.sent_s:.3f} s with no whole answer"
         return True
 
--- a/tests/faults/site.py
+++ b/tests/faults/site.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import math
 import signal
 import subprocess
 import sys
@@ -16,7 +15,7 @@
 from ironscale.standins.discovery import ListedDiscovery
 from ironscale.standins.settings import SETTINGS
 from tests.deployed import ROOT
-from tests.faults.clients import Clients
+from tests.faults.clients import Clients, Shutdown
 from tests.faults.ledger import Ledger
 from tests.faults.shim import Shim
 from tests.faults.upstream import Upstream
@@ -52,7 +51,7 @@
         environment = {**self.shim.environment(), "GW_CONFIG": str(self.folder / "config.json")}
         if self.operator:
             environment["GW_OPERATOR"] = str(self.folder / "operator.toml")
-        self.clients.stopping_since_s = math.inf
+        self.clients.shutdown = Shutdown()
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen([sys.executable, "-B", "-m", "ironscale"], cwd=ROOT, env=environment,
                                             stdout=log, stderr=log)
@@ -73,7 +72,7 @@
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
         if number in (signal.SIGTERM, signal.SIGINT):
-            self.clients.stopping_since_s = min(self.clients.stopping_since_s, time.monotonic())
+            self.clients.shutdown.since_s = min(self.clients.shutdown.since_s, time.monotonic())
         self.process.send_signal(number)
 
     def exit_code(self) -> int | None:
--- a/tests/faults/test_verdicts.py
+++ b/tests/faults/test_verdicts.py
@@ -66,7 +66,7 @@
         thread.start()
         clients = Clients(Ledger(), listener.getsockname()[1])
         if stopping:
-            clients.stopping_since_s = time.monotonic()
+            clients.shutdown.since_s = time.monotonic()
         task = asyncio.create_task(call_while_held_up(clients, STALL_S))
         await asyncio.sleep(STALL_S)
         clients.may_connect = False
@@ -119,3 +119,26 @@
             await site.stop()
 
     run(test)
+
+
+# Guards against a verdict that takes the next process for the one that closed the connection.
+def test_a_connection_closed_in_a_shutdown_is_judged_by_it_though_the_next_process_runs(tmp_path: Path) -> None:
+    async def test() -> None:
+        site = Site(tmp_path)
+        try:
+            sidecar = await site.serving()
+
+            def restart() -> None:
+                assert sidecar.process is not None
+                sidecar.signal(signal.SIGTERM)
+                assert sidecar.process.wait(5.0) == 0
+                sidecar.launch()
+
+            call = asyncio.create_task(sidecar.clients.call("pay", limit_s=0.5))
+            asyncio.get_running_loop().call_soon(restart)
+            await call
+            assert site.ledger.violations() == [], sidecar.log()
+        finally:
+            await site.stop()
+
+    run(test)
