The test of a store's start on a failing disk waits for a disk that stands still

That the disk stood still was likely and not shown. Change: a round of load in which 10 or fewer are served is played again, up to five, if the log has a new late commit; without one, or where no round serves over 10, the test fails as before.

--- a/tests/faults/test_store.py
+++ b/tests/faults/test_store.py
@@ -35,7 +35,7 @@
 }
 
 LATE_COMMIT = "its commit was not answered in time"
-MAX_FIRST_REQUESTS = 5
+MAX_ROUNDS = 5
 
 
 def rows(sidecar: SidecarProcess) -> Counter[str]:
@@ -102,6 +102,18 @@
     play(tmp_path, test)
 
 
+async def send_until_stored(sidecar: SidecarProcess, number: int) -> None:
+    """Sends load until more than `number` requests of one round are served. Only a commit that took too long, as the
+    machine's disk stood still, excuses a round in which fewer are."""
+    for _ in range(MAX_ROUNDS):
+        late_commits = sidecar.log().count(LATE_COMMIT)
+        calls = await send_load(sidecar.clients, 0.5)
+        if sum(call.status == 200 for call in calls) > number:
+            return
+        assert sidecar.log().count(LATE_COMMIT) > late_commits, sidecar.log()
+    raise AssertionError(sidecar.log())
+
+
 # Guards against a start that gives up because the store's disk or threads fail at that moment.
 def test_a_store_starts_on_a_disk_that_fails_for_a_while(tmp_path: Path) -> None:
     async def test(site: Site) -> None:
@@ -114,10 +126,9 @@
         await asyncio.sleep(1.5)
         sidecar.shim.set({})
         assert await sidecar.ready(), sidecar.log()
-        await send_load(sidecar.clients, 0.5)
+        await send_until_stored(sidecar, 10)
         await assert_clean_exit(sidecar)
-        assert (not store_violations(site.ledger.calls, rows(sidecar))
-                and site.ledger.results()["200"] > 10), sidecar.log()
+        assert not store_violations(site.ledger.calls, rows(sidecar)), sidecar.log()
 
     play(tmp_path, test)
 
@@ -139,7 +150,7 @@
 async def first_stored(sidecar: SidecarProcess) -> tuple[bytes, Call]:
     """Sends requests of different keys until one is stored. While the disk stands still, a commit takes longer than its
     request has time for, and so may those that wait behind it; any other failure is an error."""
-    for number in range(MAX_FIRST_REQUESTS):
+    for number in range(MAX_ROUNDS):
         key = b"one-key-%d" % number
         call = await call_of_key(sidecar, key)
         if call.status == 200:
