The test of a former holder's term steps the clock itself

Change: the stores' clock stands still but for the steps of the test, so no term ends while the test process waits; it also asks 1 ms before the term's end, where the claim must still be refused.

--- a/tests/agent/test_leading.py
+++ b/tests/agent/test_leading.py
@@ -29,6 +29,7 @@
 from tests.sockets import free_port
 
 TERM_S = 1.2
+LEASE_MS = 300
 FLEET_QUERY = "query { fleet { leads term leader ageMs instances ready halt { actor } } }"
 APPLY = """mutation($k: String!, $o: JSON!) { apply(input: {overlay: $o, expectGeneration: 0, idempotencyKey: $k,
   policy: {maxFailures: 100}}) {
@@ -318,9 +319,13 @@
     assert Term().is_held(10**15) and not Term().is_over(10**15)
 
 
-def test_former_holder_of_a_claimed_record_can_not_write(tmp_path: Path) -> None:
+def test_former_holder_of_a_claimed_record_can_not_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    now_ms = clock_ms()  # stands still but for the test's own steps, so that no term ends while the test process waits
+    monkeypatch.setattr("ironscale.agent.sqlite.clock_ms", lambda: now_ms)
+
     async def test() -> None:
-        one, two = (SqliteStore(tmp_path / "r.db", claim=Claim(name, f"place {name}", 300)) for name in "ab")
+        nonlocal now_ms
+        one, two = (SqliteStore(tmp_path / "r.db", claim=Claim(name, f"place {name}", LEASE_MS)) for name in "ab")
         lost: list[str] = []
         one.on_lost = lambda error: lost.append(error.code)
         try:
@@ -328,12 +333,14 @@
                 await one.write(lambda records: records.next_fence())  # nobody leads yet
             await one.claim()
             assert await one.write(lambda records: records.next_fence()) == 1
+            assert (await two.owner()).holder == "a" and one.term.is_held(now_ms)
+            now_ms += LEASE_MS - 1
             with pytest.raises(StoreError, match="the agent of place a owns this store"):
                 await two.claim()
-            assert (await two.owner()).holder == "a" and one.term.is_held(clock_ms())
-            while (await two.owner()).left_ms:
-                await asyncio.sleep(0.01)
-            assert not one.term.is_held(clock_ms())  # by its own clock, without reading the record
+            assert (await two.owner()).left_ms == 1
+            now_ms += 1
+            assert (await two.owner()).left_ms == 0
+            assert not one.term.is_held(now_ms)  # by its own clock, without reading the record
             await two.claim()
             assert (one.term.epoch, two.term.epoch) == (1, 2)
             with pytest.raises(StoreError) as refused:
