The stage no longer takes its own standstill for a sidecar that is out

Hypotheses: (a) the stage's own loop stood still, and its time-out of 0.5 s ran out before it read an answer; then several looks end in one turn and the next ones are answered. (b) A broken fence; then the sidecar is out for longer and others are not. (c) The record was sampled late; then a permit follows.

Change: the 0.5 s count while the stage runs: they are waited for in steps of 0.02 s, and a standstill takes one of them. Measured: the new test failed before for a sidecar that answers and a stage that stands still for 0.6 s, and passed three times after; a sidecar that doesn't answer is out with and without. The schedules and the planted faults passed once.

--- a/ironscale/stage/run.py
+++ b/ironscale/stage/run.py
@@ -186,15 +186,29 @@
             was = self.serving[name] = serves
             await asyncio.sleep(LOOK_S)
 
+    @classmethod
+    async def serves(cls, port: int) -> bool:
+        """Whether a sidecar answers within `ANSWER_S` in which this process runs: time that it stood still itself says
+        nothing of the sidecar."""
+        answer = asyncio.create_task(cls.is_ready(port))
+        try:
+            for _ in range(round(ANSWER_S / LOOK_S)):
+                done, _ = await asyncio.wait([answer], timeout=LOOK_S)
+                if done:
+                    return answer.result()
+            return False
+        finally:
+            answer.cancel()
+
     @staticmethod
-    async def serves(port: int) -> bool:
+    async def is_ready(port: int) -> bool:
+        """What a sidecar answers, however long it takes."""
         writer: asyncio.StreamWriter | None = None
         try:
-            async with asyncio.timeout(ANSWER_S):
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET /health/ready HTTP/1.1\r\nHost: stage\r\nConnection: close\r\n\r\n")
-                return b" 200 " in await reader.readline()
-        except (OSError, TimeoutError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /health/ready HTTP/1.1\r\nHost: stage\r\nConnection: close\r\n\r\n")
+            return b" 200 " in await reader.readline()
+        except OSError:
             return False
         finally:
             if writer is not None:
--- a/tests/stage/test_stage.py
+++ b/tests/stage/test_stage.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,7 @@
 from ironscale.stage.fault_scenario import Event, Limit, World, WorldError, drawn, parse, shrunk, written
 from ironscale.stage.history import Entry, History, load
 from ironscale.stage.relay import Relay
-from ironscale.stage.run import Stage, played
+from ironscale.stage.run import ANSWER_S, Stage, played
 from ironscale.standins.upstream import Peer
 from tests.slow_disk import measured_syncs
 from tests.sockets import run
@@ -49,6 +50,30 @@
     raise AssertionError((found, syncs))
 
 
+# Guards against a sidecar that is called out because the stage itself had no processor.
+@pytest.mark.parametrize("sidecar_answers", [True, False])
+@pytest.mark.parametrize("stage_stalls", [True, False])
+def test_a_stage_that_stands_still_calls_nobody_out(sidecar_answers: bool, stage_stalls: bool) -> None:
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        if sidecar_answers:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        else:
+            await asyncio.sleep(2 * ANSWER_S)
+        writer.close()
+
+    async def test() -> None:
+        async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
+            look = asyncio.create_task(Stage.serves(server.sockets[0].getsockname()[1]))
+            if stage_stalls:
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                time.sleep(1.2 * ANSWER_S)
+            assert await look is sidecar_answers
+
+    run(test)
+
+
 @pytest.mark.parametrize("fault", ["sends_without_a_permit", "one_budget_of_two", "grants_all_that_wait"])
 def test_a_planted_fault_is_found_by_one_schedule(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.chdir(Path(__file__).parents[2])
